Lay out the workspace: model, interfaces, first stand-ins and checks

Cause: the libraries are to be built side by side, so their common types and narrow interfaces have to stand first.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Development commands. Each sets up .venv on a fresh machine first.
+PYTHON ?= python3.11
+LIBS := $(wildcard libs/*)
+VENV := .venv/installed
+BIN := .venv/bin
+
+.PHONY: demo test stack bench soak format lint types layers unit pins clean
+
+$(VENV): requirements.txt $(wildcard libs/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install --quiet -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation $(addprefix -e ,$(LIBS))
+	touch $(VENV)
+
+demo: $(VENV)
+	@$(BIN)/python -m fireflyhitch_bench.demo
+
+stack: $(VENV)
+	@exec $(BIN)/python -m fireflyhitch_bench.stack
+
+bench: $(VENV)
+	@$(BIN)/python -m fireflyhitch_bench.$(NAME)
+
+soak: $(VENV)
+	@$(BIN)/python -m fireflyhitch_bench.soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
+
+test: lint types layers unit
+
+format: $(VENV)
+	$(BIN)/ruff check --quiet --fix libs
+	$(BIN)/ruff format --quiet libs
+
+lint: $(VENV)
+	$(BIN)/ruff format --check --quiet libs
+	$(BIN)/ruff check --quiet libs
+	$(BIN)/flake8 libs
+
+types: $(VENV)
+	MYPYPATH=$(subst $(eval) ,:,$(LIBS)) $(BIN)/mypy $(foreach lib,$(notdir $(LIBS)),-p fireflyhitch_$(lib))
+
+layers: $(VENV)
+	$(BIN)/lint-imports --no-logo 2>/dev/null || $(BIN)/lint-imports
+
+unit: $(VENV)
+	$(BIN)/python -m pytest
+
+pins:
+	$(PYTHON) -m venv build/pins
+	build/pins/bin/pip install --quiet -r requirements.in
+	build/pins/bin/pip list --format=freeze --exclude pip > requirements.txt
+
+clean:
+	rm -rf .venv build run
--- /dev/null
+++ b/libs/bench/fireflyhitch_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, the demo, the stack and the soak run."""
--- /dev/null
+++ b/libs/cli/fireflyhitch_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon, composed from the other libraries."""
--- /dev/null
+++ b/libs/fleet/fireflyhitch_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity: buying and replacing instances by fenced orders."""
--- /dev/null
+++ b/libs/membership/fireflyhitch_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peer links, liveness and dissemination of state."""
--- /dev/null
+++ b/libs/model/fireflyhitch_model/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, states, messages, errors, the clock and invariants."""
--- /dev/null
+++ b/libs/platform/fireflyhitch_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services behind narrow protocols."""
--- /dev/null
+++ b/libs/recovery/fireflyhitch_recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Requests in flight: resume, hand-over and drain."""
--- /dev/null
+++ b/libs/rollout/fireflyhitch_rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves: shares, evidence, verdict and take-back."""
--- /dev/null
+++ b/libs/routing/fireflyhitch_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of backend server, limits, admission and retries."""
--- /dev/null
+++ b/libs/settings/fireflyhitch_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Templates, parameters and checked settings."""
--- /dev/null
+++ b/libs/standins/fireflyhitch_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the platform and of backend servers."""
--- /dev/null
+++ b/libs/telemetry/fireflyhitch_telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the burn of service levels."""
