--- /dev/null
+++ b/libs/standins/fireflyhitch_standins/engine_generation.py
@@ -0,0 +1,158 @@
+"""Streams of the stand-in engine: their tokens, listeners and end."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from fireflyhitch_standins.answers import write_token
+from fireflyhitch_standins.asyncio_http import Reply
+
+END_OF_STREAM = b'data: [DONE]\n\n'
+CONTENT_MARK = '@content@'
+
+# Turns a token's text into an event.
+Renderer = Callable[[str], bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What an attempt asks of the engine.
+
+    :param held: how many tokens of the answer the prompt already holds.
+    :param limit: how many tokens this attempt may generate.
+    """
+
+    attempt: str
+    model: str
+    chat: bool
+    stream: bool
+    include_usage: bool
+    prompt_hash: int
+    prompt_tokens: int
+    held: int
+    limit: int
+    kv_import: str | None = None
+    priority: int = 1
+
+
+@dataclass(slots=True)
+class Listener:
+    """A connection that receives a stream."""
+
+    reply: Reply
+    stream: bool
+
+
+@dataclass(slots=True)
+class Generation:
+    """One attempt's stream, which outlives its connections for a while.
+
+    :param cached_tokens: prompt tokens whose computation was saved.
+    :param finish_reason: set when the last token is out.
+    """
+
+    ask: Ask
+    created: int
+    cached_tokens: int = 0
+    produced: int = 0
+    finish_reason: str | None = None
+    cancelled: bool = False
+    started: bool = False
+    listeners: list[Listener] = field(default_factory=list)
+    render: Renderer = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Prepare the parts of an event that do not change."""
+        self.render = _make_renderer(self)
+
+    def attach(self, listener: Listener, after: int = 0) -> None:
+        """Send what there is from a token on, and the rest as it comes."""
+        self.listeners.append(listener)
+        if listener.stream:
+            listener.reply.start_events()
+            for index in range(after, self.produced):
+                listener.reply.write_chunk(self.render(self.token(index)))
+        if self.finish_reason is not None:
+            self._finish_listener(listener)
+
+    def token(self, index: int) -> str:
+        """Return the text of this attempt's token."""
+        return write_token(self.ask.prompt_hash, self.ask.held + index)
+
+    def advance(self) -> None:
+        """Generate one token and send it."""
+        text = self.token(self.produced)
+        self.produced += 1
+        event = self.render(text)
+        for listener in self.listeners:
+            if listener.stream:
+                listener.reply.write_chunk(event)
+
+    def finish(self, reason: str) -> None:
+        """End the stream for all that listen."""
+        self.finish_reason = reason
+        for listener in tuple(self.listeners):
+            self._finish_listener(listener)
+        self.listeners.clear()
+
+    def usage(self) -> dict[str, Any]:
+        """Return the usage in OpenAI's form."""
+        return {
+            'prompt_tokens': self.ask.prompt_tokens,
+            'completion_tokens': self.produced,
+            'total_tokens': self.ask.prompt_tokens + self.produced,
+            'prompt_tokens_details': {'cached_tokens': self.cached_tokens},
+        }
+
+    def _finish_listener(self, listener: Listener) -> None:
+        if not listener.stream:
+            listener.reply.send_json(self._whole_answer())
+            return
+        reply = listener.reply
+        reply.write_chunk(_write_event(self._document(self._last_choice(), '.chunk')))
+        if self.ask.include_usage:
+            last = {**self._document(None, '.chunk'), 'usage': self.usage()}
+            reply.write_chunk(_write_event(last))
+        reply.write_chunk(END_OF_STREAM)
+        reply.end_events()
+
+    def _last_choice(self) -> dict[str, Any]:
+        empty: dict[str, Any] = {'delta': {}} if self.ask.chat else {'text': ''}
+        return {'index': 0, **empty, 'finish_reason': self.finish_reason}
+
+    def _whole_answer(self) -> dict[str, Any]:
+        text = ''.join(self.token(index) for index in range(self.produced))
+        body: dict[str, Any] = {'text': text}
+        if self.ask.chat:
+            body = {'message': {'role': 'assistant', 'content': text}}
+        choice = {'index': 0, **body, 'finish_reason': self.finish_reason}
+        return {**self._document(choice, ''), 'usage': self.usage()}
+
+    def _document(self, choice: dict[str, Any] | None, suffix: str) -> dict[str, Any]:
+        kind = f'chat.completion{suffix}' if self.ask.chat else 'text_completion'
+        return {
+            'id': f'chatcmpl-{self.ask.attempt}',
+            'object': kind,
+            'created': self.created,
+            'model': self.ask.model,
+            'choices': [] if choice is None else [choice],
+        }
+
+
+def _make_renderer(generation: Generation) -> Renderer:
+    mark: dict[str, Any] = {'text': CONTENT_MARK}
+    if generation.ask.chat:
+        mark = {'delta': {'content': CONTENT_MARK}}
+    choice = {'index': 0, **mark, 'finish_reason': None}
+    event = _write_event(generation._document(choice, '.chunk'))  # noqa: SLF001
+    head, _, tail = event.partition(CONTENT_MARK.encode())
+
+    def render(text: str) -> bytes:
+        return b'%b%b%b' % (head, text.encode(), tail)
+
+    return render
+
+
+def _write_event(document: dict[str, Any]) -> bytes:
+    return b'data: %b\n\n' % json.dumps(document, separators=(',', ':')).encode()
