--- a/libs/settings/fireflyhitch_settings/schema.py
+++ b/libs/settings/fireflyhitch_settings/schema.py
@@ -1,10 +1,9 @@
 """The configuration that operators accept: what is served, for whom and how."""
 
-from datetime import datetime
 from enum import Enum
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AwareDatetime, BaseModel, ConfigDict, Field
 
 from fireflyhitch_model.ids import (
     CustomerId,
@@ -45,7 +44,7 @@
     """The wish to move a deployment to another version by a date."""
 
     to_version: VersionId
-    move_by: datetime
+    move_by: AwareDatetime
 
 
 class CapacityPlan(Checked):
@@ -70,7 +69,15 @@
 
 
 class _Deployment(Checked):
+    """What models and plain services have in common.
+
+    :param customers: who may call it; empty for all customers. It lets one
+        template be filled in for each customer with its own failure domains,
+        version and date.
+    """
+
     name: DeploymentId
+    customers: tuple[CustomerId, ...] = ()
     failure_domains: Annotated[tuple[FailureDomainId, ...], Field(min_length=1)]
     version: VersionId
     move: VersionMove | None = None
@@ -79,6 +86,10 @@
     prices: tuple[PriceEntry, ...] = ()
     timeout_seconds: Positive = 120
 
+    def serves(self, customer: CustomerId) -> bool:
+        """Tell whether a customer may call this deployment."""
+        return not self.customers or customer in self.customers
+
 
 class ModelDeployment(_Deployment):
     """A pool of model engines behind one model name."""
