--- /dev/null
+++ b/libs/cli/fireflyhitch_cli/commands.py
@@ -0,0 +1,171 @@
+"""The commands: each prints its result and returns an exit code."""
+
+import argparse
+import secrets
+import sys
+from enum import IntEnum
+from typing import Any
+
+from fireflyhitch_cli.admin_client import (
+    AdminClient,
+    Applied,
+    Change,
+    Conflicted,
+    Document,
+    StoredConfiguration,
+)
+from fireflyhitch_cli.rendering import (
+    join_lines,
+    render_difference,
+    render_json,
+    render_text,
+)
+from fireflyhitch_model.ids import ChangeId, InstanceId, Revision
+from fireflyhitch_settings.errors import SettingsErrors
+from fireflyhitch_settings.loader import load_configuration
+
+CHANGE_ID_BYTES = 16
+
+
+class ExitCode(IntEnum):
+    """What a program learns from the tool's end; part of its interface."""
+
+    DONE = 0
+    WRONG_SETTINGS = 1
+    USAGE = 2
+    CONFLICT = 3
+    NOT_DONE = 4
+    UNKNOWN = 5
+    INCOMPLETE = 6
+
+
+def check(options: argparse.Namespace) -> ExitCode:
+    """Find every error in settings files, without asking a daemon."""
+    configuration = load_configuration(options.paths)
+    counts = {
+        'deployments': len(configuration.deployments),
+        'customers': len(configuration.customers),
+        'errors': [],
+    }
+    if options.json:
+        print(render_json(counts))
+    else:
+        print(
+            f'no errors: {counts["deployments"]} deployments, '
+            f'{counts["customers"]} customers'
+        )
+    return ExitCode.DONE
+
+
+def apply(options: argparse.Namespace, client: AdminClient) -> ExitCode:
+    """Put files in force, if the revision seen is still the one in force."""
+    configuration = load_configuration(options.paths).model_dump(mode='json')
+    if options.dry_run:
+        return _show_change(options, client.read_configuration(), configuration)
+    change = Change(
+        ChangeId(secrets.token_hex(CHANGE_ID_BYTES)),
+        Revision(options.revision),
+        configuration,
+    )
+    applied = client.apply(change)
+    if isinstance(applied, Conflicted):
+        return _show_conflict(options, applied.in_force, configuration)
+    _print_applied(options, applied)
+    return ExitCode.DONE
+
+
+def show(options: argparse.Namespace, client: AdminClient) -> ExitCode:
+    """Print the configuration in force and its revision."""
+    _print_document(options, client.read_configuration().model_dump(mode='json'))
+    return ExitCode.DONE
+
+
+def status(options: argparse.Namespace, client: AdminClient) -> ExitCode:
+    """Print the daemon's state."""
+    _print_document(options, client.read_status())
+    return ExitCode.DONE
+
+
+def moves(options: argparse.Namespace, client: AdminClient) -> ExitCode:
+    """Print the moves to other versions."""
+    _print_document(options, client.read_moves())
+    return ExitCode.DONE
+
+
+def report(options: argparse.Namespace, client: AdminClient) -> ExitCode:
+    """Print a report over all daemons that could be asked."""
+    burn = client.read_burn()
+    _print_document(options, burn)
+    unreached = burn.get('unreached')
+    if not unreached:
+        return ExitCode.DONE
+    names = ', '.join(map(str, unreached))
+    print(f'could not be asked: {names}', file=sys.stderr)
+    return ExitCode.INCOMPLETE
+
+
+def drain(options: argparse.Namespace, client: AdminClient) -> ExitCode:
+    """Let a backend server's instance, or the daemon asked, end its work."""
+    instance = None if options.daemon else InstanceId(options.instance)
+    answer = client.drain(instance)
+    _print_document(options, answer or {'draining': instance or client.url})
+    return ExitCode.DONE
+
+
+def print_settings_errors(options: argparse.Namespace, errors: SettingsErrors) -> None:
+    """Print every error, one a line."""
+    if options.json:
+        lines = [str(error) for error in errors.exceptions]
+        print(render_json({'errors': lines}))
+        return
+    for error in errors.exceptions:
+        print(error, file=sys.stderr)
+    print(errors.message, file=sys.stderr)
+
+
+def _show_change(
+    options: argparse.Namespace, in_force: StoredConfiguration, wanted: Document
+) -> ExitCode:
+    lines = _list_difference(in_force, wanted)
+    if options.json:
+        document = {'revision': in_force.revision, 'difference': lines}
+        print(render_json(document))
+    else:
+        print(join_lines(lines) or 'no change')
+    if options.revision == in_force.revision:
+        return ExitCode.DONE
+    return ExitCode.CONFLICT
+
+
+def _show_conflict(
+    options: argparse.Namespace, in_force: StoredConfiguration, wanted: Document
+) -> ExitCode:
+    message = (
+        f'revision {in_force.revision} is in force, not {options.revision}; '
+        'nothing was changed'
+    )
+    if options.json:
+        conflict: dict[str, Any] = in_force.model_dump(mode='json')
+        print(render_json({'error': message, **conflict, 'yours': wanted}))
+        return ExitCode.CONFLICT
+    print(message, file=sys.stderr)
+    lines = _list_difference(in_force, wanted)
+    print(join_lines(lines) or 'yours is the same as the one in force')
+    return ExitCode.CONFLICT
+
+
+def _list_difference(in_force: StoredConfiguration, wanted: Document) -> list[str]:
+    name = f'in force (revision {in_force.revision})'
+    old = in_force.configuration or {}
+    return list(render_difference(old, wanted, name, 'yours'))
+
+
+def _print_applied(options: argparse.Namespace, applied: Applied) -> None:
+    if options.json:
+        print(render_json({'revision': applied.revision}))
+    else:
+        print(f'in force as revision {applied.revision}')
+
+
+def _print_document(options: argparse.Namespace, document: Document) -> None:
+    print(render_json(document) if options.json else render_text(document))
