--- a/libs/standins/fireflyhitch_standins/engine_server.py
+++ b/libs/standins/fireflyhitch_standins/engine_server.py
@@ -2,8 +2,6 @@
 
 import argparse
 import json
-import signal
-import threading
 import time
 from http import HTTPStatus
 from typing import Any
@@ -18,6 +16,7 @@
 )
 from fireflyhitch_standins.asyncio_http import AsyncHttpServer, Handler, Reply, Request
 from fireflyhitch_standins.engine_generation import Ask, Generation, Listener
+from fireflyhitch_standins.processes import serve_until_stopped
 
 DEFAULT_MAX_TOKENS = 16
 COMPLETIONS = '/v1/completions'
@@ -246,12 +245,7 @@
     server = EngineServer(
         EngineSettings.model_validate(chosen), options.host, options.port
     )
-    stopped = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
-    server.start()
-    print(json.dumps({'address': server.address}), flush=True)  # noqa: WPS421
-    stopped.wait()
-    server.stop()
+    serve_until_stopped(server)
 
 
 def _read_options() -> argparse.Namespace:
--- a/libs/standins/fireflyhitch_standins/service_server.py
+++ b/libs/standins/fireflyhitch_standins/service_server.py
@@ -5,131 +5,129 @@
 
 import argparse
 import json
-import signal
-import threading
-import time
 from collections import Counter
-from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
 
-from cheroot import wsgi
+from pydantic import BaseModel, ConfigDict
 
-Environment = dict[str, Any]
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
-KEY_HEADER = 'HTTP_IDEMPOTENCY_KEY'
-NOT_RUN_HEADER = ('Fireflyhitch-Outcome', 'not-run')
+from fireflyhitch_standins.asyncio_http import AsyncHttpServer, Reply, Request
+from fireflyhitch_standins.processes import serve_until_stopped
+
+NOT_RUN = {'Fireflyhitch-Outcome': 'not-run', 'Content-Type': 'application/json'}
+
+
+class ServiceSettings(BaseModel):
+    """How the service behaves; a test may replace it while it runs.
+
+    :param response_seconds: how long a call takes.
+    :param slow_seconds_per_call: added for each other call in progress.
+    :param refuse: calls are refused before they run.
+    :param fail_share: share of calls that run and then fail.
+    :param drop_share: share of calls that run and whose answer is lost.
+    """
+
+    model_config = ConfigDict(extra='forbid')
+
+    response_seconds: float = 0
+    slow_seconds_per_call: float = 0
+    refuse: bool = False
+    fail_share: float = 0
+    drop_share: float = 0
 
 
 class ServiceServer:
-    """The service on a thread pool, with faults that a test turns on.
+    """The service on one event loop.
 
     :param name: goes into each answer.
     :param version: goes into each answer.
-    :param response_seconds: how long a call takes.
     """
 
     def __init__(
         self,
         name: str = 'service',
         version: str = 'v1',
-        response_seconds: float = 0,
+        settings: ServiceSettings | None = None,
         host: str = '127.0.0.1',
         port: int = 0,
-        threads: int = 16,
     ) -> None:
         self.name = name
         self.version = version
-        self.response_seconds = response_seconds
-        self.refuse = False
-        self.fail_share = 0.0
+        self.settings = settings or ServiceSettings()
         self.runs: Counter[str] = Counter()
         self.total_runs = 0
-        self._lock = threading.Lock()
-        self._server = wsgi.Server((host, port), self._answer, numthreads=threads)
-        self._thread = threading.Thread(target=self._server.serve, daemon=True)
+        self.running = 0
+        self._server = AsyncHttpServer(self._handle, host, port)
 
     @property
     def address(self) -> str:
         """Return ``host:port`` once started."""
-        host, port = self._server.bind_addr
-        return f'{host}:{port}'
+        return self._server.address
 
     def start(self) -> None:
         """Listen and serve."""
-        self._server.prepare()
-        self._thread.start()
+        self._server.start()
 
     def stop(self) -> None:
-        """Stop listening; calls in progress end."""
+        """Reset all connections, as an instance that goes does."""
         self._server.stop()
-        self._thread.join()
-
-    def _answer(self, environ: Environment, start: StartResponse) -> Iterable[bytes]:
-        path = environ['PATH_INFO']
-        if path == '/runs':
-            with self._lock:
-                return _send_json(start, dict(self.runs))
-        body = environ['wsgi.input'].read(int(environ.get('CONTENT_LENGTH') or 0))
-        if path == '/standin/faults':
-            return self._set_faults(body, start)
-        if self.refuse:
-            refusal = {'error': 'not accepting calls'}
-            headers = [NOT_RUN_HEADER]
-            return _send_json(start, refusal, HTTPStatus.SERVICE_UNAVAILABLE, headers)
-        return self._run(environ, body, start)
-
-    def _run(
-        self, environ: Environment, body: bytes, start: StartResponse
-    ) -> Iterable[bytes]:
-        key = environ.get(KEY_HEADER)
-        with self._lock:
-            self.total_runs += 1
-            run = self.total_runs
-            if key is not None:
-                self.runs[key] += 1
-        if self.response_seconds:
-            time.sleep(self.response_seconds)
-        if int(run * self.fail_share) > int((run - 1) * self.fail_share):
+
+    def _handle(self, request: Request, reply: Reply) -> None:
+        if request.path == '/runs':
+            reply.send_json(dict(self.runs))
+        elif request.path == '/standin/settings':
+            self._handle_settings(request, reply)
+        elif self.settings.refuse:
+            body = b'{"error":"not accepting calls"}'
+            reply.send(body, NOT_RUN, HTTPStatus.SERVICE_UNAVAILABLE)
+        else:
+            self._run(request, reply)
+
+    def _run(self, request: Request, reply: Reply) -> None:
+        key = request.headers.get('idempotency-key')
+        self.total_runs += 1
+        if key is not None:
+            self.runs[key] += 1
+        delay = self.settings.response_seconds
+        delay += self.settings.slow_seconds_per_call * self.running
+        self.running += 1
+        run = self.total_runs
+        self._server.loop.call_later(delay, self._finish, run, request, reply)
+
+    def _finish(self, run: int, request: Request, reply: Reply) -> None:
+        self.running -= 1
+        if reply.ended:
+            return
+        if _is_chosen(run, self.settings.drop_share):
+            reply.abort()
+        elif _is_chosen(run, self.settings.fail_share):
             error = {'error': 'failed after running'}
-            return _send_json(start, error, HTTPStatus.INTERNAL_SERVER_ERROR)
-        answer = {
+            reply.send_json(error, HTTPStatus.INTERNAL_SERVER_ERROR)
+        else:
+            reply.send_json(self._answer(run, request))
+
+    def _answer(self, run: int, request: Request) -> dict[str, Any]:
+        return {
             'service': self.name,
             'version': self.version,
-            'method': environ['REQUEST_METHOD'],
-            'path': environ['PATH_INFO'],
-            'key': key,
+            'method': request.method,
+            'path': request.path,
+            'key': request.headers.get('idempotency-key'),
             'run': run,
-            'body': body.decode('utf-8', 'replace'),
+            'body': request.body.decode('utf-8', 'replace'),
         }
-        return _send_json(start, answer)
-
-    def _set_faults(self, body: bytes, start: StartResponse) -> Iterable[bytes]:
-        wanted = json.loads(body)
-        self.refuse = bool(wanted.get('refuse', False))
-        self.fail_share = float(wanted.get('fail_share', 0))
-        self.response_seconds = float(
-            wanted.get('response_seconds', self.response_seconds)
-        )
-        return _send_json(start, {})
-
-
-def _send_json(
-    start: StartResponse,
-    document: object,
-    status: HTTPStatus = HTTPStatus.OK,
-    headers: Iterable[tuple[str, str]] = (),
-) -> Iterable[bytes]:
-    body = json.dumps(document).encode()
-    start(
-        f'{status.value} {status.phrase}',
-        [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(body))),
-            *headers,
-        ],
-    )
-    return (body,)
+
+    def _handle_settings(self, request: Request, reply: Reply) -> None:
+        if request.method == 'PUT':
+            held = self.settings.model_dump()
+            wanted = {**held, **json.loads(request.body)}
+            self.settings = ServiceSettings.model_validate(wanted)
+        reply.send_json(self.settings.model_dump())
+
+
+def _is_chosen(run: int, share: float) -> bool:
+    # Spread evenly, so that a test knows how many of n calls are chosen.
+    return int(run * share) > int((run - 1) * share)
 
 
 def main() -> None:
@@ -141,19 +139,12 @@
     parser.add_argument('--version', default='v1')
     parser.add_argument('--response-seconds', type=float, default=0)
     options = parser.parse_args()
-    server = ServiceServer(
-        options.name,
-        options.version,
-        options.response_seconds,
-        options.host,
-        options.port,
+    settings = ServiceSettings(response_seconds=options.response_seconds)
+    serve_until_stopped(
+        ServiceServer(
+            options.name, options.version, settings, options.host, options.port
+        )
     )
-    stopped = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: stopped.set())
-    server.start()
-    print(json.dumps({'address': server.address}), flush=True)  # noqa: WPS421
-    stopped.wait()
-    server.stop()
 
 
 if __name__ == '__main__':
