--- a/libs/standins/fireflyhitch_standins/platform_server.py
+++ b/libs/standins/fireflyhitch_standins/platform_server.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from pydantic import TypeAdapter, ValidationError
+from xxhash import xxh3_64_hexdigest
 
 from fireflyhitch_model.clock import SystemClock
 from fireflyhitch_model.errors import PlatformError
@@ -130,7 +131,7 @@
             reply.send_json({'error': 'no such path'}, HTTPStatus.NOT_FOUND)
             return
         try:
-            reply.send_json(route(request))
+            _send_tagged(request, reply, route(request))
         except (ValidationError, LookupError) as error:
             reply.send_json({'error': str(error)}, HTTPStatus.BAD_REQUEST)
         except PlatformError as error:
@@ -218,6 +219,15 @@
         return {service: calls.counts for service, calls in self._calls.items()}
 
 
+def _send_tagged(request: Request, reply: Reply, document: object) -> None:
+    body = json.dumps(document).encode()
+    tag = f'"{xxh3_64_hexdigest(body)}"'
+    if request.headers.get('if-none-match') == tag:
+        reply.send(b'', {'ETag': tag}, HTTPStatus.NOT_MODIFIED)
+        return
+    reply.send(body, {'Content-Type': 'application/json', 'ETag': tag})
+
+
 def _read_instance(request: Request) -> InstanceId:
     return InstanceId(request.path.rpartition('/')[-1])
 
