--- a/libs/settings/fireflyhitch_settings/errors.py
+++ b/libs/settings/fireflyhitch_settings/errors.py
@@ -55,4 +55,5 @@
     if not errors:
         return
     ordered = sorted(errors, key=lambda error: (error.place, error.key))
-    raise SettingsErrors(f'{len(ordered)} errors in settings', ordered)
+    plural = '' if len(ordered) == 1 else 's'
+    raise SettingsErrors(f'{len(ordered)} error{plural} in settings', ordered)
