Let the stand-in engine take orders, move KV caches and fail

Engines load versions, adapters and roles by orders, with fencing enforced or ignored; a loaded version brings its own faults. KV caches are exported and imported, and tokens computed again are counted. Faults: error at once, failure after the first token (only under load, only on one route), broken connection after n tokens, slowness, refusal; all can be set over HTTP while it runs.

--- a/libs/standins/fireflyhitch_standins/engine_generation.py
+++ b/libs/standins/fireflyhitch_standins/engine_generation.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 
 from fireflyhitch_standins.answers import write_token
@@ -10,6 +11,7 @@
 
 END_OF_STREAM = b'data: [DONE]\n\n'
 CONTENT_MARK = '@content@'
+FAILURE = {'error': {'message': 'engine failure', 'type': 'server_error'}}
 
 # Turns a token's text into an event.
 Renderer = Callable[[str], bytes]
@@ -34,6 +36,8 @@
     limit: int
     kv_import: str | None = None
     priority: int = 1
+    route: str = 'chat'
+    prefix_blocks: tuple[int, ...] = ()
 
 
 @dataclass(slots=True)
@@ -48,17 +52,18 @@
 class Generation:
     """One attempt's stream, which outlives its connections for a while.
 
-    :param cached_tokens: prompt tokens whose computation was saved.
+    :param imported_tokens: prompt tokens whose KV cache was imported.
+    :param cached_tokens: prompt tokens that need not be computed, imports included.
     :param finish_reason: set when the last token is out.
     """
 
     ask: Ask
     created: int
+    imported_tokens: int = 0
     cached_tokens: int = 0
     produced: int = 0
     finish_reason: str | None = None
     cancelled: bool = False
-    started: bool = False
     listeners: list[Listener] = field(default_factory=list)
     render: Renderer = field(init=False)
 
@@ -66,6 +71,16 @@
         """Prepare the parts of an event that do not change."""
         self.render = _make_renderer(self)
 
+    @property
+    def computed_tokens(self) -> int:
+        """Return how many prompt tokens have to be computed."""
+        return self.ask.prompt_tokens - self.cached_tokens
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether no more tokens come."""
+        return self.cancelled or self.finish_reason is not None
+
     def attach(self, listener: Listener, after: int = 0) -> None:
         """Send what there is from a token on, and the rest as it comes."""
         self.listeners.append(listener)
@@ -96,6 +111,24 @@
             self._finish_listener(listener)
         self.listeners.clear()
 
+    def fail(self) -> None:
+        """End the stream with an error instead of the rest."""
+        self.cancelled = True
+        for listener in self.listeners:
+            if listener.stream:
+                listener.reply.write_chunk(_write_event(FAILURE))
+                listener.reply.end_events()
+            else:
+                listener.reply.send_json(FAILURE, HTTPStatus.INTERNAL_SERVER_ERROR)
+        self.listeners.clear()
+
+    def abort(self) -> None:
+        """End the stream without a word, as a process that dies does."""
+        self.cancelled = True
+        for listener in self.listeners:
+            listener.reply.abort()
+        self.listeners.clear()
+
     def usage(self) -> dict[str, Any]:
         """Return the usage in OpenAI's form."""
         return {
--- a/libs/standins/fireflyhitch_standins/engine_server.py
+++ b/libs/standins/fireflyhitch_standins/engine_server.py
@@ -3,72 +3,76 @@
 import argparse
 import json
 import time
+from collections.abc import Mapping
+from dataclasses import asdict
 from http import HTTPStatus
 from typing import Any
 
-from pydantic import BaseModel, ConfigDict
-
 from fireflyhitch_model.hashing import hash_text
-from fireflyhitch_standins.answers import (
-    count_tokens,
-    join_messages,
-    split_continuation,
+from fireflyhitch_model.ids import VersionId
+from fireflyhitch_standins.asyncio_http import (
+    AsyncHttpServer,
+    Handler,
+    Reply,
+    Request,
 )
-from fireflyhitch_standins.asyncio_http import AsyncHttpServer, Handler, Reply, Request
-from fireflyhitch_standins.engine_generation import Ask, Generation, Listener
+from fireflyhitch_standins.engine_asks import read_ask
+from fireflyhitch_standins.engine_generation import FAILURE, Generation, Listener
+from fireflyhitch_standins.engine_kv import KvImports, export_cache
+from fireflyhitch_standins.engine_orders import EngineHoldings
+from fireflyhitch_standins.engine_pacing import FixedPacing, Pacing
+from fireflyhitch_standins.engine_settings import EngineSettings
 from fireflyhitch_standins.processes import serve_until_stopped
 
-DEFAULT_MAX_TOKENS = 16
 COMPLETIONS = '/v1/completions'
 CHAT = '/v1/chat/completions'
 STREAMS = '/engine/streams/'
+KV = '/engine/kv/'
+NOT_RUN = {'Fireflyhitch-Outcome': 'not-run', 'Content-Type': 'application/json'}
+HASH_BITS = 64
+HASH_RANGE = 2**HASH_BITS
 
 
-class EngineSettings(BaseModel):
-    """How the engine behaves; a test may replace it while it runs.
+class EngineServer:
+    """Answers chat and text completions with tokens in time.
 
-    :param prefill_seconds: for each prompt token that is computed.
-    :param answer_tokens: the length at which an answer stops by itself.
-    :param linger_seconds: how long a stream that nobody listens to goes on.
-    :param retain_seconds: how long a finished stream can still be read.
+    :param versions: settings that take the place of the present ones when a
+        version is loaded; a version that is missing keeps them.
     """
 
-    model_config = ConfigDict(extra='forbid')
-
-    version: str = 'v1'
-    token_seconds: float = 0.05
-    first_token_seconds: float = 0.1
-    prefill_seconds: float = 0
-    answer_tokens: int = 64
-    linger_seconds: float = 0
-    retain_seconds: float = 30
-
-
-class EngineServer:
-    """Answers chat and text completions with tokens at fixed times."""
-
     def __init__(
         self,
         settings: EngineSettings | None = None,
         host: str = '127.0.0.1',
         port: int = 0,
+        versions: Mapping[VersionId, EngineSettings] | None = None,
     ) -> None:
         self.settings = settings or EngineSettings()
         self.generations: dict[str, Generation] = {}
-        self.running = 0
         self.cancelled = 0
-        self.computed_prompt_tokens = 0
+        self.computed_tokens = 0
+        self.recomputed_tokens = 0
+        self._versions = versions or {}
         self._server = AsyncHttpServer(self._handle, host, port)
         self._loop = self._server.loop
-        self._serial = 0
+        self._imports = KvImports()
+        self.holdings = EngineHoldings(
+            self._loop, lambda: self.settings, self._set_version
+        )
+        self._pacing: Pacing = FixedPacing(
+            self._loop, lambda: self.settings, self._advance
+        )
         self._routes: dict[str, Handler] = {
             CHAT: self._complete,
             COMPLETIONS: self._complete,
             STREAMS: self._handle_stream,
-            '/engine/load': self._send_load,
+            KV: self._handle_kv,
+            '/engine/orders': self._take_order,
             '/engine/state': self._send_state,
+            '/engine/load': self._send_load,
             '/engine/cache-events': self._send_cache_events,
             '/standin/settings': self._handle_settings,
+            '/standin/counters': self._send_counters,
         }
 
     @property
@@ -76,6 +80,12 @@
         """Return ``host:port`` once started."""
         return self._server.address
 
+    @property
+    def running(self) -> int:
+        """Return how many streams run or wait."""
+        load = self._pacing.load()
+        return load.running + load.waiting
+
     def start(self) -> None:
         """Listen and serve."""
         self._server.start()
@@ -86,72 +96,70 @@
 
     def _handle(self, request: Request, reply: Reply) -> None:
         path = request.path
-        if path.startswith(STREAMS):
-            path = STREAMS
+        for prefix in (STREAMS, KV):
+            if path.startswith(prefix):
+                path = prefix
         route = self._routes.get(path)
         if route is None:
             _refuse(reply, HTTPStatus.NOT_FOUND, 'no such path')
             return
-        route(request, reply)
-
-    def _complete(self, request: Request, reply: Reply) -> None:
         try:
-            ask = self._read_ask(request)
+            route(request, reply)
         except (ValueError, KeyError, TypeError) as error:
             _refuse(reply, HTTPStatus.BAD_REQUEST, repr(error))
+
+    def _complete(self, request: Request, reply: Reply) -> None:
+        if not self.holdings.takes_calls:
+            body = b'{"error":{"message":"takes no calls","code":"not_ready"}}'
+            reply.send(body, NOT_RUN, HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        ask = read_ask(request, request.path == CHAT)
+        if _is_chosen(f'{ask.attempt}/error', self.settings.error_share):
+            reply.send_json(FAILURE, HTTPStatus.INTERNAL_SERVER_ERROR)
             return
         generation = Generation(ask, int(time.time()))
+        generation.imported_tokens = self._imports.count_tokens(ask)
         self.generations[ask.attempt] = generation
-        self.running += 1
-        self.computed_prompt_tokens += ask.prompt_tokens
         self._attach(generation, Listener(reply, ask.stream))
-        delay = self.settings.first_token_seconds
-        delay += self.settings.prefill_seconds * ask.prompt_tokens
-        due = self._loop.time() + delay
-        self._loop.call_at(due, self._advance, generation, due)
-
-    def _read_ask(self, request: Request) -> Ask:
-        document = json.loads(request.body)
-        chat = request.path == CHAT
-        prompt, held, prompt_tokens = _read_prompt(document, chat)
-        limit = document.get('max_completion_tokens') or document.get('max_tokens')
-        self._serial += 1
-        options = document.get('stream_options') or {}
-        return Ask(
-            attempt=request.headers.get('x-request-id', f'local-{self._serial}'),
-            model=str(document.get('model', '')),
-            chat=chat,
-            stream=bool(document.get('stream', False)),
-            include_usage=bool(options.get('include_usage', False)),
-            prompt_hash=hash_text(prompt),
-            prompt_tokens=prompt_tokens,
-            held=held,
-            limit=int(limit or DEFAULT_MAX_TOKENS),
-            kv_import=request.headers.get('x-kv-import'),
-            priority=int(document.get('priority', 1)),
-        )
+        self._pacing.begin(generation)
 
-    def _advance(self, generation: Generation, due: float) -> None:
-        if generation.cancelled or generation.finish_reason is not None:
-            return
-        reason = self._finish_reason(generation)
+    def _advance(self, generation: Generation) -> None:
+        if not generation.produced:
+            self._count_prompt(generation)
+        reason = self._find_end(generation)
         if reason is None:
             generation.advance()
-            reason = self._finish_reason(generation)
-        if reason is not None:
+            reason = self._find_end(generation)
+        if generation.produced == 1 and self._fails(generation):
+            generation.fail()
+        elif generation.produced == self.settings.break_after_tokens:
+            generation.abort()
+        elif reason is not None:
             generation.finish(reason)
-            self._forget_later(generation)
-            return
-        # The next token is due by the plan, so that lateness does not add up.
-        due = max(due + self.settings.token_seconds, self._loop.time())
-        self._loop.call_at(due, self._advance, generation, due)
+        if generation.has_ended:
+            self._end(generation)
 
-    def _finish_reason(self, generation: Generation) -> str | None:
+    def _count_prompt(self, generation: Generation) -> None:
+        self.computed_tokens += generation.computed_tokens
+        if generation.ask.held:
+            self.recomputed_tokens += generation.computed_tokens
+
+    def _find_end(self, generation: Generation) -> str | None:
         ask = generation.ask
         if ask.held + generation.produced >= self.settings.answer_tokens:
             return 'stop'
         return 'length' if generation.produced >= ask.limit else None
 
+    def _fails(self, generation: Generation) -> bool:
+        settings = self.settings
+        if not settings.fail_share:
+            return False
+        if settings.fail_route not in {None, generation.ask.route}:
+            return False
+        if self.running <= settings.fail_above:
+            return False
+        return _is_chosen(generation.ask.attempt, settings.fail_share)
+
     def _attach(
         self, generation: Generation, listener: Listener, after: int = 0
     ) -> None:
@@ -170,27 +178,20 @@
             self._cancel(generation)
 
     def _cancel(self, generation: Generation) -> None:
-        if generation.cancelled or generation.finish_reason is not None:
+        if generation.has_ended:
             return
-        generation.cancelled = True
         self.cancelled += 1
-        for listener in generation.listeners:
-            listener.reply.abort()
-        generation.listeners.clear()
-        self._forget_later(generation)
-
-    def _forget_later(self, generation: Generation) -> None:
-        self.running -= 1
-        self._loop.call_later(
-            self.settings.retain_seconds,
-            self.generations.pop,
-            generation.ask.attempt,
-            None,
-        )
+        generation.abort()
+        self._end(generation)
+
+    def _end(self, generation: Generation) -> None:
+        self._pacing.end(generation)
+        retain = self.settings.retain_seconds
+        attempt = generation.ask.attempt
+        self._loop.call_later(retain, self.generations.pop, attempt, None)
 
     def _handle_stream(self, request: Request, reply: Reply) -> None:
-        attempt = request.path.rsplit('/', 1)[-1]
-        generation = self.generations.get(attempt)
+        generation = self._find(request)
         if generation is None or generation.cancelled:
             _refuse(reply, HTTPStatus.NOT_FOUND, 'no such stream')
         elif request.method == 'DELETE':
@@ -200,36 +201,63 @@
             after = int(request.query.get('after', '0'))
             self._attach(generation, Listener(reply, stream=True), after)
 
-    def _handle_settings(self, request: Request, reply: Reply) -> None:
+    def _handle_kv(self, request: Request, reply: Reply) -> None:
+        generation = self._find(request)
         if request.method == 'PUT':
-            held = self.settings.model_dump()
-            self.settings = EngineSettings(**{**held, **json.loads(request.body)})
-        reply.send_json(self.settings.model_dump())
+            attempt = request.path.removeprefix(KV)
+            self._imports.put(attempt, request.body)
+            reply.send_json({})
+        elif generation is None:
+            _refuse(reply, HTTPStatus.NOT_FOUND, 'no such stream')
+        else:
+            size = self.settings.kv_bytes_per_token
+            tokens, body = export_cache(generation, size)
+            reply.send(body, {'Kv-Tokens': str(tokens)})
 
-    def _send_load(self, _: Request, reply: Reply) -> None:
-        load = {'running': self.running, 'waiting': 0}
-        reply.send_json({**load, 'kv_cache_used': 0, 'age_seconds': 0})
+    def _find(self, request: Request) -> Generation | None:
+        return self.generations.get(request.path.rpartition('/')[-1])
+
+    def _take_order(self, request: Request, reply: Reply) -> None:
+        if self.holdings.take(request.body):
+            reply.send_json({})
+        else:
+            _refuse(reply, HTTPStatus.CONFLICT, 'old fencing number')
+
+    def _set_version(self, version: VersionId) -> None:
+        self.settings = self._versions.get(version, self.settings)
 
     def _send_state(self, _: Request, reply: Reply) -> None:
-        state: dict[str, Any] = {'version': self.settings.version, 'adapters': []}
-        reply.send_json({**state, 'role': 'both', 'fencing': 0, 'ready': True})
+        reply.send_json(self.holdings.describe())
+
+    def _send_load(self, _: Request, reply: Reply) -> None:
+        load = asdict(self._pacing.load())
+        load['age_seconds'] = load.pop('age')
+        reply.send_json(load)
 
-    def _send_cache_events(self, _: Request, reply: Reply) -> None:
-        reply.send_json({'events': []})
+    def _send_cache_events(self, request: Request, reply: Reply) -> None:
+        after = int(request.query.get('after', '0'))
+        events = [asdict(event) for event in self._pacing.cache_events(after)]
+        reply.send_json({'events': events})
+
+    def _handle_settings(self, request: Request, reply: Reply) -> None:
+        if request.method == 'PUT':
+            held = self.settings.model_dump()
+            wanted: dict[str, Any] = json.loads(request.body)
+            self.settings = EngineSettings.model_validate({**held, **wanted})
+        reply.send_json(self.settings.model_dump(mode='json'))
+
+    def _send_counters(self, _: Request, reply: Reply) -> None:
+        counters = {
+            'running': self.running,
+            'cancelled': self.cancelled,
+            'computed_tokens': self.computed_tokens,
+            'recomputed_tokens': self.recomputed_tokens,
+        }
+        reply.send_json(counters)
 
 
-def _read_prompt(document: dict[str, Any], chat: bool) -> tuple[str, int, int]:
-    if not chat:
-        whole = str(document['prompt'])
-        prompt, held = split_continuation(whole)
-        return prompt, held, count_tokens(whole)
-    messages = list(document['messages'])
-    partial = ''
-    if document.get('continue_final_message') and messages:
-        partial = str(messages.pop().get('content') or '')
-    prompt = join_messages(messages)
-    held = count_tokens(partial)
-    return prompt, held, count_tokens(prompt) + held
+def _is_chosen(key: str, share: float) -> bool:
+    return share > 0 and hash_text(key) / HASH_RANGE < share
 
 
 def _refuse(reply: Reply, status: HTTPStatus, message: str) -> None:
@@ -242,10 +270,8 @@
     options = _read_options()
     fields = EngineSettings.model_fields
     chosen = {field: getattr(options, field) for field in fields}
-    server = EngineServer(
-        EngineSettings.model_validate(chosen), options.host, options.port
-    )
-    serve_until_stopped(server)
+    settings = EngineSettings.model_validate(chosen)
+    serve_until_stopped(EngineServer(settings, options.host, options.port))
 
 
 def _read_options() -> argparse.Namespace:
--- a/libs/standins/fireflyhitch_standins/world.py
+++ b/libs/standins/fireflyhitch_standins/world.py
@@ -19,7 +19,8 @@
 from fireflyhitch_model.states import FencingSupport, MachineClass
 from fireflyhitch_platform.services import InstanceOrder, Price
 from fireflyhitch_standins.cloud import MemoryCloud
-from fireflyhitch_standins.engine_server import EngineServer, EngineSettings
+from fireflyhitch_standins.engine_server import EngineServer
+from fireflyhitch_standins.engine_settings import EngineSettings
 from fireflyhitch_standins.instance_list import MemoryInstanceList
 from fireflyhitch_standins.service_server import ServiceServer, ServiceSettings
 from fireflyhitch_standins.weights import MemoryWeightStore
@@ -153,7 +154,12 @@
     engine = settings.engines.get(order.version)
     if engine is None:
         engine = next(iter(settings.engines.values()), EngineSettings())
-    return EngineServer(engine.model_copy(update={'version': order.version}))
+    versions = {
+        version: held.model_copy(update={'version': version})
+        for version, held in settings.engines.items()
+    }
+    engine = engine.model_copy(update={'version': order.version})
+    return EngineServer(engine, versions=versions)
 
 
 def _make_order(initial: InitialServers, serial: int) -> InstanceOrder:
--- a/libs/standins/tests/test_engine_server.py
+++ b/libs/standins/tests/test_engine_server.py
@@ -1,6 +1,7 @@
 """Tests of the stand-in engine over HTTP."""
 
 import json
+import time
 
 import pytest
 import urllib3
@@ -10,7 +11,8 @@
     split_continuation,
     write_answer,
 )
-from fireflyhitch_standins.engine_server import EngineServer, EngineSettings
+from fireflyhitch_standins.engine_server import EngineServer
+from fireflyhitch_standins.engine_settings import EngineSettings
 
 MESSAGES = [{'role': 'user', 'content': 'which hose reels are due'}]
 
@@ -101,3 +103,96 @@
         whole = write_answer(join_messages(MESSAGES), 6)
         assert whole.endswith(read_text(events))
         assert len(events) == 3
+
+
+class TestConnections:
+    """Callers who leave, and streams that outlive them."""
+
+    def test_running_stream_is_resumed_from_a_token_on(self, engine):
+        """A daemon loses its instance while a stream runs.
+
+        The peer that takes over reads the same stream at the same engine from
+        the first token that it lacks; the engine computes nothing again.
+        """
+        engine.settings.token_seconds = 0.01
+        document = {'messages': MESSAGES, 'max_tokens': 20, 'stream': True}
+        first = open_stream(engine, document, 'one')
+        first.readline()
+        url = f'http://{engine.address}/engine/streams/one?after=1'
+        events = read_events(urllib3.request('GET', url))
+        whole = write_answer(join_messages(MESSAGES), 20)
+        assert whole.endswith(read_text(events))
+        assert len(events) == 20
+        assert engine.computed_tokens == len(MESSAGES[0]['content'].split()) + 1
+        first.close()
+
+    def test_caller_who_goes_away_cancels(self, engine):
+        engine.settings.token_seconds = 0.01
+        document = {'messages': MESSAGES, 'max_tokens': 64, 'stream': True}
+        stream = open_stream(engine, document, 'one')
+        stream.readline()
+        stream.close()
+        wait_until(lambda: engine.cancelled == 1)
+        assert engine.running == 0
+
+    def test_order_to_cancel_ends_the_stream(self, engine):
+        engine.settings.token_seconds = 0.01
+        document = {'messages': MESSAGES, 'max_tokens': 64, 'stream': True}
+        stream = open_stream(engine, document, 'one')
+        stream.readline()
+        url = f'http://{engine.address}/engine/streams/one'
+        assert urllib3.request('DELETE', url).status == 200
+        with pytest.raises(urllib3.exceptions.ProtocolError):
+            stream.read()
+        assert urllib3.request('GET', url).status == 404
+
+
+class TestFaults:
+    """Faults that a test turns on."""
+
+    def set_faults(self, engine, **faults):
+        url = f'http://{engine.address}/standin/settings'
+        assert urllib3.request('PUT', url, json=faults).status == 200
+
+    def test_refusal_says_that_nothing_ran(self, engine):
+        self.set_faults(engine, refuse=True)
+        answer = post(engine, '/v1/completions', {'prompt': 'a'})
+        assert answer.status == 503
+        assert answer.headers['Fireflyhitch-Outcome'] == 'not-run'
+
+    def test_failing_stream_ends_with_an_error(self, engine):
+        self.set_faults(engine, fail_share=1)
+        document = {'prompt': 'a', 'stream': True}
+        events = post(engine, '/v1/completions', document).data.split(b'\n\n')
+        assert events[-2].startswith(b'data: {"error"')
+
+    def test_fault_of_one_route_spares_the_other(self, engine):
+        self.set_faults(engine, fail_share=1, fail_route='chat')
+        assert post(engine, '/v1/completions', {'prompt': 'a'}).status == 200
+        answer = post(engine, '/v1/chat/completions', {'messages': MESSAGES})
+        assert answer.status == 500
+
+    def test_connection_breaks_after_some_tokens(self, engine):
+        self.set_faults(engine, break_after_tokens=2)
+        document = {'messages': MESSAGES, 'max_tokens': 8, 'stream': True}
+        stream = open_stream(engine, document, 'one')
+        with pytest.raises(urllib3.exceptions.ProtocolError):
+            stream.read()
+
+
+def open_stream(engine, document, attempt):
+    return urllib3.request(
+        'POST',
+        f'http://{engine.address}/v1/chat/completions',
+        json=document,
+        headers={'X-Request-Id': attempt},
+        preload_content=False,
+        retries=False,
+    )
+
+
+def wait_until(holds):
+    ends = time.monotonic() + 5
+    while not holds():
+        assert time.monotonic() < ends
+        time.sleep(0.005)
