--- a/libs/settings/fireflyhitch_settings/loader.py
+++ b/libs/settings/fireflyhitch_settings/loader.py
@@ -45,12 +45,16 @@
     :raises SettingsErrors: with every error in all of the files.
     """
     loading = _Loading()
-    for path in _list_files(paths, loading.errors):
+    files = list(_list_files(paths, loading.errors))
+    for path in files:
         document = read_document(path, loading.errors)
         if document is not None:
             loading.add_document(document)
     loading.read_entries('deployments')
     loading.read_entries('customers')
+    if not (loading.sources['deployments'] or loading.errors):
+        place = Place(str(files[-1]) if files else 'settings')
+        loading.errors.append(SettingsError('no deployment in any file', place))
     configuration = loading.build()
     loading.check(configuration, clock or SystemClock())
     raise_errors(loading.errors)
@@ -134,9 +138,6 @@
 
     def check(self, configuration: Configuration, clock: Clock) -> None:
         """Check the parts against each other."""
-        if not self.sources['deployments'] and not self.errors:
-            message = 'no deployment in any of the files'
-            self.errors.append(SettingsError(message, Place('settings')))
         for finding in check_configuration(configuration, clock.now()):
             section, index, *inner = finding.location
             if inner[0] == 'customers' and self._lacks_customers():
