--- a/libs/bench/fireflyhitch_bench/processes.py
+++ b/libs/bench/fireflyhitch_bench/processes.py
@@ -10,19 +10,30 @@
 from pathlib import Path
 from typing import Any
 
-STOP_SECONDS = 30
+STOP_SECONDS = 10
 
 
 @dataclass(slots=True)
 class Process:
-    """A started process that said that it is ready.
-
-    :param ready: the JSON object that it printed when it was ready.
-    """
+    """A started process."""
 
     name: str
     popen: subprocess.Popen[str]
-    ready: dict[str, Any]
+    _ready: dict[str, Any] | None = None
+
+    @property
+    def ready(self) -> dict[str, Any]:
+        """Return the JSON object that it prints when it is ready; wait for it.
+
+        :raises RuntimeError: if it ended instead.
+        """
+        if self._ready is None:
+            assert self.popen.stdout is not None
+            line = self.popen.stdout.readline()
+            if not line:
+                raise RuntimeError(f'{self.name} did not start; see its log')
+            self._ready = json.loads(line)
+        return self._ready
 
     @property
     def pid(self) -> int:
@@ -54,10 +65,7 @@
             self._wait(process)
 
     def start(self, name: str, module: str, arguments: Sequence[str] = ()) -> Process:
-        """Start a module and wait for its line that says it is ready.
-
-        :raises RuntimeError: if it ended instead.
-        """
+        """Start a module; several may start at once."""
         log = (self.directory / f'{name}.log').open('w', encoding='utf-8')
         popen = subprocess.Popen(  # noqa: S603
             [sys.executable, '-m', module, *arguments],
@@ -67,11 +75,7 @@
             env={**os.environ, 'PYTHONUNBUFFERED': '1'},
         )
         log.close()
-        assert popen.stdout is not None
-        line = popen.stdout.readline()
-        if not line:
-            raise RuntimeError(f'{name} did not start; see {self.directory}')
-        process = Process(name, popen, json.loads(line))
+        process = Process(name, popen)
         self.processes.append(process)
         return process
 
--- a/libs/daemon/fireflyhitch_daemon/front.py
+++ b/libs/daemon/fireflyhitch_daemon/front.py
@@ -96,7 +96,8 @@
         minthreads=WORKER_THREADS,
         maxthreads=WORKER_THREADS,
         server_name='fireflyhitch',
-        reuse_port=True,
+        # The kernel cannot choose a port that others share.
+        reuse_port=listener.port != 0,
     )
     server.handler = handler
     server.limits = limits
--- a/libs/daemon/fireflyhitch_daemon/main.py
+++ b/libs/daemon/fireflyhitch_daemon/main.py
@@ -36,7 +36,7 @@
     configure_logs(settings.log_level)
     sys.setswitchinterval(SWITCH_SECONDS)
     stop = threading.Event()
-    _stop_on_signals(stop)
+    stop_on_signals(stop)
     process = DaemonProcess(settings, SystemClock())
     process.start()
     print(json.dumps(process.describe()), flush=True)  # noqa: WPS421
@@ -46,7 +46,9 @@
     return 0
 
 
-def _stop_on_signals(stop: threading.Event) -> None:
+def stop_on_signals(stop: threading.Event) -> None:
+    """Have SIGTERM and SIGINT set an event."""
+
     def request_stop(number: int, frame: FrameType | None) -> None:
         stop.set()
 
--- /dev/null
+++ b/libs/daemon/tests/test_front.py
@@ -0,0 +1,49 @@
+"""Tests of the front, over a real socket."""
+
+import socket
+import threading
+
+import pytest
+import urllib3
+
+from fireflyhitch_daemon.front import Response, build_server
+from fireflyhitch_settings.bootstrap import Limits, Listener
+
+
+@pytest.fixture
+def address():
+    limits = Limits(max_body_bytes=1000)
+    server = build_server(
+        Listener(), limits, lambda request: Response(200, request.body)
+    )
+    thread = threading.Thread(target=server.serve)
+    thread.start()
+    yield 'http://{}:{}'.format(*server.bind_addr)
+    server.stop()
+    thread.join()
+
+
+class TestFront:
+    """Reading requests and writing answers."""
+
+    def test_body_is_read_whole(self, address):
+        assert urllib3.request('POST', address, body=b'x' * 1000).data == b'x' * 1000
+
+    def test_oversize_body_is_refused_as_not_run(self, address):
+        answer = urllib3.request('POST', address, body=b'x' * 1001)
+        assert answer.status == 413
+        assert answer.headers['Fireflyhitch-Outcome'] == 'not-run'
+        assert answer.json()['error']['code'] == 'body_too_large'
+
+    def test_oversize_chunked_body_is_refused(self, address):
+        blocks = iter([b'x' * 600, b'x' * 600])
+        answer = urllib3.request('POST', address, body=blocks)
+        assert answer.status == 413
+
+    def test_unreadable_request_is_answered_in_the_error_form(self, address):
+        host, port = address.removeprefix('http://').split(':')
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(b'NONSENSE\r\n\r\n')
+            answer = caller.makefile('rb').read()
+        assert answer.startswith(b'HTTP/1.1 400 Bad Request')
+        assert b'Fireflyhitch-Outcome: not-run' in answer
