Claim calls that may not be repeated by group-committed compare-and-swap

A call with an idempotency key must run at most once although any daemon may get its repeat. The ledger claims it in the key-value service before the first byte, in sharded records that one writer at a time commits for all that wait. A claim never passes on while its attempt could still send, so no second write is needed before sending.

--- /dev/null
+++ b/libs/ledger/fireflyhitch_ledger/committer.py
@@ -0,0 +1,266 @@
+"""Group commit of one shard by compare-and-swap."""
+
+import threading
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+from tenacity import (
+    Retrying,
+    retry_if_exception_type,
+    stop_after_attempt,
+    wait_random_exponential,
+)
+
+from fireflyhitch_ledger.operations import Operation, OperationResult
+from fireflyhitch_ledger.pace import WritePace
+from fireflyhitch_ledger.records import (
+    EMPTY_RECORD,
+    ShardRecord,
+    decode_record,
+    encode_record,
+)
+from fireflyhitch_ledger.settings import LedgerSettings
+from fireflyhitch_ledger.transitions import Applied, apply_operations
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.ids import ABSENT, Revision
+from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_platform.keyvalue import Conflict, KeyValue, KeyValueStore
+
+STORE_TRIES = 3
+FIRST_WAIT_SECONDS = 0.02
+LONGEST_WAIT_SECONDS = 0.2
+# Each lost race means that another daemon's write took effect; so many in a
+# row only happen if membership disagrees widely.
+MAX_CONFLICTS = 32
+
+
+class Ticket:
+    """An operation that waits for its commit.
+
+    :param lead: called when it is this ticket's turn to have the shard committed.
+    :param finish: called once the ticket has its result or its error.
+    """
+
+    def __init__(
+        self,
+        operation: Operation,
+        lead: Callable[[], None],
+        finish: Callable[['Ticket'], None],
+    ) -> None:
+        self.operation = operation
+        self.lead = lead
+        self.finish = finish
+        self.result: OperationResult | None = None
+        self.error: PlatformError | None = None
+        self.leading = False
+
+    @property
+    def finished(self) -> bool:
+        """Whether it has its result or its error."""
+        return self.result is not None or self.error is not None
+
+
+class ShardCommitter:
+    """Commits all waiting operations of one shard in one write.
+
+    One thread at a time leads: it takes what has queued up and writes it, while
+    the next batch gathers. So batches grow with the load and no timer is needed.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        store: KeyValueStore,
+        clock: Clock,
+        pace: WritePace,
+        settings: LedgerSettings,
+    ) -> None:
+        self._key = key
+        self._store = store
+        self._clock = clock
+        self._pace = pace
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._queue: deque[Ticket] = deque()
+        self._led = False
+        self._record: ShardRecord | None = None
+        self._revision = ABSENT
+
+    def run(self, operation: Operation) -> OperationResult:
+        """Commit an operation and return its result, on the caller's thread.
+
+        :raises PlatformError: if the store does not answer; its outcome tells
+            whether the operation may have had an effect.
+        """
+        signal = threading.Event()
+        ticket = Ticket(operation, signal.set, lambda _: signal.set())
+        self.enqueue(ticket)
+        while not ticket.finished:
+            if not self._clock.wait(signal, self._settings.claim_patience):
+                return self._give_up(ticket)
+            signal.clear()
+            if ticket.leading and not ticket.finished:
+                self.commit()
+        if ticket.result is None:
+            raise ticket.error or self._build_timeout(Outcome.UNKNOWN)
+        return ticket.result
+
+    def enqueue(self, ticket: Ticket) -> None:
+        """Add an operation to the next batch; its callbacks do the rest."""
+        with self._lock:
+            self._queue.append(ticket)
+            ticket.leading = not self._led
+            self._led = True
+        if ticket.leading:
+            ticket.lead()
+
+    def commit(self) -> None:
+        """Commit the waiting batch; only for whom ``lead`` was called."""
+        self._wait_for_pace()
+        with self._lock:
+            batch = tuple(self._queue)
+            self._queue.clear()
+        if batch:
+            self._commit_batch(batch)
+        self._pass_lead()
+        for ticket in batch:
+            ticket.finish(ticket)
+
+    def _pass_lead(self) -> None:
+        with self._lock:
+            successor = self._queue[0] if self._queue else None
+            self._led = successor is not None
+            if successor is not None:
+                successor.leading = True
+        if successor is not None:
+            successor.lead()
+
+    def _give_up(self, ticket: Ticket) -> OperationResult:
+        with self._lock:
+            queued = ticket in self._queue
+            if queued:
+                self._queue.remove(ticket)
+        if queued and ticket.leading:
+            # Its turn came as it gave up; else the shard would wait for ever.
+            self._pass_lead()
+        if ticket.result is not None:
+            return ticket.result
+        raise self._build_timeout(Outcome.NOT_RUN if queued else Outcome.UNKNOWN)
+
+    def _build_timeout(self, outcome: Outcome) -> PlatformError:
+        return PlatformError(
+            'the store is too slow', step=Step.STORE_WRITE, outcome=outcome
+        )
+
+    def _wait_for_pace(self) -> None:
+        delay = self._pace.reserve()
+        if delay > 0:
+            self._sleep(delay)
+
+    def _commit_batch(self, batch: tuple[Ticket, ...]) -> None:
+        operations = tuple(ticket.operation for ticket in batch)
+        try:
+            results = self._commit_operations(operations)
+        except Exception as error:
+            # Also what no store should raise: a leader that died of it would
+            # leave the shard's queue without one, and its callers hanging.
+            failure = _describe_failure(error)
+            for ticket in batch:
+                ticket.error = failure
+            return
+        for ticket, result in zip(batch, results, strict=True):
+            ticket.result = result
+
+    def _commit_operations(
+        self, operations: tuple[Operation, ...]
+    ) -> tuple[OperationResult, ...]:
+        attempt = _Commit(operations)
+        retrying = Retrying(
+            stop=stop_after_attempt(STORE_TRIES),
+            wait=wait_random_exponential(FIRST_WAIT_SECONDS, LONGEST_WAIT_SECONDS),
+            retry=retry_if_exception_type(PlatformError),
+            sleep=self._sleep,
+            reraise=True,
+        )
+        try:
+            return retrying(self._try_commit, attempt)
+        except PlatformError as error:
+            self._record = None
+            error.outcome = Outcome.UNKNOWN if attempt.uncertain else Outcome.NOT_RUN
+            raise
+
+    def _try_commit(self, attempt: '_Commit') -> tuple[OperationResult, ...]:
+        for _ in range(MAX_CONFLICTS):
+            record = self._record or self._read(attempt)
+            applied = self._apply(attempt.operations, record)
+            if applied.changed:
+                if self._write(applied, attempt):
+                    return applied.results
+            elif attempt.fresh or applied.certain:
+                return applied.results
+            else:
+                # The cache may be behind what another daemon has written.
+                self._record = None
+        raise PlatformError(
+            'lost too many races', step=Step.STORE_WRITE, outcome=Outcome.NOT_RUN
+        )
+
+    def _apply(self, operations: tuple[Operation, ...], record: ShardRecord) -> Applied:
+        now = self._clock.now().timestamp()
+        return apply_operations(operations, record, now, self._settings)
+
+    def _read(self, attempt: '_Commit') -> ShardRecord:
+        record = self._remember(self._store.get(self._key))
+        attempt.fresh = True
+        return record
+
+    def _write(self, applied: Applied, attempt: '_Commit') -> bool:
+        encoded = encode_record(applied.record)
+        try:
+            written = self._store.put_if(self._key, encoded, self._revision)
+        except PlatformError as error:
+            # The write may have taken effect. The next try reads the record
+            # back, where the attempts' ids tell whether it did.
+            self._record = None
+            attempt.uncertain |= error.outcome is not Outcome.NOT_RUN
+            raise
+        if isinstance(written, Conflict):
+            self._remember(written.current)
+            attempt.fresh = True
+            return False
+        self._record = applied.record
+        self._revision = written.revision
+        return True
+
+    def _remember(self, stored: KeyValue | None) -> ShardRecord:
+        if stored is None:
+            self._record = EMPTY_RECORD
+            self._revision = ABSENT
+            return self._record
+        self._record = decode_record(stored.value, self._settings)
+        self._revision = Revision(stored.revision)
+        return self._record
+
+    def _sleep(self, seconds: float) -> None:
+        self._clock.wait(threading.Event(), timedelta(seconds=seconds))
+
+
+def _describe_failure(error: Exception) -> PlatformError:
+    if isinstance(error, PlatformError):
+        return error
+    return PlatformError(repr(error), step=Step.STORE_WRITE)
+
+
+class _Commit:
+    """One batch on its way to the store.
+
+    :ivar uncertain: whether a write was tried whose answer was lost.
+    :ivar fresh: whether the record in hand was read for this batch.
+    """
+
+    def __init__(self, operations: tuple[Operation, ...]) -> None:
+        self.operations = operations
+        self.uncertain = False
+        self.fresh = False
--- /dev/null
+++ b/libs/ledger/fireflyhitch_ledger/pace.py
@@ -0,0 +1,36 @@
+"""How often this daemon's ledger writes to the store."""
+
+from threading import Lock
+
+from fireflyhitch_model.clock import Clock
+
+
+class WritePace:
+    """Spreads writes so that all ledgers together stay within the store's rate.
+
+    Without it many shards at once would take the store's whole rate from the
+    configuration. A write that has to wait lets its batch grow meanwhile.
+    """
+
+    def __init__(self, clock: Clock, rate: float, burst: int) -> None:
+        self._clock = clock
+        self._lock = Lock()
+        self._interval = 1 / rate
+        self._burst = burst
+        self._next = clock.monotonic()
+
+    def set_rate(self, rate: float) -> None:
+        """Change the rate, in writes a second."""
+        with self._lock:
+            self._interval = 1 / rate
+
+    def reserve(self) -> float:
+        """Reserve the next write.
+
+        :returns: how long to wait for it, in seconds.
+        """
+        with self._lock:
+            now = self._clock.monotonic()
+            earliest = now - self._interval * self._burst
+            self._next = max(self._next, earliest) + self._interval
+            return max(0, self._next - now)
--- /dev/null
+++ b/libs/ledger/fireflyhitch_ledger/transitions.py
@@ -0,0 +1,190 @@
+"""The rules by which operations change a shard's record; no side effects."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from fireflyhitch_ledger.keys import KeyDigest
+from fireflyhitch_ledger.operations import (
+    FINAL_RESULTS,
+    Answer,
+    Operation,
+    OperationKind,
+    OperationResult,
+    ResultKind,
+)
+from fireflyhitch_ledger.records import (
+    Entry,
+    EntryState,
+    ShardRecord,
+    decode_entry,
+    encode_entry,
+    prune_record,
+)
+from fireflyhitch_ledger.settings import LedgerSettings
+
+RECORDED_STATES = {
+    OperationKind.RECORD_RAN: EntryState.RAN,
+    OperationKind.RECORD_NOT_RUN: EntryState.NOT_RUN,
+    OperationKind.RECORD_UNKNOWN: EntryState.UNKNOWN,
+}
+SETTLED_STATES = frozenset((EntryState.RAN, EntryState.NOT_RUN))
+CLAIMED = OperationResult(kind=ResultKind.CLAIMED)
+IN_PROGRESS = OperationResult(kind=ResultKind.IN_PROGRESS)
+UNKNOWN = OperationResult(kind=ResultKind.UNKNOWN)
+MISMATCH = OperationResult(kind=ResultKind.MISMATCH)
+FULL = OperationResult(kind=ResultKind.FULL)
+RECORDED = OperationResult(kind=ResultKind.RECORDED)
+CONTRADICTED = OperationResult(kind=ResultKind.CONTRADICTED)
+SUPERSEDED = OperationResult(kind=ResultKind.SUPERSEDED)
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A record after some operations.
+
+    :param changed: whether it has to be written for the results to be true.
+    :param certain: whether the results hold even if the record read was old.
+    """
+
+    record: ShardRecord
+    results: tuple[OperationResult, ...]
+    changed: bool
+    certain: bool
+
+
+def apply_operations(
+    operations: Iterable[Operation],
+    record: ShardRecord,
+    now: float,
+    settings: LedgerSettings,
+) -> Applied:
+    """Apply operations in order.
+
+    :param now: wall time in seconds since 1970. It tells a running call from a
+        cut-off one, and prunes; whether a call may be sent never rests on it.
+    """
+    pruned = prune_record(record, now, settings)
+    draft = _Draft(pruned, settings, now)
+    results = tuple(draft.apply(operation) for operation in operations)
+    certain = all(result.kind in FINAL_RESULTS for result in results)
+    return Applied(draft.finish(), results, draft.changed, certain)
+
+
+class _Draft:
+    """A record that is being changed."""
+
+    def __init__(
+        self, record: ShardRecord, settings: LedgerSettings, now: float
+    ) -> None:
+        self.changed = False
+        self._record = record
+        self._entries = dict(record.entries)
+        self._size = record.size
+        self._settings = settings
+        self._now = now
+        self._prune_at = record.prune_at
+
+    def finish(self) -> ShardRecord:
+        """Return the record with all changes."""
+        return replace(
+            self._record,
+            entries=self._entries,
+            prune_at=self._prune_at,
+            size=self._size,
+        )
+
+    def apply(self, operation: Operation) -> OperationResult:
+        """Apply one operation."""
+        digest = KeyDigest(operation.digest)
+        encoded = self._entries.get(digest)
+        entry = None if encoded is None else decode_entry(encoded)
+        if operation.kind is OperationKind.CLAIM:
+            return self._claim(digest, entry, operation)
+        return self._settle(digest, entry, operation)
+
+    def _claim(
+        self, digest: KeyDigest, entry: Entry | None, operation: Operation
+    ) -> OperationResult:
+        if entry is None:
+            return self._claim_new(digest, operation)
+        if entry.body_digest != operation.body_digest:
+            return MISMATCH
+        if entry.attempt == operation.attempt:
+            # A claim whose answer was lost, or that came by two ways.
+            held = entry.state is EntryState.CLAIMED
+            return CLAIMED if held else SUPERSEDED
+        if entry.state is EntryState.NOT_RUN:
+            return self._give(digest, operation)
+        if entry.state is EntryState.RAN:
+            return OperationResult(kind=ResultKind.STORED, answer=entry.answer)
+        cut_off = self._now >= entry.lapses_at
+        if entry.state is EntryState.UNKNOWN or cut_off:
+            return UNKNOWN
+        return IN_PROGRESS
+
+    def _claim_new(self, digest: KeyDigest, operation: Operation) -> OperationResult:
+        outcome = self._record.find_expired(digest)
+        if outcome is not None:
+            return OperationResult(kind=ResultKind.EXPIRED, outcome=outcome)
+        if self._size >= self._settings.claim_bytes:
+            return FULL
+        return self._give(digest, operation)
+
+    def _give(self, digest: KeyDigest, operation: Operation) -> OperationResult:
+        if self._now >= operation.lapses_at:
+            # A claim that was held up on its way: whoever asked has given up,
+            # and would leave it behind as a call of unknown outcome.
+            return SUPERSEDED
+        self._put(digest, operation, EntryState.CLAIMED)
+        return CLAIMED
+
+    def _settle(
+        self, digest: KeyDigest, entry: Entry | None, operation: Operation
+    ) -> OperationResult:
+        if entry is None:
+            return self._close_unseen(digest, operation)
+        if entry.attempt != operation.attempt:
+            return SUPERSEDED
+        state = RECORDED_STATES[operation.kind]
+        contradicted = {state, entry.state} == SETTLED_STATES
+        if contradicted:
+            return CONTRADICTED
+        if entry.state in SETTLED_STATES or entry.state is state:
+            return RECORDED
+        answer = self._trim(operation.answer)
+        self._write(digest, replace(entry, state=state, answer=answer))
+        return RECORDED
+
+    def _close_unseen(self, digest: KeyDigest, operation: Operation) -> OperationResult:
+        gone = self._record.find_expired(digest) is not None
+        if gone or operation.kind is not OperationKind.RECORD_NOT_RUN:
+            return SUPERSEDED
+        # The attempt gave up before its claim came through. Were it not noted,
+        # a claim still on its way would stay behind as of unknown outcome.
+        self._put(digest, operation, EntryState.NOT_RUN)
+        return RECORDED
+
+    def _trim(self, answer: Answer | None) -> Answer | None:
+        if answer is None or len(answer.body) > self._settings.answer_bytes:
+            return None
+        fits = self._size + len(answer.body) < self._settings.record_bytes
+        return answer if fits else None
+
+    def _put(self, digest: KeyDigest, operation: Operation, state: EntryState) -> None:
+        entry = Entry(
+            operation.attempt,
+            operation.body_digest,
+            state,
+            self._now,
+            operation.lapses_at,
+        )
+        self._write(digest, entry)
+        lifetime = self._settings.retention.total_seconds()
+        self._prune_at = min(self._prune_at, self._now + lifetime)
+
+    def _write(self, digest: KeyDigest, entry: Entry) -> None:
+        encoded = encode_entry(entry)
+        before = self._entries.get(digest, b'')
+        self._size += len(encoded) - len(before) + len(digest)
+        self._entries[digest] = encoded
+        self.changed = True
--- /dev/null
+++ b/libs/ledger/fireflyhitch_ledger/workers.py
@@ -0,0 +1,62 @@
+"""Threads that commit for other daemons and settle what is left over."""
+
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+from queue import SimpleQueue
+
+from fireflyhitch_model.clock import Clock
+
+STOP_SECONDS = 5
+
+
+class Workers:
+    """A few threads for the ledger's work that no caller waits in."""
+
+    def __init__(self, count: int, clock: Clock) -> None:
+        self._count = count
+        self._clock = clock
+        self._work: SimpleQueue[Callable[[], None] | None] = SimpleQueue()
+        self._stopping = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def start(self, settle: Callable[[], None], interval: timedelta) -> None:
+        """Start the threads.
+
+        :param settle: is called each interval.
+        """
+        for _ in range(self._count):
+            self._spawn(self._serve)
+        self._spawn(lambda: self._repeat(settle, interval))
+
+    def stop(self) -> None:
+        """Finish the work at hand and end the threads."""
+        self._stopping.set()
+        for _ in range(self._count):
+            self._work.put(None)
+        for thread in self._threads:
+            thread.join(STOP_SECONDS)
+        self._threads.clear()
+
+    def defer(self, work: Callable[[], None]) -> None:
+        """Do work on one of the threads, or at once if none was started."""
+        if self._threads:
+            self._work.put(work)
+        else:
+            work()
+
+    def _spawn(self, target: Callable[[], None]) -> None:
+        thread = threading.Thread(target=target, name='ledger', daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _serve(self) -> None:
+        while True:
+            work = self._work.get()
+            if work is None:
+                return
+            work()
+
+    def _repeat(self, settle: Callable[[], None], interval: timedelta) -> None:
+        while not self._clock.wait(self._stopping, interval):
+            settle()
