--- a/libs/ledger/fireflyhitch_ledger/settings.py
+++ b/libs/ledger/fireflyhitch_ledger/settings.py
@@ -6,7 +6,8 @@
 CLAIM_BYTES = 524288
 RECORD_BYTES = 983040
 ANSWER_BYTES = 8192
-OWNER_PATIENCE = timedelta(seconds=0.25)
+OWNER_PATIENCE_MILLISECONDS = 250
+OWNER_PATIENCE = timedelta(milliseconds=OWNER_PATIENCE_MILLISECONDS)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/libs/recovery/fireflyhitch_recovery/handover.py
@@ -0,0 +1,367 @@
+"""Handing requests in progress over to peers before this daemon goes."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from threading import Event, Lock
+
+from loguru import logger
+
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.errors import PeerError
+from fireflyhitch_model.hashing import rank_by_hash
+from fireflyhitch_model.ids import DaemonId, RequestId
+from fireflyhitch_model.peers import Daemon, PeerMessage, PeerMessenger
+from fireflyhitch_model.states import Step
+from fireflyhitch_recovery.answers import AnswerCopy, LogState
+from fireflyhitch_recovery.inflight import InFlight
+from fireflyhitch_recovery.locations import Locations
+from fireflyhitch_recovery.messages import (
+    Confirm,
+    ConfirmReply,
+    Located,
+    Location,
+    Offer,
+    OfferReply,
+    Transfer,
+    TransferReply,
+    WireRequest,
+    Withdraw,
+)
+from fireflyhitch_recovery.reception import Reception, TakeOver
+from fireflyhitch_recovery.requests import TrackedRequest
+from fireflyhitch_recovery.settings import DEFAULT_SETTINGS, HandOverSettings
+
+CONFIRM_TRIES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverReport:
+    """What became of the requests that were to be handed over.
+
+    :param moved: taken by a peer.
+    :param left: nobody took them in time; they are still answered here.
+    """
+
+    moved: tuple[RequestId, ...]
+    left: tuple[RequestId, ...]
+
+
+@dataclass(slots=True)
+class _Moved:
+    tracked: TrackedRequest
+    peer: DaemonId
+
+
+@dataclass(slots=True)
+class _Batch:
+    """What one transfer carries, and the copies that it was made of."""
+
+    requests: list[TrackedRequest] = field(default_factory=list)
+    size: int = 0
+
+
+class HandOver:
+    """Moves requests to peers in other failure domains, and takes theirs.
+
+    A request is held while it is transferred, so that its caller cannot have
+    read more than the peer was given; it is let go only once the peer says
+    that it answers it.
+
+    :param take_over: has the daemon go on with a request; must not block.
+    :param read_room: how many more streams the daemon can carry.
+    """
+
+    def __init__(
+        self,
+        daemon: Daemon,
+        messenger: PeerMessenger,
+        clock: Clock,
+        in_flight: InFlight,
+        take_over: TakeOver,
+        read_room: Callable[[], int],
+        settings: HandOverSettings = DEFAULT_SETTINGS,
+    ) -> None:
+        self._daemon = daemon
+        self._messenger = messenger
+        self._clock = clock
+        self._in_flight = in_flight
+        self._settings = settings
+        self._take_over = take_over
+        self.locations = Locations(
+            daemon.daemon_id, messenger, clock, in_flight, settings
+        )
+        self.reception = Reception(
+            daemon.daemon_id,
+            messenger,
+            clock,
+            in_flight,
+            self.locations,
+            take_over,
+            read_room,
+            settings,
+        )
+        self._lock = Lock()
+        self._moved: dict[RequestId, _Moved] = {}
+        self._protected: dict[RequestId, DaemonId] = {}
+        self._failed: set[DaemonId] = set()
+        in_flight.observe(self._withdraw_copy)
+
+    def hand_over(
+        self, request_ids: Iterable[RequestId], time_left: timedelta
+    ) -> HandOverReport:
+        """Move requests to peers, in the order given; blocks until done.
+
+        Call it on a thread of its own. The engine connections of moved requests
+        must stay open until the process ends, as engines cancel what is closed.
+
+        :param time_left: after which it is given up.
+        """
+        ends = self._clock.monotonic() + time_left.total_seconds()
+        waiting = deque(self._find_all(request_ids))
+        moved: list[RequestId] = []
+        while waiting and self._clock.monotonic() < ends:
+            peer = self._choose_peer(waiting)
+            if peer is None:
+                self._failed.clear()
+                self._clock.wait(Event(), self._settings.pause)
+                continue
+            batch = self._take_batch(waiting)
+            done = self._move_batch(peer, batch.requests)
+            moved.extend(_read_id(tracked) for tracked in done)
+            rest = [tracked for tracked in batch.requests if tracked not in done]
+            waiting.extendleft(reversed(list(filter(_is_open, rest))))
+            self._wait_for_pace(batch.size)
+        return HandOverReport(tuple(moved), tuple(map(_read_id, waiting)))
+
+    def protect(self, request_ids: Iterable[RequestId]) -> tuple[RequestId, ...]:
+        """Leave copies of requests with a peer while they finish here.
+
+        Should this daemon die before its time, the peer goes on with them. The
+        copies are withdrawn as the requests end.
+
+        :returns: the requests that a peer keeps copies of.
+        """
+        waiting = deque(self._find_all(request_ids))
+        protected: list[RequestId] = []
+        while waiting:
+            peer = self._choose_peer(waiting)
+            if peer is None:
+                break
+            batch = self._take_batch(waiting).requests
+            copies = [(tracked, tracked.log.copy()) for tracked in batch]
+            kept = self._transfer(peer, copies)
+            self._note_protected(peer, kept)
+            protected.extend(kept)
+            if len(kept) < len(batch):
+                self._failed.add(peer)
+        self._failed.clear()
+        return tuple(protected)
+
+    def check_peers(self) -> HandOverReport:
+        """Hand over once more what went to a peer that has died since.
+
+        Call it once a second while this daemon is still there.
+        """
+        live = {daemon.daemon_id for daemon in self._messenger.live()}
+        with self._lock:
+            suspects = [
+                request_id
+                for request_id, move in self._moved.items()
+                if move.peer not in live
+            ]
+        answered = {found.request_id for found in self._find_answered(suspects)}
+        lost = [one for one in suspects if one not in answered]
+        for request_id in lost:
+            self._take_back(request_id)
+        report = self.hand_over(lost, self._settings.confirm_patience)
+        for left in self._find_all(report.left):
+            self._take_over(left)
+        return report
+
+    def find_moved(self, request_id: RequestId) -> DaemonId | None:
+        """Return the peer that a request was handed over to from here."""
+        with self._lock:
+            move = self._moved.get(request_id)
+        return move.peer if move else None
+
+    def _find_all(self, request_ids: Iterable[RequestId]) -> list[TrackedRequest]:
+        found = [self._in_flight.find(request_id) for request_id in request_ids]
+        return [tracked for tracked in found if tracked and not tracked.finished]
+
+    def _choose_peer(self, waiting: Iterable[TrackedRequest]) -> DaemonId | None:
+        """Return the peer with the most room of a few that are asked.
+
+        Each daemon starts at another place of the list. With a failure domain
+        leaving at once, all would else fill the same peer first.
+        """
+        candidates = [
+            daemon.daemon_id
+            for daemon in self._messenger.live()
+            if daemon.failure_domain != self._daemon.failure_domain
+            and daemon.daemon_id not in self._failed
+        ]
+        offered = list(waiting)
+        size = sum(len(tracked.accepted.body) for tracked in offered)
+        offer = Offer(requests=len(offered), size=size)
+        best: DaemonId | None = None
+        most = 0
+        asked = 0
+        for candidate in rank_by_hash(self._daemon.daemon_id, candidates):
+            room = self._ask_room(candidate, offer)
+            if room > most:
+                best, most = candidate, room
+            asked += room > 0
+            if asked >= self._settings.offers:
+                break
+        return best
+
+    def _ask_room(self, peer: DaemonId, offer: Offer) -> int:
+        reply = self._ask(peer, offer)
+        if not isinstance(reply, OfferReply) or not reply.size:
+            return 0
+        return reply.requests
+
+    def _take_batch(self, waiting: deque[TrackedRequest]) -> _Batch:
+        batch = _Batch()
+        while waiting and len(batch.requests) < self._settings.batch_requests:
+            size = len(waiting[0].accepted.body)
+            if batch.requests and batch.size + size > self._settings.batch_bytes:
+                break
+            batch.requests.append(waiting.popleft())
+            batch.size += size
+        return batch
+
+    def _move_batch(
+        self, peer: DaemonId, batch: list[TrackedRequest]
+    ) -> list[TrackedRequest]:
+        copies = [(tracked, tracked.log.hold()) for tracked in batch]
+        kept = self._transfer(peer, copies)
+        taken = self._confirm(peer, kept) if kept else ()
+        done = [tracked for tracked in batch if _is_done(tracked, taken)]
+        for moved in done:
+            self._let_go(moved, peer)
+        rest = [tracked for tracked in batch if tracked not in done]
+        if rest:
+            self._failed.add(peer)
+            self._keep_here(rest, peer)
+        return done
+
+    def _keep_here(self, rest: Iterable[TrackedRequest], peer: DaemonId) -> None:
+        """Go on with requests that a peer did not say it took.
+
+        It may have taken them, with its answer lost. The generation goes above
+        the one it was given, so that it lets go once it hears of it.
+        """
+        for tracked in rest:
+            tracked.generation += 2
+            tracked.log.lift()
+        request_ids = tuple(map(_read_id, rest))
+        self._messenger.tell(peer, Withdraw(requests=request_ids))
+        locations = tuple(
+            Location(
+                request_id=_read_id(kept),
+                daemon_id=self._daemon.daemon_id,
+                generation=kept.generation,
+            )
+            for kept in rest
+        )
+        self._messenger.tell(peer, Located(locations=locations))
+
+    def _transfer(
+        self, peer: DaemonId, copies: list[tuple[TrackedRequest, AnswerCopy]]
+    ) -> tuple[RequestId, ...]:
+        now = self._clock.monotonic()
+        requests = tuple(
+            WireRequest.pack(tracked, copy, tracked.generation + 1, now)
+            for tracked, copy in copies
+        )
+        reply = self._ask(peer, Transfer(requests=requests))
+        return reply.accepted if isinstance(reply, TransferReply) else ()
+
+    def _confirm(
+        self, peer: DaemonId, request_ids: tuple[RequestId, ...]
+    ) -> tuple[RequestId, ...]:
+        for _ in range(CONFIRM_TRIES):
+            reply = self._ask(peer, Confirm(requests=request_ids))
+            if isinstance(reply, ConfirmReply):
+                return reply.requests
+        return ()
+
+    def _let_go(self, tracked: TrackedRequest, peer: DaemonId) -> None:
+        request_id = _read_id(tracked)
+        with self._lock:
+            self._moved[request_id] = _Moved(tracked, peer)
+            self._protected.pop(request_id, None)
+        self._in_flight.leave(tracked)
+        self.locations.publish(
+            (
+                Location(
+                    request_id=request_id,
+                    daemon_id=peer,
+                    generation=tracked.generation + 1,
+                ),
+            )
+        )
+
+    def _find_answered(self, request_ids: list[RequestId]) -> list[Location]:
+        """Return where requests are, by the word of who answers them."""
+        holders: dict[DaemonId, list[RequestId]] = {}
+        for location in self.locations.find_all(request_ids):
+            if location.daemon_id == self._daemon.daemon_id:
+                continue
+            holders.setdefault(location.daemon_id, []).append(location.request_id)
+        answered: list[Location] = []
+        for holder, held in holders.items():
+            said = self.locations.ask(holder, held)
+            answered.extend(one for one in said if one.daemon_id == holder)
+        return answered
+
+    def _take_back(self, request_id: RequestId) -> None:
+        with self._lock:
+            move = self._moved.pop(request_id)
+        held = move.tracked
+        # Above what the lost peer had, so that its copy loses if it comes back.
+        tracked = self._in_flight.register(
+            held.accepted, held.log.hold(), held.generation + 2
+        )
+        tracked.placement = held.placement
+
+    def _note_protected(self, peer: DaemonId, kept: Iterable[RequestId]) -> None:
+        with self._lock:
+            self._protected.update((request_id, peer) for request_id in kept)
+
+    def _withdraw_copy(self, request_id: RequestId) -> None:
+        with self._lock:
+            peer = self._protected.pop(request_id, None)
+        if peer is not None:
+            self._messenger.tell(peer, Withdraw(requests=(request_id,)))
+
+    def _wait_for_pace(self, size: int) -> None:
+        seconds = size / self._settings.bytes_per_second
+        self._clock.wait(Event(), timedelta(seconds=seconds))
+
+    def _ask(self, peer: DaemonId, message: PeerMessage) -> PeerMessage | None:
+        try:
+            return self._messenger.ask(peer, message, self._settings.ask_patience)
+        except PeerError as error:
+            logger.bind(step=Step.HAND_OVER.value, peer=error.peer).warning(
+                'no answer to {}', message.kind
+            )
+            self._failed.add(peer)
+            return None
+
+
+def _is_open(tracked: TrackedRequest) -> bool:
+    return tracked.finished is None
+
+
+def _is_done(tracked: TrackedRequest, taken: Iterable[RequestId]) -> bool:
+    # The peer's word that it has the request may also come before its answer
+    # to the confirmation, or in place of it.
+    return _read_id(tracked) in taken or tracked.log.state is LogState.MOVED
+
+
+def _read_id(tracked: TrackedRequest) -> RequestId:
+    return tracked.accepted.call.request_id
--- /dev/null
+++ b/libs/recovery/fireflyhitch_recovery/inflight.py
@@ -0,0 +1,163 @@
+"""The requests that this daemon answers, and the answers it has just given."""
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from threading import Lock
+
+from cachetools import TTLCache
+
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.hashing import hash_text
+from fireflyhitch_model.ids import CustomerId, DaemonId, RequestId
+from fireflyhitch_model.invariants import Invariant, invariant
+from fireflyhitch_model.states import Step
+from fireflyhitch_recovery.answers import (
+    EMPTY_COPY,
+    AnswerCopy,
+    AnswerEnd,
+    AnswerLog,
+)
+from fireflyhitch_recovery.requests import AcceptedRequest, TrackedRequest
+
+EVENT_OVERHEAD_BYTES = 48
+REQUEST_OVERHEAD_BYTES = 2048
+MAX_FINISHED_BYTES = 33554432
+RETENTION = timedelta(minutes=2)
+TAG_DIGITS = 8
+TAG_MASK = 0xFFFFFFFF
+
+
+def make_daemon_tag(daemon: DaemonId) -> str:
+    """Return the short name of a daemon within request ids."""
+    return f'{hash_text(daemon) & TAG_MASK:0{TAG_DIGITS}x}'
+
+
+def make_request_id(daemon: DaemonId) -> RequestId:
+    """Return a new request id, which tells which daemon accepted the request.
+
+    So a request that was never handed over is found without any directory.
+    """
+    return RequestId(f'{make_daemon_tag(daemon)}-{uuid.uuid4().hex}')
+
+
+@dataclass(frozen=True, slots=True)
+class Retention:
+    """For how long, and up to which size in all, finished answers are kept."""
+
+    duration: timedelta = RETENTION
+    max_bytes: int = MAX_FINISHED_BYTES
+
+
+DEFAULT_RETENTION = Retention()
+
+
+class InFlight:
+    """Requests in progress, and finished ones for callers who come back.
+
+    Safe to call from any thread; none of it is called per event.
+    """
+
+    def __init__(
+        self,
+        daemon: DaemonId,
+        clock: Clock,
+        retention: Retention = DEFAULT_RETENTION,
+    ) -> None:
+        self._daemon = daemon
+        self._lock = Lock()
+        self._active: dict[RequestId, TrackedRequest] = {}
+        self._observers: list[Callable[[RequestId], None]] = []
+        self._finished: TTLCache[RequestId, TrackedRequest] = TTLCache(
+            retention.max_bytes,
+            retention.duration.total_seconds(),
+            clock.monotonic,
+            measure_request,
+        )
+
+    def register(
+        self,
+        accepted: AcceptedRequest,
+        copy: AnswerCopy = EMPTY_COPY,
+        generation: int = 0,
+    ) -> TrackedRequest:
+        """Add a request that is now this daemon's to answer.
+
+        :param copy: the answer so far, if another daemon had it before.
+        """
+        request_id = accepted.call.request_id
+        tracked = TrackedRequest(
+            accepted, AnswerLog(self._daemon, copy), generation=generation
+        )
+        with self._lock:
+            known = self._active.get(request_id)
+            newer = known is None or known.generation < generation
+            if newer:
+                self._active[request_id] = tracked
+        invariant(newer, Invariant.ANSWER_OWNER, request_id, step=Step.ADMIT)
+        if known is not None:
+            known.log.move()
+        return tracked
+
+    def find(self, request_id: RequestId) -> TrackedRequest | None:
+        """Return a request in progress or just finished."""
+        with self._lock:
+            active = self._active.get(request_id)
+            return active or self._finished.get(request_id)
+
+    def find_for(
+        self, request_id: RequestId, customer: CustomerId
+    ) -> TrackedRequest | None:
+        """Return a request to its own customer; to others it does not exist."""
+        tracked = self.find(request_id)
+        if tracked is None or tracked.accepted.call.customer != customer:
+            return None
+        return tracked
+
+    def finish(self, tracked: TrackedRequest, end: AnswerEnd) -> None:
+        """End a request whose last event was appended, and keep its answer."""
+        request_id = tracked.accepted.call.request_id
+        tracked.finished = end
+        if tracked.log.end is None:
+            tracked.log.current().finish(end)
+        with self._lock:
+            if self._active.get(request_id) is not tracked:
+                return
+            self._active.pop(request_id)
+            self._keep(request_id, tracked)
+        self._tell(request_id)
+
+    def leave(self, tracked: TrackedRequest) -> None:
+        """Give up a request that another daemon has now; its readers move."""
+        request_id = tracked.accepted.call.request_id
+        tracked.log.move()
+        with self._lock:
+            if self._active.get(request_id) is not tracked:
+                return
+            self._active.pop(request_id)
+        self._tell(request_id)
+
+    def list(self) -> tuple[TrackedRequest, ...]:
+        """Return the requests in progress."""
+        with self._lock:
+            return tuple(self._active.values())
+
+    def observe(self, observer: Callable[[RequestId], None]) -> None:
+        """Have an observer told of each request that ends or leaves."""
+        self._observers.append(observer)
+
+    def _keep(self, request_id: RequestId, tracked: TrackedRequest) -> None:
+        if measure_request(tracked) <= self._finished.maxsize:
+            self._finished[request_id] = tracked
+
+    def _tell(self, request_id: RequestId) -> None:
+        for observer in self._observers:
+            observer(request_id)
+
+
+def measure_request(tracked: TrackedRequest) -> int:
+    """Return roughly how many bytes a request takes in memory."""
+    events = tracked.log.read_after(0).events
+    answer = sum(map(len, events)) + EVENT_OVERHEAD_BYTES * len(events)
+    return REQUEST_OVERHEAD_BYTES + len(tracked.accepted.body) + answer
--- /dev/null
+++ b/libs/recovery/fireflyhitch_recovery/settings.py
@@ -0,0 +1,47 @@
+"""Bounds of hand-overs: sizes, rates and patience."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+MAX_KEPT_BYTES = 33554432
+BATCH_BYTES = 262144
+BYTES_PER_SECOND = 16777216.0
+BATCH_REQUESTS = 16
+MAX_REQUESTS = 200
+ASK_SECONDS = 0.4
+PAUSE_SECONDS = 0.1
+CONFIRM_SECONDS = 2
+LOCATION_MINUTES = 10
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverSettings:
+    """How much passes between daemons, and how fast.
+
+    :param max_requests: how many taken-over requests a daemon holds at once.
+    :param max_kept_bytes: how much memory those may take in all.
+    :param batch_requests: requests in one transfer; they are held meanwhile.
+    :param bytes_per_second: at which one daemon sends.
+    :param ask_patience: how long a peer may take to answer.
+    :param pause: before all peers are tried again.
+    :param confirm_patience: after which a receiver that has no confirmation
+        finds out what became of the sender.
+    :param offers: how many peers are compared for room.
+    :param directory: how many daemons know where a moved request is.
+    """
+
+    max_requests: int = MAX_REQUESTS
+    max_kept_bytes: int = MAX_KEPT_BYTES
+    batch_requests: int = BATCH_REQUESTS
+    batch_bytes: int = BATCH_BYTES
+    bytes_per_second: float = BYTES_PER_SECOND
+    ask_patience: timedelta = timedelta(seconds=ASK_SECONDS)
+    pause: timedelta = timedelta(seconds=PAUSE_SECONDS)
+    confirm_patience: timedelta = timedelta(seconds=CONFIRM_SECONDS)
+    offers: int = 2
+    directory: int = 3
+    max_locations: int = 65536
+    location_time: timedelta = timedelta(minutes=LOCATION_MINUTES)
+
+
+DEFAULT_SETTINGS = HandOverSettings()
