--- a/libs/ledger/fireflyhitch_ledger/operations.py
+++ b/libs/ledger/fireflyhitch_ledger/operations.py
@@ -1,8 +1,8 @@
 """What is asked of a shard, and what comes of it; also sent between daemons."""
 
-from enum import Enum
+from enum import StrEnum
 
-from pydantic import BaseModel, ConfigDict
+from pydantic import BaseModel, ConfigDict, field_serializer
 
 from fireflyhitch_model.ids import AttemptId
 from fireflyhitch_model.states import Outcome
@@ -27,7 +27,7 @@
     body: bytes = b''
 
 
-class OperationKind(Enum):
+class OperationKind(StrEnum):
     """What is done to the record of a call."""
 
     CLAIM = 'claim'
@@ -54,7 +54,7 @@
     answer: Answer | None = None
 
 
-class ResultKind(Enum):
+class ResultKind(StrEnum):
     """What came of an operation."""
 
     CLAIMED = 'claimed'
@@ -86,3 +86,7 @@
     kind: ResultKind
     answer: Answer | None = None
     outcome: Outcome = Outcome.UNKNOWN
+
+    @field_serializer('outcome')
+    def _dump_outcome(self, outcome: Outcome) -> str:
+        return outcome.value
--- a/libs/recovery/fireflyhitch_recovery/answers.py
+++ b/libs/recovery/fireflyhitch_recovery/answers.py
@@ -3,7 +3,7 @@
 import threading
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
+from enum import Enum, StrEnum
 from typing import Final
 
 from fireflyhitch_model.clock import Clock
@@ -22,7 +22,7 @@
 )
 
 
-class AnswerEnd(Enum):
+class AnswerEnd(StrEnum):
     """How an answer ended."""
 
     COMPLETE = 'complete'
@@ -80,6 +80,15 @@
             self._log.wake()
         return True
 
+    def extend(self, events: list[bytes]) -> bool:
+        """Add the events that came in one read; as ``append``."""
+        self.events.extend(events)
+        if self.held:
+            return False
+        if self._log.waiters:
+            self._log.wake()
+        return True
+
     def finish(self, end: AnswerEnd) -> None:
         """Mark the answer's end; nothing is appended behind it."""
         self.end = end
--- a/libs/recovery/fireflyhitch_recovery/messages.py
+++ b/libs/recovery/fireflyhitch_recovery/messages.py
@@ -1,22 +1,15 @@
 """Messages by which requests in progress pass from one daemon to another."""
 
+from dataclasses import replace
 from typing import ClassVar, Self
 
 from pydantic import BaseModel, ConfigDict
 
 from fireflyhitch_model.calls import Call
-from fireflyhitch_model.ids import (
-    AttemptId,
-    BackendServerId,
-    CustomerId,
-    DaemonId,
-    DeploymentId,
-    RequestId,
-)
+from fireflyhitch_model.ids import DaemonId, RequestId
 from fireflyhitch_model.peers import PeerMessage
-from fireflyhitch_model.states import Priority
 from fireflyhitch_recovery.answers import AnswerCopy, AnswerEnd
-from fireflyhitch_recovery.events import AttemptTag, Cut
+from fireflyhitch_recovery.events import Cut
 from fireflyhitch_recovery.requests import (
     AcceptedRequest,
     CompletionKind,
@@ -29,83 +22,22 @@
     model_config = ConfigDict(frozen=True, extra='ignore')
 
 
-class WireCall(_Part):
-    """A call; its times are told as durations, since clocks differ."""
-
-    request_id: RequestId
-    customer: CustomerId
-    deployment: DeploymentId
-    route: str
-    priority: Priority
-    prompt_tokens: int
-    max_tokens: int
-    prefix_blocks: tuple[int, ...]
-    age_seconds: float
-    seconds_left: float
-    repeatable: bool = True
-
-    @classmethod
-    def pack(cls, call: Call, now: float) -> Self:
-        """Return a call as it is sent at a time in monotonic seconds."""
-        return cls(
-            request_id=call.request_id,
-            customer=call.customer,
-            deployment=call.deployment,
-            route=call.route,
-            priority=call.priority,
-            prompt_tokens=call.prompt_tokens,
-            max_tokens=call.max_tokens,
-            prefix_blocks=call.prefix_blocks,
-            age_seconds=now - call.arrived,
-            seconds_left=call.deadline - now,
-            repeatable=call.repeatable,
-        )
-
-    def unpack(self, now: float) -> Call:
-        """Return the call as it is received at a time in monotonic seconds."""
-        return Call(
-            request_id=self.request_id,
-            customer=self.customer,
-            deployment=self.deployment,
-            route=self.route,
-            priority=self.priority,
-            prompt_tokens=self.prompt_tokens,
-            max_tokens=self.max_tokens,
-            prefix_blocks=self.prefix_blocks,
-            arrived=now - self.age_seconds,
-            deadline=now + self.seconds_left,
-            repeatable=self.repeatable,
-        )
-
-
-class WirePlacement(_Part):
-    """The engine's stream that the answer comes from."""
-
-    server_id: BackendServerId
-    address: str
-    engine_attempt: AttemptId
-    offset: int
-
-
-class WireCut(_Part):
-    """From which event on the answer is an attempt's."""
-
-    first: int
-    attempt: AttemptTag
-
-
 class WireRequest(_Part):
-    """A request with its answer so far."""
+    """A request with its answer so far.
 
-    call: WireCall
+    :param call: its arrival is told as its age, and its deadline as the time
+        left, since monotonic clocks differ between daemons.
+    """
+
+    call: Call
     completion: CompletionKind
     body: bytes
     streaming: bool
     events: tuple[bytes, ...]
-    lineage: tuple[WireCut, ...]
+    lineage: tuple[Cut, ...]
     attempts: int
     end: AnswerEnd | None = None
-    placement: WirePlacement | None = None
+    placement: Placement | None = None
     generation: int = 1
 
     @classmethod
@@ -114,17 +46,19 @@
     ) -> Self:
         """Return a request as it is sent at a time in monotonic seconds."""
         accepted = tracked.accepted
-        cuts = [WireCut(first=cut.first, attempt=cut.attempt) for cut in copy.lineage]
+        call = accepted.call
         return cls(
-            call=WireCall.pack(accepted.call, now),
+            call=replace(
+                call, arrived=now - call.arrived, deadline=call.deadline - now
+            ),
             completion=accepted.kind,
             body=accepted.body,
             streaming=accepted.streaming,
             events=copy.events,
-            lineage=tuple(cuts),
+            lineage=copy.lineage,
             attempts=copy.attempts,
             end=copy.end,
-            placement=_pack_placement(tracked.placement),
+            placement=tracked.placement,
             generation=generation,
         )
 
@@ -139,24 +73,16 @@
         return len(self.body) + sum(map(len, self.events))
 
     def unpack_accepted(self, now: float) -> AcceptedRequest:
-        """Return the request as it was accepted."""
-        return AcceptedRequest(
-            self.call.unpack(now), self.completion, self.body, self.streaming
+        """Return the request as received at a time in monotonic seconds."""
+        call = self.call
+        received = replace(
+            call, arrived=now - call.arrived, deadline=now + call.deadline
         )
+        return AcceptedRequest(received, self.completion, self.body, self.streaming)
 
     def unpack_copy(self) -> AnswerCopy:
         """Return the answer so far."""
-        lineage = tuple(Cut(cut.first, cut.attempt) for cut in self.lineage)
-        return AnswerCopy(self.events, lineage, self.attempts, self.end)
-
-    def unpack_placement(self) -> Placement | None:
-        """Return where the answer came from."""
-        placed = self.placement
-        if placed is None:
-            return None
-        return Placement(
-            placed.server_id, placed.address, placed.engine_attempt, placed.offset
-        )
+        return AnswerCopy(self.events, self.lineage, self.attempts, self.end)
 
 
 class Offer(PeerMessage):
@@ -250,14 +176,3 @@
     kind: ClassVar[str] = 'request-locations'
 
     locations: tuple[Location, ...]
-
-
-def _pack_placement(placement: Placement | None) -> WirePlacement | None:
-    if placement is None:
-        return None
-    return WirePlacement(
-        server_id=placement.server_id,
-        address=placement.address,
-        engine_attempt=placement.engine_attempt,
-        offset=placement.offset,
-    )
--- a/libs/recovery/fireflyhitch_recovery/reception.py
+++ b/libs/recovery/fireflyhitch_recovery/reception.py
@@ -187,7 +187,7 @@
         tracked = self._in_flight.register(
             request.unpack_accepted(now), request.unpack_copy(), request.generation
         )
-        tracked.placement = request.unpack_placement()
+        tracked.placement = request.placement
         return tracked
 
     def _describe(self, tracked: TrackedRequest) -> Location:
--- a/libs/recovery/fireflyhitch_recovery/requests.py
+++ b/libs/recovery/fireflyhitch_recovery/requests.py
@@ -1,14 +1,14 @@
 """Requests in progress and where each is being answered."""
 
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import StrEnum
 
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.ids import AttemptId, BackendServerId
 from fireflyhitch_recovery.answers import AnswerEnd, AnswerLog
 
 
-class CompletionKind(Enum):
+class CompletionKind(StrEnum):
     """The form of a model request."""
 
     CHAT = 'chat'
