--- /dev/null
+++ b/libs/rollout/fireflyhitch_rollout/shares.py
@@ -0,0 +1,139 @@
+"""Which version, and which of its servers, a request goes to."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from threading import Lock
+
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.calls import Call
+from fireflyhitch_model.hashing import hash_text, rank_by_hash
+from fireflyhitch_model.ids import BackendServerId, DeploymentId, VersionId
+from fireflyhitch_model.invariants import Invariant, invariant
+from fireflyhitch_model.states import Step
+
+HASH_RANGE = float(1 << 64)  # noqa: WPS432 (hashes have 64 bits)
+
+
+@dataclass(frozen=True, slots=True)
+class VersionShares:
+    """How a deployment's requests are divided at this time.
+
+    :param old: the version that gets the rest.
+    :param new: the version on trial, if any.
+    :param share: part of the requests that the new version gets, 0 to 1.
+    :param servers: the new version's servers that take that part; empty for
+        all of them.
+    """
+
+    old: VersionId
+    new: VersionId | None = None
+    share: float = 0
+    servers: tuple[BackendServerId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class VersionPick:
+    """Where a request goes.
+
+    :param servers: only these of the version's servers; empty for all.
+    """
+
+    version: VersionId
+    servers: tuple[BackendServerId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Snapshot:
+    shares: Mapping[DeploymentId, VersionShares] = field(default_factory=dict)
+    withdrawn: frozenset[tuple[DeploymentId, VersionId]] = frozenset()
+
+
+class VersionPicker:
+    """Holds the shares; ``pick`` reads one immutable snapshot without a lock."""
+
+    def __init__(self) -> None:
+        self._lock = Lock()
+        self._snapshot = _Snapshot()
+
+    def pick(self, call: Call) -> VersionPick:
+        """Choose by the request's hash, so that a retry meets the same version.
+
+        The hash does not change with the share: when it grows, the requests
+        that were on the new version stay there.
+
+        :raises InvariantError: if the choice fell on a withdrawn version.
+        :raises KeyError: if the deployment is not configured.
+        """
+        snapshot = self._snapshot
+        shares = snapshot.shares[call.deployment]
+        pick = _choose(shares, call)
+        invariant(
+            shares.new is None
+            or pick.version != shares.new
+            or (call.deployment, pick.version) not in snapshot.withdrawn,
+            Invariant.WITHDRAWN_STAYS,
+            f'{pick.version} of {call.deployment}',
+            step=Step.ROUTE,
+        )
+        return pick
+
+    def find(self, deployment: DeploymentId) -> VersionShares | None:
+        """Return a deployment's shares."""
+        return self._snapshot.shares.get(deployment)
+
+    def update(self, shares: Mapping[DeploymentId, VersionShares]) -> None:
+        """Put all shares in force; withdrawn versions get none whatever it says."""
+        with self._lock:
+            withdrawn = self._snapshot.withdrawn
+            self._snapshot = _Snapshot(_without(shares, withdrawn), withdrawn)
+
+    def withdraw(self, deployment: DeploymentId, version: VersionId) -> None:
+        """Give a version no new work from now on."""
+        with self._lock:
+            withdrawn = self._snapshot.withdrawn | {(deployment, version)}
+            shares = _without(self._snapshot.shares, withdrawn)
+            self._snapshot = _Snapshot(shares, withdrawn)
+
+    def is_withdrawn(self, deployment: DeploymentId, version: VersionId) -> bool:
+        """Tell whether a version was withdrawn here."""
+        return (deployment, version) in self._snapshot.withdrawn
+
+
+def choose_servers(
+    servers: tuple[BackendServer, ...], old_count: int, share: float
+) -> tuple[BackendServerId, ...]:
+    """Choose the few servers on which a share makes the load of a usual server.
+
+    Spread over all of its servers, a small share would never load one of them,
+    and a version that fails only under load would pass.
+
+    :param servers: the new version's servers that are ready.
+    :param old_count: how many servers carry the whole traffic at present.
+    """
+    if not servers:
+        return ()
+    count = max(1, round(share * max(old_count, 1)))
+    deployment = servers[0].deployment
+    ranked = rank_by_hash(deployment, (server.server_id for server in servers))
+    return tuple(ranked[:count])
+
+
+def _choose(shares: VersionShares, call: Call) -> VersionPick:
+    if shares.new is None or shares.share <= 0:
+        return VersionPick(shares.old)
+    place = hash_text(f'{shares.new}\x00{call.request_id}') / HASH_RANGE
+    if place < shares.share:
+        return VersionPick(shares.new, shares.servers)
+    return VersionPick(shares.old)
+
+
+def _without(
+    shares: Mapping[DeploymentId, VersionShares],
+    withdrawn: frozenset[tuple[DeploymentId, VersionId]],
+) -> dict[DeploymentId, VersionShares]:
+    return {
+        deployment: VersionShares(given.old)
+        if (deployment, given.new) in withdrawn
+        else given
+        for deployment, given in shares.items()
+    }
--- /dev/null
+++ b/libs/rollout/fireflyhitch_rollout/tallies.py
@@ -0,0 +1,162 @@
+"""Counts of calls by version, route, load and failure domain; they add up."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import ClassVar, NamedTuple
+
+from pydantic import BaseModel, ConfigDict
+
+from fireflyhitch_model.ids import DeploymentId, FailureDomainId, VersionId
+from fireflyhitch_model.peers import PeerMessage
+
+# Latencies are counted in buckets that grow by this factor, from a
+# millisecond; coarse enough that a batch is small, and well below the slowdowns
+# that matter.
+BUCKET_GROWTH = 1.2
+_LOG_GROWTH = math.log(BUCKET_GROWTH)
+LEAST_SECONDS = 0.001
+HIGH_LOAD = 0.75
+SOME_LOAD = 0.35
+
+
+class LoadBand(IntEnum):
+    """How loaded the server was when it was given the call."""
+
+    LOW = 0
+    SOME = 1
+    HIGH = 2
+
+
+class CellKey(NamedTuple):
+    """What calls have in common that are compared with each other."""
+
+    deployment: DeploymentId
+    version: VersionId
+    route: str
+    band: LoadBand
+    failure_domain: FailureDomainId
+
+
+@dataclass(slots=True)
+class Tally:
+    """Calls of one cell.
+
+    :param first_token: calls by bucket of the time to the first token.
+    :param between_tokens: calls by bucket of the mean time between tokens.
+    """
+
+    calls: int = 0
+    failures: int = 0
+    first_token: Counter[int] = field(default_factory=Counter)
+    between_tokens: Counter[int] = field(default_factory=Counter)
+
+    def add(self, other: 'Tally') -> None:
+        """Add another tally's counts."""
+        self.calls += other.calls
+        self.failures += other.failures
+        self.first_token.update(other.first_token)
+        self.between_tokens.update(other.between_tokens)
+
+
+class CellNews(BaseModel):
+    """One cell of a batch, on the wire."""
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    deployment: DeploymentId
+    version: VersionId
+    route: str
+    band: int
+    failure_domain: FailureDomainId
+    calls: int
+    failures: int
+    first_token: dict[int, int] = {}
+    between_tokens: dict[int, int] = {}
+
+
+class BatchNews(BaseModel):
+    """What a sender counted between two of its steps.
+
+    Old and new version of one period are in one batch, so that they stay
+    paired however late it arrives.
+    """
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    sequence: int
+    cells: tuple[CellNews, ...]
+
+
+class Level(IntEnum):
+    """Whose calls a batch counts."""
+
+    DAEMON = 0
+    FAILURE_DOMAIN = 1
+
+
+class EvidenceNews(PeerMessage):
+    """The sender's latest batches; each is sent several times."""
+
+    kind: ClassVar[str] = 'evidence-news'
+
+    level: int
+    batches: tuple[BatchNews, ...]
+
+
+def find_band(load: float) -> LoadBand:
+    """Return the band of a server's load.
+
+    :param load: calls in work as a part of what it works on at once.
+    """
+    if load >= HIGH_LOAD:
+        return LoadBand.HIGH
+    return LoadBand.SOME if load >= SOME_LOAD else LoadBand.LOW
+
+
+def find_bucket(seconds: float) -> int:
+    """Return the bucket of a latency."""
+    return round(math.log(max(seconds, LEAST_SECONDS) / LEAST_SECONDS) / _LOG_GROWTH)
+
+
+def make_batch(sequence: int, cells: dict[CellKey, Tally]) -> BatchNews:
+    """Put counts into their form on the wire."""
+    return BatchNews(
+        sequence=sequence,
+        cells=tuple(
+            CellNews(
+                **key._asdict(),
+                calls=tally.calls,
+                failures=tally.failures,
+                first_token=dict(tally.first_token),
+                between_tokens=dict(tally.between_tokens),
+            )
+            for key, tally in cells.items()
+        ),
+    )
+
+
+def read_batch(batch: BatchNews) -> dict[CellKey, Tally]:
+    """Take counts from their form on the wire."""
+    return {
+        CellKey(
+            cell.deployment,
+            cell.version,
+            cell.route,
+            LoadBand(cell.band),
+            cell.failure_domain,
+        ): Tally(
+            cell.calls,
+            cell.failures,
+            Counter(cell.first_token),
+            Counter(cell.between_tokens),
+        )
+        for cell in batch.cells
+    }
+
+
+def add_cells(total: dict[CellKey, Tally], part: dict[CellKey, Tally]) -> None:
+    """Add one set of counts to another."""
+    for key, tally in part.items():
+        total.setdefault(key, Tally()).add(tally)
