--- a/libs/rollout/fireflyhitch_rollout/judge.py
+++ b/libs/rollout/fireflyhitch_rollout/judge.py
@@ -9,40 +9,28 @@
 it forgets a good past, and so finds a fault that comes late as fast.
 """
 
+import math
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
-from enum import Enum
+from typing import NamedTuple
 
-from fireflyhitch_model.ids import VersionId
-from fireflyhitch_rollout.tallies import CellKey, LoadBand, Tally
+from fireflyhitch_model.ids import FailureDomainId, VersionId
+from fireflyhitch_rollout.memories import Memory
+from fireflyhitch_rollout.tallies import CellKey, LoadBand, Signal, Tally
 
 # A move makes some 10,000 updates over all groups, by the moves benchmark; so
 # at most 1 good version in 1,000 is taken back by chance.
 THRESHOLD = 1e7
 # Worse means that this part of the calls that would be good turns bad.
 ALTERNATIVES = (0.04, 0.12, 0.35, 0.8)
-# What the new version may be worse by without being called worse.
-FAILURE_TOLERANCE = 0.004
-SLOW_TOLERANCE = 0.04
-# The least calls of the old version before slowness is judged.
-LEAST_COMPARED = 30
-SLOW_QUANTILE = 0.9
-PRIOR_CALLS = 20.0
-# Weight that a batch of the old version keeps from one update to the next.
-LONG_MEMORY = 0.98
-SHORT_MEMORY = 0.7
+LARGEST_LOG = 600.0
+NEARLY_ALL = 0.95
+# Routes with less than this part of the calls cannot hold up a move.
+MINOR_ROUTE = 0.02
 ANY_ROUTE = '*'
 
 
-class Signal(Enum):
-    """In what way a version can be worse."""
-
-    FAILURE = 'failing'
-    FIRST_TOKEN = 'slow to the first token'
-    BETWEEN_TOKENS = 'slow between tokens'
-
-
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """A fault that the evidence shows.
@@ -55,34 +43,21 @@
     evidence: str
 
 
-@dataclass(frozen=True, slots=True)
-class _Group:
+class _Group(NamedTuple):
     signal: Signal
     route: str
     band: LoadBand | None
 
 
 @dataclass(slots=True)
-class _Memory:
-    """The old version's calls, fading: long for the rate, short for shocks."""
+class _Statistic:
+    values: list[float] = field(default_factory=lambda: [0.0 for _ in ALTERNATIVES])
 
-    calls: float = 0
-    failures: float = 0
-    recent_calls: float = 0
-    recent_failures: float = 0
-    slow: dict[Signal, Counter[int]] = field(default_factory=dict)
-
-    def fade(self) -> None:
-        self.calls *= LONG_MEMORY
-        self.failures *= LONG_MEMORY
-        self.recent_calls *= SHORT_MEMORY
-        self.recent_failures *= SHORT_MEMORY
-
-    def add(self, tally: Tally) -> None:
-        self.calls += tally.calls
-        self.failures += tally.failures
-        self.recent_calls += tally.calls
-        self.recent_failures += tally.failures
+    def update(self, logs: list[float]) -> float:
+        for place, log in enumerate(logs):
+            ratio = math.exp(min(log, LARGEST_LOG))
+            self.values[place] = (self.values[place] + 1) * ratio
+        return sum(self.values) / len(self.values)
 
 
 class Judge:
@@ -90,18 +65,155 @@
 
     def __init__(self, old: VersionId, new: VersionId) -> None:
         """Make a judge without evidence."""
+        self.updates = 0
+        self._old = old
+        self._new = new
+        self._verdict: Verdict | None = None
+        self._cells: dict[tuple[str, LoadBand, FailureDomainId], Memory] = {}
+        self._pools: dict[tuple[str, LoadBand], Memory] = {}
+        self._statistics: dict[_Group, _Statistic] = {}
+        self._old_loaded = 0
+        self._old_calls: Counter[str] = Counter()
+        self._new_calls: Counter[tuple[str, LoadBand]] = Counter()
+        self._new_failures: Counter[str] = Counter()
 
     def weigh(self, cells: Mapping[CellKey, Tally]) -> Verdict | None:
         """Take in a batch of paired counts.
 
         :returns: the fault shown, now or earlier.
         """
-        raise NotImplementedError
+        for key, tally in cells.items():
+            if key.version == self._old:
+                self._remember(key, tally)
+        logs: dict[_Group, list[float]] = {}
+        for key, tally in cells.items():
+            if key.version == self._new:
+                self._count(key, tally)
+                self._compare(key, tally, logs)
+        for group, group_logs in logs.items():
+            self._update(group, group_logs)
+        return self._verdict
 
     def count_calls(self, route: str, least_band: LoadBand = LoadBand.LOW) -> int:
         """Return how many calls of a route the new version had at some load."""
-        raise NotImplementedError
+        return sum(
+            count
+            for (other, band), count in self._new_calls.items()
+            if other == route and band >= least_band
+        )
+
+    def count_new(self) -> int:
+        """Return how many calls the new version had."""
+        return self._new_calls.total()
+
+    def find_routes(self) -> list[str]:
+        """Return the routes that have more than a minor part of the calls."""
+        least = MINOR_ROUTE * self._old_calls.total()
+        return sorted(
+            route for route, calls in self._old_calls.items() if calls >= least
+        )
+
+    def has_enough(self, least_calls: int) -> bool:
+        """Tell whether each route that is not minor was tried, also under load.
+
+        :param least_calls: calls of the new version that each route needs; all
+            routes together need as many at usual load.
+        """
+        routes = self.find_routes()
+        loaded = sum(self.count_calls(route, LoadBand.SOME) for route in routes)
+        if not routes or loaded < min(least_calls, self.count_usual()):
+            return False
+        return all(self.count_calls(route) >= least_calls for route in routes)
+
+    def count_usual(self) -> int:
+        """Return how many of the old version's calls met usual load or more."""
+        return self._old_loaded
 
     def describe(self) -> tuple[str, ...]:
         """Return a line for each route, for people."""
-        raise NotImplementedError
+        lines = [
+            f'{route}: {self.count_calls(route)} calls to the new version, '
+            f'{self._new_failures[route]} failed, '
+            f'{self.count_calls(route, LoadBand.SOME)} at usual load or more; '
+            f'{self._old_calls[route]} to the old'
+            for route in sorted(self._old_calls)
+        ]
+        if self._verdict is not None:
+            lines.append(self._verdict.evidence)
+        return tuple(lines)
+
+    def _remember(self, key: CellKey, tally: Tally) -> None:
+        self._old_calls[key.route] += tally.calls
+        if key.band >= LoadBand.SOME:
+            self._old_loaded += tally.calls
+        cell = (key.route, key.band, key.failure_domain)
+        self._cells.setdefault(cell, Memory()).add(tally)
+        self._pools.setdefault((key.route, key.band), Memory()).add(tally)
+
+    def _count(self, key: CellKey, tally: Tally) -> None:
+        self._new_calls[key.route, key.band] += tally.calls
+        self._new_failures[key.route] += tally.failures
+
+    def _compare(
+        self, key: CellKey, tally: Tally, logs: dict[_Group, list[float]]
+    ) -> None:
+        pool = self._pools.get((key.route, key.band), Memory())
+        cell = self._cells.get((key.route, key.band, key.failure_domain), Memory())
+        expected = cell.expect_failures(pool)
+        ratios = _weigh_counts(tally.failures, tally.calls, expected)
+        _add_logs(logs, Signal.FAILURE, key, ratios)
+        for signal in (Signal.FIRST_TOKEN, Signal.BETWEEN_TOKENS):
+            limit = pool.find_limit(signal)
+            if limit is None:
+                continue
+            latencies = tally.find_latencies(signal)
+            slow = sum(latencies[bucket] for bucket in latencies if bucket > limit)
+            expected = pool.expect_slow(signal, limit)
+            ratios = _weigh_counts(slow, latencies.total(), expected)
+            _add_logs(logs, signal, key, ratios)
+
+    def _update(self, group: _Group, logs: list[float]) -> None:
+        self.updates += 1
+        statistic = self._statistics.setdefault(group, _Statistic())
+        reached = statistic.update(logs)
+        if reached < THRESHOLD or self._verdict is not None:
+            return
+        load = f' at {group.band.name.lower()} load' if group.band is not None else ''
+        text = (
+            f'{group.signal.value} on {group.route}{load}: likelihood ratio '
+            f'{reached:.1e} after {self.count_new()} calls'
+        )
+        self._verdict = Verdict(group.signal, group.route, text)
+
+
+def _add_logs(
+    logs: dict[_Group, list[float]], signal: Signal, key: CellKey, ratios: list[float]
+) -> None:
+    if not any(ratios):
+        return
+    for group in _list_groups(signal, key):
+        kept = logs.get(group)
+        if kept is None:
+            logs[group] = list(ratios)
+            continue
+        for place, ratio in enumerate(ratios):
+            kept[place] += ratio
+
+
+def _list_groups(signal: Signal, key: CellKey) -> Iterator[_Group]:
+    # A fault on one route, or only under load, drowns in the sum over all;
+    # a fault everywhere shows soonest in the sum.
+    yield _Group(signal, key.route, key.band)
+    yield _Group(signal, key.route, None)
+    yield _Group(signal, ANY_ROUTE, None)
+
+
+def _weigh_counts(bad: int, calls: int, expected: float) -> list[float]:
+    """Return the logarithm of the likelihood ratio for each alternative."""
+    base = min(expected, NEARLY_ALL)
+    ratios = []
+    for part in ALTERNATIVES:
+        worse = base + part * (1 - base)
+        good = (calls - bad) * math.log((1 - worse) / (1 - base))
+        ratios.append(bad * math.log(worse / base) + good)
+    return ratios
--- a/libs/rollout/fireflyhitch_rollout/records.py
+++ b/libs/rollout/fireflyhitch_rollout/records.py
@@ -43,6 +43,8 @@
 class MoveRecord(BaseModel):
     """A deployment's latest move.
 
+    :param named: the version that the configuration names as the current one.
+    :param settled: the version that serves after an end that operators changed.
     :param configured: revision of the configuration that it follows.
     :param started: wall time at which the duty's holder began the move.
     :param phase_began: wall time at which the state or step was entered.
@@ -59,6 +61,8 @@
     from_version: VersionId
     to_version: VersionId
     move_by: datetime
+    named: VersionId
+    settled: VersionId | None = None
     configured: int
     started: datetime
     phase_began: datetime
@@ -75,6 +79,13 @@
         """Whether the move is done or undone."""
         return self.state in {MoveState.DONE, MoveState.UNDONE}
 
+    @property
+    def serving(self) -> VersionId:
+        """The version that serves what the move does not shift."""
+        if self.settled is not None:
+            return self.settled
+        return self.to_version if self.state is MoveState.DONE else self.from_version
+
     @property
     def attempt(self) -> tuple[str, datetime]:
         """What tells one move of a deployment from another."""
--- /dev/null
+++ b/libs/rollout/fireflyhitch_rollout/supplies.py
@@ -0,0 +1,66 @@
+"""What a deployment has to serve with, and what its move needs of the fleet."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.ids import VersionId
+from fireflyhitch_rollout.records import MoveRecord, MoveState
+from fireflyhitch_rollout.schedule import Pace, find_share
+
+DEFAULT_START_TIME = timedelta(minutes=3)
+
+
+@dataclass(frozen=True, slots=True)
+class Supply:
+    """What a deployment has to serve with, from the instance list and the fleet.
+
+    :param servers: those that are ready and not leaving, of all versions.
+    :param needed: how many servers carry the present traffic.
+    :param start_time: from ordering an instance until it is ready, as measured,
+        with the wait for the weight store.
+    """
+
+    servers: tuple[BackendServer, ...] = ()
+    needed: int = 1
+    start_time: timedelta = DEFAULT_START_TIME
+
+    def list_version(self, version: VersionId) -> tuple[BackendServer, ...]:
+        """Return the servers of a version."""
+        return tuple(server for server in self.servers if server.version == version)
+
+    def find_capacity(self, version: VersionId) -> float:
+        """Return the part of the traffic that a version's servers can carry."""
+        return len(self.list_version(version)) / max(self.needed, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class VersionNeed:
+    """What the fleet has to hold ready of one version.
+
+    :param part: part of the deployment's traffic that it must be able to carry.
+    :param keep: whether none of its servers may be stopped, since the way back
+        of a move rests on them.
+    """
+
+    version: VersionId
+    part: float
+    keep: bool = False
+
+
+def find_needs(
+    record: MoveRecord | None, base: VersionId, pace: Pace
+) -> tuple[VersionNeed, ...]:
+    """Return what a deployment needs of each version.
+
+    While a move is on, the old version keeps room for all of the traffic, and
+    the new one is made ready one step ahead.
+    """
+    if record is None or record.has_ended:
+        return (VersionNeed(base, 1),)
+    part = pace.steps[0]
+    if record.state is MoveState.SHIFTING:
+        ahead = record.step + 1
+        part = pace.steps[ahead] if ahead < len(pace.steps) - 1 else 1
+    part = max(part, find_share(record, 1, pace))
+    return (VersionNeed(base, 1, keep=True), VersionNeed(record.to_version, part))
--- a/libs/rollout/fireflyhitch_rollout/tallies.py
+++ b/libs/rollout/fireflyhitch_rollout/tallies.py
@@ -3,7 +3,7 @@
 import math
 from collections import Counter
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import Enum, IntEnum
 from typing import ClassVar, NamedTuple
 
 from pydantic import BaseModel, ConfigDict
@@ -29,6 +29,14 @@
     HIGH = 2
 
 
+class Signal(Enum):
+    """In what way a version can be worse."""
+
+    FAILURE = 'failing'
+    FIRST_TOKEN = 'slow to the first token'
+    BETWEEN_TOKENS = 'slow between tokens'
+
+
 class CellKey(NamedTuple):
     """What calls have in common that are compared with each other."""
 
@@ -52,6 +60,12 @@
     first_token: Counter[int] = field(default_factory=Counter)
     between_tokens: Counter[int] = field(default_factory=Counter)
 
+    def find_latencies(self, signal: Signal) -> Counter[int]:
+        """Return the latencies that a signal is about."""
+        if signal is Signal.FIRST_TOKEN:
+            return self.first_token
+        return self.between_tokens
+
     def add(self, other: 'Tally') -> None:
         """Add another tally's counts."""
         self.calls += other.calls
