--- a/libs/rollout/tests/conftest.py
+++ b/libs/rollout/tests/conftest.py
@@ -1,5 +1,6 @@
 """Daemons with a store, a network and a clock of their own, for move tests."""
 
+import math
 from dataclasses import replace
 from datetime import timedelta
 
@@ -143,7 +144,8 @@
         version = node.picker.pick(call).version
         server = make_server(self.calls % 5, version)
         # The fault rate's calls fail at regular distances: no randomness.
-        fails = version == 'v2' and self.calls * self.fault_rate % 1 < self.fault_rate
+        phase = math.fmod(self.calls * self.fault_rate, 1)
+        fails = version == 'v2' and phase < self.fault_rate
         node.book.record(call, server, ok=not fails, first_token=0.3, load=0.6)
         return version
 
