Add the engine stand-in: batching, prefix cache, faults, late reports

Cause: routing, recovery and rollout need an engine whose times follow a service curve, without network.

--- /dev/null
+++ b/libs/standins/fireflyhitch_standins/engine.py
@@ -0,0 +1,371 @@
+"""A model engine in passed time: continuous batching with a service curve.
+
+The engine moves only by :meth:`Engine.advance`; it reads no clock and opens no
+connection. It batches step by step: each step computes a chunk of waiting
+prompts and one token for each call whose prompt is done.
+"""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from operator import attrgetter
+
+from fireflyhitch_model.backends import CacheEvent, LoadReport
+from fireflyhitch_model.hashing import hash_text
+from fireflyhitch_model.ids import AttemptId, BackendServerId
+from fireflyhitch_standins.engine_cache import HASH_RANGE, EngineCache
+from fireflyhitch_standins.engine_messages import (
+    EndEvent,
+    EngineCall,
+    EngineEvent,
+    EngineFaults,
+    EngineProfile,
+    StreamState,
+    StreamStatus,
+    TokenEvent,
+)
+
+KEPT_STREAMS = 1024
+KEPT_REPORTS = 120
+OPEN = frozenset((StreamStatus.WAITING, StreamStatus.RUNNING))
+
+
+class EngineRefusal(Exception):
+    """The engine did not take a call; it was not run."""
+
+
+@dataclass(slots=True)
+class _Stream:
+    call: EngineCall
+    order: int
+    status: StreamStatus = StreamStatus.WAITING
+    cached: int = 0
+    uncomputed: int = 0
+    generated: int = 0
+    first_token_at: float | None = None
+
+    @property
+    def reserved(self) -> int:
+        """Return the tokens of KV cache that it holds when complete."""
+        return self.call.prompt_tokens + self.call.max_tokens
+
+
+@dataclass(slots=True)
+class _Step:
+    """A step under way, or a row of equal steps without prompt work."""
+
+    started: float
+    duration: float
+    repeats: int
+    prompts: dict[AttemptId, int]
+    decoding: tuple[_Stream, ...]
+
+    @property
+    def ends(self) -> float:
+        """Return when the first of the steps is done."""
+        return self.started + self.duration
+
+
+class Engine:
+    """One engine; not thread-safe, a wrapper holds a lock around it.
+
+    :param every_token: whether each token is an event, or only an answer's
+        first (which makes long runs cheap).
+    """
+
+    def __init__(
+        self,
+        server_id: BackendServerId,
+        profile: EngineProfile | None = None,
+        *,
+        every_token: bool = True,
+    ) -> None:
+        self.server_id = server_id
+        self.profile = profile or EngineProfile()
+        self.faults = EngineFaults()
+        self.busy_seconds = 0.0
+        self._every_token = every_token
+        self._now = 0.0
+        self._step: _Step | None = None
+        self._streams: OrderedDict[AttemptId, _Stream] = OrderedDict()
+        self._running: list[_Stream] = []
+        self._waiting: list[_Stream] = []
+        self._cache = EngineCache(server_id, self.profile)
+        self._submitted = 0
+        self._pending: list[EngineEvent] = []
+        self._reports: deque[LoadReport] = deque(maxlen=KEPT_REPORTS)
+        self._next_report = 0.0
+
+    def submit(self, call: EngineCall, at: float) -> None:
+        """Take a call at a time; a known attempt is not run twice.
+
+        :param at: seconds, not before the last time passed in.
+        :raises EngineRefusal: if its queue is full or it refuses calls.
+        """
+        self._pending.extend(self.advance(at))
+        if call.attempt in self._streams:
+            return
+        if self.faults.refuses or len(self._waiting) >= self.profile.max_waiting:
+            raise EngineRefusal(f'{self.server_id} takes no call now')
+        self._submitted += 1
+        stream = _Stream(call, self._submitted)
+        self._streams[call.attempt] = stream
+        self._waiting.append(stream)
+        self._waiting.sort(key=lambda one: (one.call.priority, one.order))
+        self._forget_old_streams()
+        self._interrupt_row()
+        self._begin_step()
+
+    def advance(self, until: float) -> list[EngineEvent]:
+        """Work up to a time and return what happened, in order."""
+        events = self._pending
+        self._pending = []
+        while self._step is not None and self._step.ends <= until:
+            self._complete_steps(self._step, until, events)
+        self._record_reports(until)
+        self._now = max(self._now, until)
+        return events
+
+    def next_event(self) -> float | None:
+        """Return when :meth:`advance` next has an event; ``None`` if idle."""
+        if self._pending:
+            return self._now
+        if self._step is None:
+            return None
+        if self._every_token:
+            return self._step.ends
+        return self._step.started + self._step.duration * self._step.repeats
+
+    def cancel(self, attempt: AttemptId, at: float) -> bool:
+        """Stop a call; its slot is free from the next step on.
+
+        :returns: whether it was running or waiting.
+        """
+        self._pending.extend(self.advance(at))
+        stream = self._streams.get(attempt)
+        if stream is None or stream.status not in OPEN:
+            return False
+        stream.status = StreamStatus.CANCELLED
+        self._remove(stream)
+        self._interrupt_row()
+        return True
+
+    def stream(self, attempt: AttemptId) -> StreamState | None:
+        """Return a running or recently ended call."""
+        stream = self._streams.get(attempt)
+        if stream is None:
+            return None
+        return StreamState(stream.call, stream.status, stream.generated, stream.cached)
+
+    def export_tokens(self, attempt: AttemptId) -> int:
+        """Return how many tokens a call's exported KV cache covers."""
+        stream = self._streams.get(attempt)
+        if stream is None:
+            return 0
+        return stream.call.prompt_tokens - stream.uncomputed + stream.generated
+
+    def load_report(self, at: float) -> LoadReport | None:
+        """Return the newest load report that is visible at a time."""
+        self._record_reports(at)
+        visible = None
+        for report in self._reports:
+            if report.measured <= at - self.profile.report_lag:
+                visible = report
+        return visible
+
+    def cache_events(self, after: int, at: float) -> tuple[CacheEvent, ...]:
+        """Return the cache events after a sequence number, late and gapped."""
+        return self._cache.events(after, at)
+
+    def restart(self, at: float) -> tuple[AttemptId, ...]:
+        """Lose all calls and the cache, as a process that dies does.
+
+        :returns: the attempts that were lost.
+        """
+        self._pending.extend(self.advance(at))
+        lost = tuple(one.call.attempt for one in self._running + self._waiting)
+        self._streams.clear()
+        self._running.clear()
+        self._waiting.clear()
+        self._step = None
+        self._cache.clear(at)
+        return lost
+
+    @property
+    def running(self) -> int:
+        """Return the calls in the batch now."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the calls that wait now."""
+        return len(self._waiting)
+
+    def _begin_step(self) -> None:
+        if self._step is not None:
+            return
+        self._fill_batch()
+        if not self._running:
+            return
+        prompts = self._plan_prompts()
+        decoding = tuple(one for one in self._running if not one.uncomputed)
+        computed = sum(prompts.values())
+        duration = self.profile.step_seconds
+        duration += self.profile.step_seconds_per_call * len(self._running)
+        duration += computed / self.profile.prompt_tokens_per_second
+        if len(self._running) > self.faults.slow_above:
+            duration *= self.faults.slowness
+        repeats = 1
+        if decoding and not prompts:
+            repeats = min(one.call.max_tokens - one.generated for one in decoding)
+        self._step = _Step(self._now, duration, max(repeats, 1), prompts, decoding)
+
+    def _fill_batch(self) -> None:
+        reserved = sum(one.reserved for one in self._running)
+        while self._waiting and len(self._running) < self.profile.max_running:
+            stream = self._waiting[0]
+            reserved += stream.reserved
+            if self._running and reserved > self.profile.cache_tokens:
+                return
+            self._waiting.pop(0)
+            self._start_stream(stream)
+
+    def _start_stream(self, stream: _Stream) -> None:
+        call = stream.call
+        matched = self._cache.match(call.prefix_blocks) * self.profile.block_tokens
+        stream.cached = min(max(matched, call.imported_tokens), call.prompt_tokens)
+        # The last prompt token is always computed: it yields the first token.
+        stream.uncomputed = max(call.prompt_tokens - stream.cached, 1)
+        stream.status = StreamStatus.RUNNING
+        self._running.append(stream)
+
+    def _plan_prompts(self) -> dict[AttemptId, int]:
+        left = self.profile.chunk_tokens
+        prompts: dict[AttemptId, int] = {}
+        for stream in self._running:
+            tokens = min(stream.uncomputed, left)
+            if tokens > 0:
+                prompts[stream.call.attempt] = tokens
+                left -= tokens
+        return prompts
+
+    def _complete_steps(
+        self, step: _Step, until: float, events: list[EngineEvent]
+    ) -> None:
+        possible = int((until - step.started) / step.duration)
+        done = max(1, min(step.repeats, possible))
+        decoding = [one for one in step.decoding if one.status is StreamStatus.RUNNING]
+        if self._every_token:
+            self._emit_row(step, decoding, done, events)
+        for stream in decoding:
+            stream.generated += done
+        step.started += step.duration * done
+        step.repeats -= done
+        self.busy_seconds += step.duration * done
+        self._now = step.started
+        self._complete_prompts(step, events)
+        ended = any(map(_is_complete, decoding))
+        if step.repeats and not ended:
+            return
+        self._step = None
+        self._end_complete(events)
+        self._begin_step()
+
+    def _emit_row(
+        self,
+        step: _Step,
+        decoding: list[_Stream],
+        done: int,
+        events: list[EngineEvent],
+    ) -> None:
+        for turn in range(done):
+            at = step.started + step.duration * (turn + 1)
+            for stream in decoding:
+                index = stream.generated + turn
+                events.append(TokenEvent(stream.call.attempt, at, index))
+
+    def _complete_prompts(self, step: _Step, events: list[EngineEvent]) -> None:
+        for attempt, tokens in step.prompts.items():
+            stream = self._streams.get(attempt)
+            if stream is None or stream.status is not StreamStatus.RUNNING:
+                continue
+            stream.uncomputed -= tokens
+            if stream.uncomputed:
+                continue
+            stream.generated = 1
+            stream.first_token_at = self._now
+            events.append(TokenEvent(attempt, self._now, 0))
+            self._cache.store(stream.call.prefix_blocks, self._room(), self._now)
+
+    def _end_complete(self, events: list[EngineEvent]) -> None:
+        for stream in tuple(self._running):
+            if stream.generated and self._fails(stream.call):
+                self._end(stream, StreamStatus.FAILED, events)
+            elif _is_complete(stream):
+                self._end(stream, StreamStatus.FINISHED, events)
+
+    def _fails(self, call: EngineCall) -> bool:
+        faults = self.faults
+        if not faults.fail_share or len(self._running) <= faults.fail_above:
+            return False
+        if faults.fail_route not in {None, call.route}:
+            return False
+        return hash_text(call.attempt) / HASH_RANGE < faults.fail_share
+
+    def _end(
+        self, stream: _Stream, status: StreamStatus, events: list[EngineEvent]
+    ) -> None:
+        stream.status = status
+        self._remove(stream)
+        computed = stream.call.prompt_tokens - stream.cached
+        events.append(
+            EndEvent(
+                stream.call.attempt,
+                self._now,
+                status,
+                stream.generated,
+                stream.cached,
+                computed,
+                stream.first_token_at,
+            )
+        )
+
+    def _remove(self, stream: _Stream) -> None:
+        if stream in self._running:
+            self._running.remove(stream)
+        if stream in self._waiting:
+            self._waiting.remove(stream)
+
+    def _interrupt_row(self) -> None:
+        if self._step is not None:
+            self._step.repeats = 1
+
+    def _room(self) -> int:
+        held = sum(map(attrgetter('reserved'), self._running))
+        return (self.profile.cache_tokens - held) // self.profile.block_tokens
+
+    def _record_reports(self, until: float) -> None:
+        if self._next_report > until:
+            return
+        used = sum(map(attrgetter('reserved'), self._running))
+        every = self.profile.report_every
+        self._next_report += every * int((until - self._next_report) / every)
+        report = LoadReport(
+            self.server_id,
+            len(self._running),
+            len(self._waiting),
+            min(1.0, used / self.profile.cache_tokens),
+            self._next_report,
+        )
+        self._next_report += every
+        self._reports.append(report)
+
+    def _forget_old_streams(self) -> None:
+        while len(self._streams) > KEPT_STREAMS:
+            oldest = next(iter(self._streams.values()))
+            if oldest.status in OPEN:
+                return
+            self._streams.popitem(last=False)
+
+
+def _is_complete(stream: _Stream) -> bool:
+    return stream.generated >= stream.call.max_tokens
