--- /dev/null
+++ b/libs/routing/fireflyhitch_routing/pressure.py
@@ -0,0 +1,81 @@
+"""When a call is refused at once, rather than queued beyond its use.
+
+A short burst may queue for a few times the target. When no server has been within
+the target for longer than that, the queue is a standing one: it makes every call
+late without serving one more. Then calls are refused as soon as they would be
+late, those of low priority and of customers above their fair part first. The
+idea is that of controlled delay in routers' queues (CoDel, RFC 8289).
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from fireflyhitch_model.ids import CustomerId
+from fireflyhitch_model.states import Priority
+
+STANDING_SECONDS = 1.0
+STRICT_SECONDS = 5.0
+USAGE_SECONDS = 10.0
+# How much of the target a call may be expected to take, by priority.
+PATIENT = {Priority.URGENT: 4.0, Priority.NORMAL: 3.0, Priority.BATCH: 1.0}
+STRICT = {Priority.URGENT: 1.5, Priority.NORMAL: 1.0, Priority.BATCH: 0.7}
+GREEDY = 0.8
+# A server that misses its target even when idle is not overloaded by that: it
+# may be this much worse than idle.
+IDLE_RATIO = 1.3
+# Work below which a customer does not count as active, in tokens.
+LEAST_USAGE = 1.0
+
+
+@dataclass(slots=True)
+class _Usage:
+    work: float = 0
+    at: float = 0
+
+    def at_time(self, now: float) -> float:
+        return self.work * math.exp((self.at - now) / USAGE_SECONDS)
+
+
+@dataclass(slots=True)
+class Pressure:
+    """A deployment's overload as one daemon sees it; not thread-safe."""
+
+    tight_since: float | None = None
+    strict_until: float = float('-inf')
+    _usage: dict[CustomerId, _Usage] = field(default_factory=dict)
+
+    def note(self, margin: float, now: float) -> None:
+        """Take in how near to the target the best server is."""
+        if margin <= 1:
+            self.tight_since = None
+            return
+        if self.tight_since is None:
+            self.tight_since = now
+        if now - self.tight_since >= STANDING_SECONDS:
+            self.strict_until = now + STRICT_SECONDS
+
+    def use(self, customer: CustomerId, work: float, now: float) -> None:
+        """Count work given to a customer.
+
+        :param work: tokens to be computed and generated.
+        """
+        usage = self._usage.setdefault(customer, _Usage())
+        usage.work = usage.at_time(now) + work
+        usage.at = now
+
+    def limit(
+        self, customer: CustomerId, priority: Priority, idle_margin: float, now: float
+    ) -> float:
+        """Return the margin above which a call is refused now."""
+        strict = now < self.strict_until
+        limit = STRICT[priority] if strict else PATIENT[priority]
+        if self._is_greedy(customer, now):
+            limit = min(limit, GREEDY if strict else 1.0)
+        return max(limit, IDLE_RATIO * idle_margin)
+
+    def _is_greedy(self, customer: CustomerId, now: float) -> bool:
+        used = {one: usage.at_time(now) for one, usage in self._usage.items()}
+        active = [work for work in used.values() if work > LEAST_USAGE]
+        if len(active) < 2:
+            return False
+        return used.get(customer, 0) > sum(active) / len(active)
--- /dev/null
+++ b/libs/routing/fireflyhitch_routing/shares.py
@@ -0,0 +1,104 @@
+"""Which part of a customer's limit a daemon may use, without a coordinator.
+
+Each daemon tells the others every second what its customers ask for. A daemon's
+share follows its part of the demand that it has heard of. It lowers a share at
+once but raises it only one interval later, when the others have heard the demand
+that justifies it and lowered theirs: so with messages delivered within an
+interval the shares never sum to more than the limit. A daemon that has not been
+heard for ``SILENT_SECONDS`` is taken to be cut off: an equal part is set aside
+for it, and one that hears nobody falls back to that equal part. While a cut is
+not yet noticed, each side may use what the other has: at most one limit for each
+side more, for ``SILENT_SECONDS``.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+from fireflyhitch_model.ids import CustomerId, DaemonId
+from fireflyhitch_model.peers import PeerMessage
+
+INTERVAL_SECONDS = 1.0
+SILENT_SECONDS = 3.0
+# A daemon not heard for this long is gone for good: nothing is set aside.
+GONE_SECONDS = 300.0
+# Every daemon keeps this part of an equal share even without demand, so that a
+# customer's first call there is served.
+IDLE_PART = 0.1
+
+
+class DemandReport(PeerMessage):
+    """What a daemon's customers ask for, in tokens a second.
+
+    :param demands: only customers with any demand.
+    """
+
+    kind: ClassVar[str] = 'demand-report'
+
+    demands: dict[CustomerId, float] = {}
+
+
+@dataclass(slots=True)
+class _Peer:
+    heard: float
+    demands: dict[CustomerId, float]
+
+
+@dataclass(slots=True)
+class DemandShares:
+    """The demand that peers report and the shares that follow; not thread-safe."""
+
+    _peers: dict[DaemonId, _Peer] = field(default_factory=dict)
+    _earlier: dict[CustomerId, float] = field(default_factory=dict)
+    _current: dict[CustomerId, float] = field(default_factory=dict)
+
+    def hear(self, peer: DaemonId, report: DemandReport, now: float) -> None:
+        """Take in a peer's report."""
+        self._peers[peer] = _Peer(now, dict(report.demands))
+
+    def expect(self, peers: Iterable[DaemonId], now: float) -> None:
+        """Take in who is thought to be alive, so that a part is set aside.
+
+        :param peers: the other daemons.
+        """
+        for peer in peers:
+            self._peers.setdefault(peer, _Peer(now - SILENT_SECONDS, {}))
+        for peer, known in tuple(self._peers.items()):
+            if now - known.heard > GONE_SECONDS:
+                self._peers.pop(peer)
+
+    def update(self, own: dict[CustomerId, float], now: float) -> None:
+        """Work out the shares anew, once an interval.
+
+        :param own: this daemon's demand by customer.
+        """
+        heard = [
+            peer for peer in self._peers.values() if now - peer.heard < SILENT_SECONDS
+        ]
+        pool = (len(heard) + 1) / (len(self._peers) + 1)
+        customers = set(own).union(*(peer.demands for peer in heard))
+        self._earlier = self._current
+        self._current = {
+            customer: pool
+            * _part_of(
+                own.get(customer, 0),
+                [peer.demands.get(customer, 0) for peer in heard],
+            )
+            for customer in customers
+        }
+
+    def share(self, customer: CustomerId) -> float:
+        """Return the part of the customer's limit that may be used here."""
+        equal = 1 / (len(self._peers) + 1)
+        current = self._current.get(customer, equal)
+        return min(current, self._earlier.get(customer, equal))
+
+
+def _part_of(own: float, others: list[float]) -> float:
+    """Return a part that sums to at most 1 over daemons with the same view."""
+    count = len(others) + 1
+    idle = IDLE_PART / count
+    total = own + sum(others)
+    if not total:
+        return 1 / count
+    return idle + (1 - IDLE_PART) * own / total
--- a/libs/standins/fireflyhitch_standins/engine_cache.py
+++ b/libs/standins/fireflyhitch_standins/engine_cache.py
@@ -10,7 +10,7 @@
 
 KEPT_EVENTS = 4096
 HASH_BITS = 64
-HASH_RANGE = 2.0**HASH_BITS
+HASH_RANGE = float(2**HASH_BITS)
 
 
 class EngineCache:
