--- a/libs/routing/fireflyhitch_routing/policy.py
+++ b/libs/routing/fireflyhitch_routing/policy.py
@@ -17,6 +17,7 @@
 LOST_SHARE = 0.5
 # Costs this near to the least count as equal, and the faster server is taken.
 COST_TOLERANCE = 0.02
+RECOMPUTE_WEIGHT = 2.0
 
 
 class Candidate(NamedTuple):
@@ -61,6 +62,7 @@
     first_target: float
     gap_target: float | None
     confidence: float
+    cached_somewhere: int = 0
 
 
 class Estimate(NamedTuple):
@@ -84,6 +86,8 @@
     :param candidates: at least one.
     :returns: the cheapest within the target, or the fastest if none is.
     """
+    cached = max(candidate.cached_tokens for candidate in candidates)
+    question = question._replace(cached_somewhere=cached)
     estimates = [estimate(question, candidate) for candidate in candidates]
     within = [one for one in estimates if one.margin <= 1]
     if not within:
@@ -128,6 +132,8 @@
     # A batch pays its steps once for all calls in it: a call bears its part.
     shared = step / (candidate.in_flight + 1)
     seconds = per_token * work + question.answer_tokens * (step_per_call + shared)
+    again = max(0, question.cached_somewhere - candidate.cached_tokens)
+    seconds += RECOMPUTE_WEIGHT * per_token * again
     lost = per_token * question.prompt_tokens + LOST_SHARE * seconds
     seconds += candidate.hazard * candidate.hold_seconds * lost
     return seconds * candidate.server.price / SECONDS_AN_HOUR
