--- a/libs/bench/fireflyhitch_bench/routing.py
+++ b/libs/bench/fireflyhitch_bench/routing.py
@@ -19,7 +19,7 @@
 from fireflyhitch_model.ids import DaemonId
 from fireflyhitch_routing.router import Router
 
-SEEDS = (11, 12)
+SEEDS = (11, 12, 13)
 SECONDS = 150.0
 WARM_UP = 30.0
 SETTLE = 20.0
--- a/libs/routing/fireflyhitch_routing/curves.py
+++ b/libs/routing/fireflyhitch_routing/curves.py
@@ -71,8 +71,10 @@
         reach = OUTLIER_DEVIATIONS * self.deviation
         error = max(-reach, min(reach, measured - expected))
         total = _dot(gains, features) + self._variance
+        # Latency never falls with load: a coefficient below zero is noise, and
+        # would make a busy server look cheaper than free.
         self.coefficients = tuple(
-            coefficient + gain * error / total
+            max(0.0, coefficient + gain * error / total)
             for coefficient, gain in zip(self.coefficients, gains, strict=True)
         )
         for row, gain in zip(self._covariance, gains, strict=True):
--- a/libs/routing/fireflyhitch_routing/policy.py
+++ b/libs/routing/fireflyhitch_routing/policy.py
@@ -17,7 +17,16 @@
 LOST_SHARE = 0.5
 # Costs this near to the least count as equal, and the faster server is taken.
 COST_TOLERANCE = 0.02
-RECOMPUTE_WEIGHT = 2.0
+# Where no server is within the target, those this near to the fastest count as
+# equal, and the cheapest is taken: it has the prompt cached or costs less.
+MARGIN_TOLERANCE = 0.15
+# A prompt being computed holds up every call of the batch. Without this weight
+# long prompts go to the fullest server and short answers there miss their time
+# between tokens; see docs/design/routing.md for the figures of other weights.
+DELAY_WEIGHT = 8.0
+# Tokens that another server has cached cost this many times their time, as
+# computing them again is a measure of its own beside the price.
+RECOMPUTE_WEIGHT = 10.0
 
 
 class Candidate(NamedTuple):
@@ -55,6 +64,7 @@
         call's arrival taken off.
     :param gap_target: seconds between tokens; ``None`` for a plain service.
     :param confidence: deviations that are added to an expectation.
+    :param cached_somewhere: the most prompt tokens that a candidate has cached.
     """
 
     prompt_tokens: int
@@ -68,12 +78,13 @@
 class Estimate(NamedTuple):
     """What is expected of one candidate.
 
-    :param margin: the worse of first token and gap at the stated confidence, as
-        a share of its target; at most 1 meets the target.
+    :param expected: the worse of first token and gap, as a share of its target.
+    :param margin: the same at the stated confidence; at most 1 meets the target.
     """
 
     candidate: Candidate
     first: float
+    expected: float
     margin: float
     cost: float
 
@@ -91,7 +102,9 @@
     estimates = [estimate(question, candidate) for candidate in candidates]
     within = [one for one in estimates if one.margin <= 1]
     if not within:
-        return min(estimates, key=_by_margin), Reason.FASTEST
+        least = min(one.margin for one in estimates) * (1 + MARGIN_TOLERANCE)
+        near = [one for one in estimates if one.margin <= least]
+        return min(near, key=_by_cost), Reason.FASTEST
     least = min(one.cost for one in within) * (1 + COST_TOLERANCE)
     near = [one for one in within if one.cost <= least]
     return min(near, key=_by_margin), Reason.CHEAPEST
@@ -102,15 +115,18 @@
     work = max(question.prompt_tokens - candidate.cached_tokens, 1)
     first = _expect_first(candidate, work)
     upper = first + question.confidence * candidate.first_deviation
+    expected = first / question.first_target
     margin = upper / question.first_target
     if question.gap_target is not None:
         step, step_per_call = candidate.gap_curve
         gap = step + step_per_call * candidate.in_flight
-        gap += question.confidence * candidate.gap_deviation
-        margin = max(margin, gap / question.gap_target)
+        upper = gap + question.confidence * candidate.gap_deviation
+        expected = max(expected, gap / question.gap_target)
+        margin = max(margin, upper / question.gap_target)
     if candidate.in_flight >= candidate.allowed:
         margin += 1
-    return Estimate(candidate, first, margin, _expect_cost(question, candidate, work))
+    cost = _expect_cost(question, candidate, work)
+    return Estimate(candidate, first, expected, margin, cost)
 
 
 def _expect_first(candidate: Candidate, work: int) -> float:
@@ -134,6 +150,7 @@
     seconds = per_token * work + question.answer_tokens * (step_per_call + shared)
     again = max(0, question.cached_somewhere - candidate.cached_tokens)
     seconds += RECOMPUTE_WEIGHT * per_token * again
+    seconds += DELAY_WEIGHT * candidate.in_flight * per_token * work
     lost = per_token * question.prompt_tokens + LOST_SHARE * seconds
     seconds += candidate.hazard * candidate.hold_seconds * lost
     return seconds * candidate.server.price / SECONDS_AN_HOUR
@@ -141,3 +158,7 @@
 
 def _by_margin(one: Estimate) -> float:
     return one.margin
+
+
+def _by_cost(one: Estimate) -> float:
+    return one.cost
--- a/libs/routing/fireflyhitch_routing/pressure.py
+++ b/libs/routing/fireflyhitch_routing/pressure.py
@@ -10,8 +10,10 @@
 import math
 from dataclasses import dataclass, field
 
+from fireflyhitch_model.calls import Call
 from fireflyhitch_model.ids import CustomerId
 from fireflyhitch_model.states import Priority
+from fireflyhitch_routing.policy import Estimate
 
 STANDING_SECONDS = 1.0
 STRICT_SECONDS = 5.0
@@ -63,15 +65,19 @@
         usage.work = usage.at_time(now) + work
         usage.at = now
 
-    def limit(
-        self, customer: CustomerId, priority: Priority, idle_margin: float, now: float
-    ) -> float:
-        """Return the margin above which a call is refused now."""
+    def refuses(self, call: Call, chosen: Estimate, idle: Estimate, now: float) -> bool:
+        """Tell whether a call is refused rather than placed.
+
+        :param chosen: the best there is for it.
+        :param idle: the same server without other work.
+        """
         strict = now < self.strict_until
-        limit = STRICT[priority] if strict else PATIENT[priority]
-        if self._is_greedy(customer, now):
+        limit = STRICT[call.priority] if strict else PATIENT[call.priority]
+        if self._is_greedy(call.customer, now):
             limit = min(limit, GREEDY if strict else 1.0)
-        return max(limit, IDLE_RATIO * idle_margin)
+        load = chosen.margin if strict else chosen.expected
+        idle_load = idle.margin if strict else idle.expected
+        return load > max(limit, IDLE_RATIO * idle_load)
 
     def _is_greedy(self, customer: CustomerId, now: float) -> bool:
         used = {one: usage.at_time(now) for one, usage in self._usage.items()}
--- a/libs/routing/fireflyhitch_routing/router.py
+++ b/libs/routing/fireflyhitch_routing/router.py
@@ -311,10 +311,9 @@
         if chosen.margin <= CALM_MARGIN:
             return
         idle = chosen.candidate._replace(in_flight=0, prompt_work=0)
-        idle_margin = estimate(question, idle).margin
         with self._lock:
-            limit = pressure.limit(call.customer, call.priority, idle_margin, now)
-        if chosen.margin > limit:
+            refused = pressure.refuses(call, chosen, estimate(question, idle), now)
+        if refused:
             raise _refuse(
                 'all backend servers are overloaded',
                 'overloaded',
