--- /dev/null
+++ b/libs/membership/fireflyhitch_membership/snapshots.py
@@ -0,0 +1,105 @@
+"""Snapshots of soft state, so that a replacement is warm at once."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from loguru import logger
+
+from fireflyhitch_membership.messages import Snapshot, SnapshotRequest
+from fireflyhitch_model.errors import PeerError
+from fireflyhitch_model.hashing import rank_by_hash
+from fireflyhitch_model.ids import DaemonId
+from fireflyhitch_model.peers import Daemon, PeerMessage, PeerMessenger
+from fireflyhitch_model.states import Step
+
+# Below the frame limit, with room for the names and the envelope.
+MAX_SNAPSHOT_BYTES = 1024 * 1024
+MAX_PEERS_ASKED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """One part of a daemon's soft state.
+
+    :param produce: returns the state, consistent in itself; called from any
+        thread.
+    :param merge: takes another daemon's state in; it must do no harm when the
+        own state is newer.
+    """
+
+    name: str
+    produce: Callable[[], bytes]
+    merge: Callable[[bytes], None]
+
+
+class SnapshotExchange:
+    """Gives snapshots to peers and takes one in at start.
+
+    :param messenger: the links to peers.
+    :param here: this daemon.
+    """
+
+    def __init__(self, messenger: PeerMessenger, here: Daemon) -> None:
+        self._messenger = messenger
+        self._here = here
+        self._sections: dict[str, Section] = {}
+        messenger.handle(SnapshotRequest, self._answer)
+
+    def add(self, section: Section) -> None:
+        """Add a section; earlier ones go first when a snapshot is too large."""
+        self._sections[section.name] = section
+
+    def warm_up(self, timeout: timedelta) -> DaemonId | None:
+        """Take in the snapshot of the first peer that answers, nearest first.
+
+        :param timeout: how long each of at most three peers may take.
+        :returns: the peer, or ``None`` if none answered.
+        """
+        for peer in self._rank_peers()[:MAX_PEERS_ASKED]:
+            try:
+                answer = self._messenger.ask(peer, SnapshotRequest(), timeout)
+            except PeerError:
+                continue
+            if isinstance(answer, Snapshot):
+                self._merge(peer, answer)
+                return peer
+        return None
+
+    def _rank_peers(self) -> list[DaemonId]:
+        near: list[DaemonId] = []
+        far: list[DaemonId] = []
+        for daemon in self._messenger.live():
+            if daemon.daemon_id == self._here.daemon_id:
+                continue
+            same_domain = daemon.failure_domain == self._here.failure_domain
+            (near if same_domain else far).append(daemon.daemon_id)
+        key = f'snapshot/{self._here.daemon_id}'
+        return rank_by_hash(key, near) + rank_by_hash(key, far)
+
+    def _merge(self, peer: DaemonId, snapshot: Snapshot) -> None:
+        for name, content in snapshot.sections.items():
+            section = self._sections.get(name)
+            if section is None:
+                continue
+            try:
+                section.merge(content)
+            except ValueError as error:
+                # A section of another release that cannot be read costs only
+                # warmth; the daemon must start without it.
+                logger.bind(step=Step.PEER.value, peer=peer, section=name).warning(
+                    'snapshot section unreadable', error=repr(error)
+                )
+
+    def _answer(self, sender: DaemonId, request: SnapshotRequest) -> PeerMessage:
+        wanted = request.sections or tuple(self._sections)
+        chosen: dict[str, bytes] = {}
+        room = MAX_SNAPSHOT_BYTES
+        for name in wanted:
+            section = self._sections.get(name)
+            content = section.produce() if section else b''
+            if section is None or len(content) > room:
+                continue
+            chosen[name] = content
+            room -= len(content)
+        return Snapshot(sections=chosen)
