--- /dev/null
+++ b/libs/membership/fireflyhitch_membership/exchange.py
@@ -0,0 +1,177 @@
+"""Questions and answers over the links, and who handles which kind."""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from typing import Any
+
+from loguru import logger
+
+from fireflyhitch_membership.links import Links
+from fireflyhitch_membership.wire import Frame, UnknownKindError, encode, read_message
+from fireflyhitch_model.errors import FireflyhitchError, PeerError
+from fireflyhitch_model.ids import DaemonId
+from fireflyhitch_model.peers import Handler, PeerMessage
+from fireflyhitch_model.states import Step
+
+HANDLER_THREADS = 8
+# Messages waiting for a thread; more are dropped, their senders ask again.
+MAX_WAITING = 512
+
+AnyHandler = Handler[Any]
+AsyncHandler = Callable[[DaemonId, Any], Coroutine[None, None, PeerMessage]]
+
+
+class Exchange:
+    """Sends, asks and hands received messages out; runs on the event loop.
+
+    Kinds of membership itself are handled on the loop, so that heartbeats are
+    answered however busy the threads are; all others in a pool of threads.
+    """
+
+    def __init__(self) -> None:
+        self._links: Links | None = None
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, asyncio.Future[PeerMessage]] = {}
+        self._quick: dict[str, AnyHandler] = {}
+        self._by_task: dict[str, AsyncHandler] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._slow: dict[str, AnyHandler] = {}
+        self._pool = ThreadPoolExecutor(HANDLER_THREADS, 'peer-handler')
+        self._waiting = 0
+
+    def attach(self, links: Links) -> None:
+        """Use the links."""
+        self._links = links
+
+    def handle_quickly(self, kind: str, handler: AnyHandler) -> None:
+        """Have a handler that never blocks called on the loop."""
+        self._quick[kind] = handler
+
+    def handle_by_task(self, kind: str, handler: AsyncHandler) -> None:
+        """Have a handler that waits for other messages run as a task."""
+        self._by_task[kind] = handler
+
+    def handle(self, kind: str, handler: AnyHandler) -> None:
+        """Have a handler called in a thread."""
+        self._slow[kind] = handler
+
+    def run(self, work: Callable[[], object]) -> None:
+        """Do work in a thread; dropped if too much waits already."""
+        if self._waiting >= MAX_WAITING:
+            logger.bind(step=Step.PEER.value).warning('handlers too busy')
+            return
+        self._waiting += 1
+        task = asyncio.get_running_loop().run_in_executor(self._pool, work)
+        task.add_done_callback(self._finish)
+
+    def close(self) -> None:
+        """End the threads; handlers at work finish by themselves."""
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def tell(self, peer: DaemonId, message: PeerMessage) -> None:
+        """Send without an answer."""
+        self._send(peer, message.kind, encode(message))
+
+    async def ask(
+        self, peer: DaemonId, message: PeerMessage, timeout: timedelta
+    ) -> PeerMessage:
+        """Send and wait for the answer.
+
+        :raises PeerError: if none comes in time.
+        """
+        number = next(self._numbers)
+        answer: asyncio.Future[PeerMessage] = asyncio.get_running_loop().create_future()
+        self._pending[number] = answer
+        try:
+            self._send(peer, message.kind, encode(message, ask=number))
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await answer
+        except TimeoutError as error:
+            raise PeerError(
+                f'no answer to {message.kind}', step=Step.PEER, peer=peer
+            ) from error
+        finally:
+            self._pending.pop(number, None)
+
+    def receive(self, peer: DaemonId, frame: Frame) -> None:
+        """Hand a frame out."""
+        try:
+            message = read_message(frame.kind, frame.body, peer)
+        except UnknownKindError:
+            # A newer release has kinds that this one lacks; its asks time out.
+            logger.bind(step=Step.PEER.value, peer=peer, kind=frame.kind).debug(
+                'unknown kind'
+            )
+            return
+        if frame.answers is not None:
+            self._settle(frame.answers, message)
+            return
+        self.hand_out(peer, message, frame.ask)
+
+    def hand_out(
+        self, peer: DaemonId, message: PeerMessage, ask: int | None = None
+    ) -> None:
+        """Call the handler of a message and send its answer, if it was asked."""
+        quick = self._quick.get(message.kind)
+        if quick is not None:
+            self._answer(peer, quick(peer, message), ask)
+            return
+        by_task = self._by_task.get(message.kind)
+        if by_task is not None:
+            work = self._answer_by_task(by_task, peer, message, ask)
+            task = asyncio.get_running_loop().create_task(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        slow = self._slow.get(message.kind)
+        if slow is not None:
+            loop = asyncio.get_running_loop()
+            self.run(lambda: self._handle_slowly(loop, slow, peer, message, ask))
+
+    async def _answer_by_task(
+        self,
+        handler: AsyncHandler,
+        peer: DaemonId,
+        message: PeerMessage,
+        ask: int | None,
+    ) -> None:
+        self._answer(peer, await handler(peer, message), ask)
+
+    def _handle_slowly(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        handler: AnyHandler,
+        peer: DaemonId,
+        message: PeerMessage,
+        ask: int | None,
+    ) -> None:
+        answer = handler(peer, message)
+        if answer is not None and ask is not None:
+            loop.call_soon_threadsafe(self._answer, peer, answer, ask)
+
+    def _answer(
+        self, peer: DaemonId, answer: PeerMessage | None, ask: int | None
+    ) -> None:
+        if answer is not None and ask is not None:
+            self._send(peer, answer.kind, encode(answer, answers=ask))
+
+    def _settle(self, number: int, message: PeerMessage) -> None:
+        pending = self._pending.get(number)
+        if pending is not None and not pending.done():
+            pending.set_result(message)
+
+    def _send(self, peer: DaemonId, kind: str, frame: bytes) -> None:
+        if self._links is not None:
+            self._links.send(peer, kind, frame)
+
+    def _finish(self, task: 'asyncio.Future[object]') -> None:
+        self._waiting -= 1
+        error = None if task.cancelled() else task.exception()
+        if error is None:
+            return
+        peer = error.peer if isinstance(error, FireflyhitchError) else None
+        logger.bind(step=Step.PEER.value, peer=peer).error(
+            'handler failed', error=repr(error)
+        )
--- /dev/null
+++ b/libs/membership/fireflyhitch_membership/handshake.py
@@ -0,0 +1,118 @@
+"""Proof on both sides of a new link that the other knows the shared key.
+
+The acceptor sends a nonce; the opener proves the key over both nonces and names
+itself; the acceptor proves it in turn. A recorded proof is of no use for another
+link, since the nonces differ. Frames after it are not signed one by one: on a
+network where others can write into a TCP connection, use mutual TLS.
+"""
+
+import hashlib
+import hmac
+import secrets
+from typing import Any, ClassVar, Protocol, TypeVar
+
+from fireflyhitch_membership.messages import MemberRecord
+from fireflyhitch_membership.wire import decode, encode, read_message
+from fireflyhitch_model.errors import PeerError
+from fireflyhitch_model.peers import PeerMessage
+from fireflyhitch_model.states import Step
+
+NONCE_BYTES = 16
+
+Expected = TypeVar('Expected', bound=PeerMessage)
+
+
+class Socket(Protocol):
+    """What the handshake needs of a websocket."""
+
+    async def send(self, message: bytes) -> None:
+        """Send one message."""
+
+    async def recv(self) -> Any:
+        """Return the next message."""
+
+
+class Challenge(PeerMessage):
+    """The acceptor's nonce."""
+
+    kind: ClassVar[str] = 'challenge'
+
+    nonce: bytes
+
+
+class Proof(PeerMessage):
+    """Who opens the link, its nonce and its proof of the key."""
+
+    kind: ClassVar[str] = 'proof'
+
+    me: MemberRecord
+    nonce: bytes
+    proof: bytes
+
+
+class Welcome(PeerMessage):
+    """Who accepted the link and its proof of the key."""
+
+    kind: ClassVar[str] = 'welcome'
+
+    me: MemberRecord
+    proof: bytes
+
+
+async def open_handshake(
+    socket: Socket, key: str, own: MemberRecord, address: str
+) -> MemberRecord:
+    """Do the opener's part.
+
+    :returns: the acceptor.
+    :raises PeerError: if the acceptor does not prove the key.
+    """
+    challenge = await _receive(socket, Challenge, address)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    proof = _prove(key, 'open', challenge.nonce, nonce, own)
+    await socket.send(encode(Proof(me=own, nonce=nonce, proof=proof)))
+    welcome = await _receive(socket, Welcome, address)
+    expected = _prove(key, 'accept', challenge.nonce, nonce, welcome.me)
+    _check(expected, welcome.proof, address)
+    return welcome.me
+
+
+async def accept_handshake(
+    socket: Socket, key: str, own: MemberRecord, address: str
+) -> MemberRecord:
+    """Do the acceptor's part.
+
+    :returns: the opener.
+    :raises PeerError: if the opener does not prove the key.
+    """
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    await socket.send(encode(Challenge(nonce=nonce)))
+    opener = await _receive(socket, Proof, address)
+    expected = _prove(key, 'open', nonce, opener.nonce, opener.me)
+    _check(expected, opener.proof, address)
+    proof = _prove(key, 'accept', nonce, opener.nonce, own)
+    await socket.send(encode(Welcome(me=own, proof=proof)))
+    return opener.me
+
+
+async def _receive(socket: Socket, kind: type[Expected], address: str) -> Expected:
+    frame = decode(await socket.recv(), address)
+    message = read_message(frame.kind, frame.body, address)
+    if not isinstance(message, kind):
+        raise PeerError(f'{frame.kind} out of turn', step=Step.PEER, peer=address)
+    return message
+
+
+def _prove(
+    key: str, role: str, challenge: bytes, nonce: bytes, me: MemberRecord
+) -> bytes:
+    content = me.model_dump_json().encode()
+    text = b'\x00'.join((role.encode(), challenge, nonce, content))
+    return hmac.digest(key.encode(), text, hashlib.sha256)
+
+
+def _check(expected: bytes, proof: bytes, address: str) -> None:
+    if not hmac.compare_digest(expected, proof):
+        raise PeerError(
+            'peer does not know the shared key', step=Step.AUTHENTICATE, peer=address
+        )
--- /dev/null
+++ b/libs/membership/fireflyhitch_membership/links.py
@@ -0,0 +1,270 @@
+"""Links to peers: one bounded queue and one writer each, on one event loop."""
+
+import asyncio
+import random
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from loguru import logger
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from fireflyhitch_membership.handshake import accept_handshake, open_handshake
+from fireflyhitch_membership.messages import MemberRecord
+from fireflyhitch_membership.wire import MAX_FRAME_BYTES, Frame, decode
+from fireflyhitch_model.errors import PeerError
+from fireflyhitch_model.ids import DaemonId
+from fireflyhitch_model.states import Step
+
+OPEN_SECONDS = 1.0
+SEND_SECONDS = 2.0
+IDLE_SECONDS = 120.0
+BACKOFF_SECONDS = 0.3
+# At 12 KB/s it would take a peer minutes to empty more.
+QUEUED_FRAMES = 256
+BACKOFF_JITTER = (0.5, 1.5)
+# A WebSocket frame's header with its mask (8), TCP with timestamps (32), IP (20).
+FRAME_OVERHEAD_BYTES = 60
+
+# Decides whether a frame of a kind goes out to a peer; for tests of lost messages.
+LinkFilter = Callable[[DaemonId, str], bool]
+LINK_ERRORS = (OSError, EOFError, KeyError, WebSocketException, PeerError)
+
+
+@dataclass(frozen=True, slots=True)
+class LinkOptions:
+    """What the links are made of.
+
+    :param seeds: addresses (``host:port``) to ask first.
+    :param peer_key: shared by all daemons; each side proves that it knows it.
+    :param server_tls: given, links are accepted by TLS only.
+    :param client_tls: given, links are opened by TLS.
+    :param link_filter: for tests; ``None`` lets all frames pass.
+    """
+
+    seeds: tuple[str, ...]
+    peer_key: str = field(repr=False)
+    host: str = '127.0.0.1'
+    port: int = 0
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+    link_filter: LinkFilter | None = field(default=None, compare=False)
+
+
+@dataclass(slots=True)
+class LinkCounts:
+    """Traffic since the start; bytes include an estimate for the headers."""
+
+    bytes_out: int = 0
+    bytes_in: int = 0
+    frames_out: int = 0
+    frames_in: int = 0
+    dropped: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LinkHooks:
+    """What the links ask of their owner.
+
+    :param own: returns this daemon's record.
+    :param find: returns a peer's record, or ``None``.
+    :param greeted: told of each peer that proved the key.
+    :param received: takes a peer's frame; it must not block.
+    """
+
+    own: Callable[[], MemberRecord]
+    find: Callable[[DaemonId], MemberRecord | None]
+    greeted: Callable[[MemberRecord], None]
+    received: Callable[[DaemonId, Frame], None]
+
+
+class Links:
+    """All links of one daemon; every method runs on its event loop."""
+
+    def __init__(self, options: LinkOptions, hooks: LinkHooks) -> None:
+        self.counts = LinkCounts()
+        self._options = options
+        self._hooks = hooks
+        self._server: Server | None = None
+        self._sockets: dict[DaemonId, Any] = {}
+        self._queues: dict[DaemonId, asyncio.Queue[bytes]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> int:
+        """Start to accept links.
+
+        :returns: the port.
+        """
+        self._server = await serve(
+            self._accept,
+            self._options.host,
+            self._options.port,
+            ssl=self._options.server_tls,
+            compression=None,
+            ping_interval=None,
+            max_size=MAX_FRAME_BYTES,
+            close_timeout=OPEN_SECONDS,
+        )
+        port: int = next(iter(self._server.sockets)).getsockname()[1]
+        return port
+
+    async def close(self) -> None:
+        """Close all links."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def send(self, peer: DaemonId, kind: str, frame: bytes) -> bool:
+        """Queue a frame.
+
+        :returns: whether there was room for it.
+        """
+        passes = self._options.link_filter
+        if passes is not None and not passes(peer, kind):
+            return True
+        queue = self._queues.get(peer)
+        if queue is None:
+            queue = asyncio.Queue(QUEUED_FRAMES)
+            self._queues[peer] = queue
+            self._start(self._write(peer, queue))
+        if queue.full():
+            # A silent peer costs its own queue only; waiting for room would
+            # hold up the messages to all others.
+            self.counts.dropped += 1
+            return False
+        queue.put_nowait(frame)
+        return True
+
+    async def contact(self, address: str) -> MemberRecord:
+        """Open a link to an address of which the daemon is not known.
+
+        :raises PeerError: if nobody there proves the key in time.
+        """
+        try:
+            async with asyncio.timeout(OPEN_SECONDS):
+                return await self._open(address)
+        except LINK_ERRORS as error:
+            raise PeerError('no link', step=Step.CONNECT, peer=address) from error
+
+    async def drop(self, peer: DaemonId) -> None:
+        """Close the link to a peer; the next frame opens a new one.
+
+        After a partition TCP waits up to two minutes before it sends again on
+        an old connection, so a silent peer would stay silent long after the
+        network has healed. A new connection gets through at once.
+        """
+        socket = self._sockets.pop(peer, None)
+        if socket is not None:
+            self._start(socket.close())
+
+    async def _write(self, peer: DaemonId, queue: 'asyncio.Queue[bytes]') -> None:
+        try:
+            while True:
+                frame = await asyncio.wait_for(queue.get(), IDLE_SECONDS)
+                await self._write_one(peer, queue, frame)
+        except TimeoutError:
+            await self.drop(peer)
+        finally:
+            self._queues.pop(peer, None)
+
+    async def _write_one(
+        self, peer: DaemonId, queue: 'asyncio.Queue[bytes]', frame: bytes
+    ) -> None:
+        try:
+            if peer not in self._sockets:
+                await self._open_known(peer)
+            async with asyncio.timeout(SEND_SECONDS):
+                await self._sockets[peer].send(frame)
+        except LINK_ERRORS:
+            # What waited for a cut-off peer is stale when it comes back, and
+            # its senders have given up: it would only delay fresh heartbeats.
+            self.counts.dropped += 1 + queue.qsize()
+            while not queue.empty():
+                queue.get_nowait()
+            await self.drop(peer)
+            await asyncio.sleep(BACKOFF_SECONDS * random.uniform(*BACKOFF_JITTER))
+            return
+        self.counts.frames_out += 1
+        self.counts.bytes_out += len(frame) + FRAME_OVERHEAD_BYTES
+
+    async def _open_known(self, peer: DaemonId) -> None:
+        record = self._hooks.find(peer)
+        if record is None:
+            raise PeerError('unknown peer', step=Step.CONNECT, peer=peer)
+        async with asyncio.timeout(OPEN_SECONDS):
+            found = await self._open(record.peer)
+        if found.daemon_id != peer:
+            raise PeerError('another daemon answers', step=Step.CONNECT, peer=peer)
+
+    async def _open(self, address: str) -> MemberRecord:
+        tls = self._options.client_tls
+        socket = await connect(
+            f'{"wss" if tls else "ws"}://{address}/',
+            ssl=tls,
+            proxy=None,
+            compression=None,
+            ping_interval=None,
+            max_size=MAX_FRAME_BYTES,
+            open_timeout=OPEN_SECONDS,
+            close_timeout=OPEN_SECONDS,
+        )
+        try:
+            peer = await open_handshake(
+                socket, self._options.peer_key, self._hooks.own(), address
+            )
+            self._refuse_self(peer, address)
+        except BaseException:
+            await socket.close()
+            raise
+        self._start(self._read(peer.daemon_id, socket))
+        self._adopt(peer, socket)
+        return peer
+
+    def _refuse_self(self, peer: MemberRecord, address: str) -> None:
+        if peer.daemon_id == self._hooks.own().daemon_id:
+            raise PeerError('own address', step=Step.CONNECT, peer=address)
+
+    async def _accept(self, socket: ServerConnection) -> None:
+        address = str(socket.remote_address)
+        try:
+            async with asyncio.timeout(OPEN_SECONDS):
+                peer = await accept_handshake(
+                    socket, self._options.peer_key, self._hooks.own(), address
+                )
+        except LINK_ERRORS as error:
+            logger.bind(step=Step.AUTHENTICATE.value, peer=address).warning(
+                'link refused', error=repr(error)
+            )
+            return
+        self._adopt(peer, socket)
+        await self._read(peer.daemon_id, socket)
+
+    def _adopt(self, peer: MemberRecord, socket: Any) -> None:
+        self._sockets[peer.daemon_id] = socket
+        self._hooks.greeted(peer)
+
+    async def _read(self, peer: DaemonId, socket: Any) -> None:
+        try:
+            async for content in socket:
+                self.counts.frames_in += 1
+                self.counts.bytes_in += len(content) + FRAME_OVERHEAD_BYTES
+                self._hooks.received(peer, decode(content, peer))
+        except LINK_ERRORS as error:
+            logger.bind(step=Step.PEER.value, peer=peer).info(
+                'link lost', error=repr(error)
+            )
+        finally:
+            if self._sockets.get(peer) is socket:
+                self._sockets.pop(peer)
+            await socket.close()
+
+    def _start(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/libs/membership/fireflyhitch_membership/marks.py
@@ -0,0 +1,128 @@
+"""Marks that only grow: leaving instances and withdrawn versions."""
+
+from collections.abc import Iterable
+from threading import Lock
+
+from loguru import logger
+
+from fireflyhitch_membership.messages import Mark, MarkKind
+from fireflyhitch_model.hashing import hash_text
+from fireflyhitch_model.invariants import Invariant, invariant
+from fireflyhitch_model.states import Step
+
+# A mismatch is narrowed to buckets, so that one new mark among thousands does
+# not cost an exchange of all.
+BUCKETS = 32
+# Eleven days of 1,800 restarts or failures a day, in about 4 MB.
+MAX_LEAVING_MARKS = 20000
+
+_PROMISES = {
+    MarkKind.LEAVING: Invariant.LEAVING_STAYS,
+    MarkKind.WITHDRAWN: Invariant.WITHDRAWN_STAYS,
+}
+
+MarkKey = tuple[MarkKind, str]
+
+
+class MarkTable:
+    """The marks that a daemon knows; merging is the maximum for each key.
+
+    The maximum makes order and repetition of messages irrelevant: a cut-off
+    side that comes back with old marks can only add to the union.
+    """
+
+    def __init__(self) -> None:
+        self._lock = Lock()
+        self._numbers: dict[MarkKey, int] = {}
+        self._buckets = [0 for _ in range(BUCKETS)]
+
+    def merge(self, marks: Iterable[Mark]) -> tuple[Mark, ...]:
+        """Take marks in.
+
+        :returns: those that were news.
+        """
+        with self._lock:
+            return tuple(mark for mark in marks if self._raise_to(mark))
+
+    def number_of(self, kind: MarkKind, key: str) -> int:
+        """Return up to which number a key is marked; 0 if not at all."""
+        return self._numbers.get((kind, key), 0)
+
+    def all_of(self, kind: MarkKind) -> dict[str, int]:
+        """Return all marks of a kind."""
+        with self._lock:
+            return {
+                key: number
+                for (one_kind, key), number in self._numbers.items()
+                if one_kind is kind
+            }
+
+    def all(self) -> tuple[Mark, ...]:
+        """Return all marks."""
+        with self._lock:
+            return tuple(
+                Mark(kind=kind, key=key, number=number)
+                for (kind, key), number in self._numbers.items()
+            )
+
+    def digest(self) -> int:
+        """Return a hash over all marks."""
+        with self._lock:
+            buckets = repr(self._buckets)
+        return hash_text(buckets)
+
+    def bucket_digests(self) -> tuple[int, ...]:
+        """Return a hash over the marks of each bucket."""
+        with self._lock:
+            return tuple(self._buckets)
+
+    def differing(self, theirs: tuple[int, ...]) -> tuple[Mark, ...]:
+        """Return the marks of the buckets that differ from a peer's."""
+        if not theirs:
+            return ()
+        if len(theirs) != BUCKETS:
+            return self.all()
+        mine = self.bucket_digests()
+        return tuple(
+            mark
+            for mark in self.all()
+            if mine[_bucket_of(mark)] != theirs[_bucket_of(mark)]
+        )
+
+    def _raise_to(self, mark: Mark) -> bool:
+        key = (mark.kind, mark.key)
+        before = self._numbers.get(key, 0)
+        if mark.number <= before:
+            return False
+        bucket = _bucket_of(mark)
+        if before:
+            self._buckets[bucket] ^= _hash(mark.kind, mark.key, before)
+        self._buckets[bucket] ^= _hash(mark.kind, mark.key, mark.number)
+        self._numbers[key] = mark.number
+        invariant(
+            self._numbers[key] > before,
+            _PROMISES[mark.kind],
+            f'{mark.key}: {before} to {mark.number}',
+            step=Step.PEER,
+        )
+        self._bound_leaving(mark.kind)
+        return True
+
+    def _bound_leaving(self, kind: MarkKind) -> None:
+        if kind is not MarkKind.LEAVING or len(self._numbers) <= MAX_LEAVING_MARKS:
+            return
+        oldest = next(key for key in self._numbers if key[0] is MarkKind.LEAVING)
+        number = self._numbers.pop(oldest)
+        dropped = Mark(kind=oldest[0], key=oldest[1], number=number)
+        self._buckets[_bucket_of(dropped)] ^= _hash(*oldest, number)
+        logger.bind(step=Step.PEER.value, instance=dropped.key).warning(
+            'oldest leaving mark dropped'
+        )
+
+
+def _bucket_of(mark: Mark) -> int:
+    return hash_text(mark.key) % BUCKETS
+
+
+def _hash(kind: MarkKind, key: str, number: int) -> int:
+    return hash_text(f'{kind.value}/{key}/{number}')
--- a/libs/membership/fireflyhitch_membership/messages.py
+++ b/libs/membership/fireflyhitch_membership/messages.py
@@ -86,13 +86,14 @@
 
 
 class ProbeAnswer(PeerMessage):
-    """The answer to a probe, with the same digests."""
+    """The answer to a probe, with the same digests and the same hint."""
 
     kind: ClassVar[str] = 'probe-answer'
 
     me: MemberRecord
     members: int
     marks: int
+    seen: tuple[Incarnation, MemberStatus] | None = None
 
 
 class IndirectProbe(PeerMessage):
@@ -114,7 +115,7 @@
 class SyncRequest(PeerMessage):
     """Digests in detail; the answer holds what differs.
 
-    :param marks: a digest for each bucket of marks.
+    :param marks: a digest for each bucket of marks; none if they are the same.
     """
 
     kind: ClassVar[str] = 'sync-request'
--- a/libs/membership/fireflyhitch_membership/network.py
+++ b/libs/membership/fireflyhitch_membership/network.py
@@ -1,13 +1,30 @@
-"""Peer links and membership behind one object."""
+"""Peer links and membership behind one object, safe to use from any thread."""
 
-import ssl
-from collections.abc import Callable
-from dataclasses import dataclass, field
+import asyncio
+import threading
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
-
-from fireflyhitch_membership.messages import Mark
+from functools import partial
+from typing import Any, TypeVar
+
+import cbor2
+
+from fireflyhitch_membership.exchange import Exchange
+from fireflyhitch_membership.links import LinkCounts, LinkHooks, LinkOptions, Links
+from fireflyhitch_membership.marks import MarkTable
+from fireflyhitch_membership.members import MemberTable
+from fireflyhitch_membership.messages import (
+    Mark,
+    MarkKind,
+    MemberRecord,
+    StateUpdate,
+)
+from fireflyhitch_membership.probing import Prober
+from fireflyhitch_membership.relaying import Relayer
 from fireflyhitch_membership.snapshots import Section
+from fireflyhitch_membership.wire import encode_body
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.errors import PeerError
 from fireflyhitch_model.ids import (
     DaemonId,
     DeploymentId,
@@ -18,128 +35,223 @@
 )
 from fireflyhitch_model.instances import InstanceListing
 from fireflyhitch_model.peers import Daemon, Handler, PeerMessage, Scope, SomeMessage
+from fireflyhitch_model.states import InstanceRole, InstanceState, Step
 
-# Decides whether a frame of a kind goes out to a peer; for tests of lost messages.
-LinkFilter = Callable[[DaemonId, str], bool]
-
-
-@dataclass(frozen=True, slots=True)
-class LinkOptions:
-    """What the links are made of.
-
-    :param seeds: addresses (``host:port``) to ask first.
-    :param peer_key: shared by all daemons; each side proves that it knows it.
-    :param server_tls: given, links are accepted by TLS only.
-    :param client_tls: given, links are opened by TLS.
-    :param link_filter: for tests; ``None`` lets all frames pass.
-    """
+START_SECONDS = 5
+STOP_SECONDS = 5
+# For the loop to notice its own timeout first.
+ASK_GRACE_SECONDS = 1
+# Room for the messages of one life of the process.
+EPOCH_BITS = 32
+# A version is withdrawn or not; it has no incarnations.
+WITHDRAWN = 1
 
-    seeds: tuple[str, ...]
-    peer_key: str
-    host: str = '127.0.0.1'
-    port: int = 0
-    server_tls: ssl.SSLContext | None = None
-    client_tls: ssl.SSLContext | None = None
-    link_filter: LinkFilter | None = field(default=None, compare=False)
+Returned = TypeVar('Returned')
 
 
 class PeerNetwork:
-    """Implements ``PeerMessenger``; safe to call from any thread.
+    """Implements ``PeerMessenger`` over one thread that runs an event loop.
 
-    :param daemon: this daemon; its ``peer_address`` is replaced by the real
-        one if its port is 0.
+    :param daemon: this daemon; its ``peer_address`` is replaced by the address
+        that the listener really has.
     """
 
     def __init__(self, daemon: Daemon, options: LinkOptions, clock: Clock) -> None:
-        raise NotImplementedError
+        self._options = options
+        self._members = MemberTable(daemon, clock)
+        self._marks = MarkTable()
+        self._exchange = Exchange()
+        epoch = int(clock.now().timestamp())
+        self._relayer = Relayer(self._exchange, self._members, epoch << EPOCH_BITS)
+        self._prober = Prober(
+            self._exchange, self._members, self._marks, self._relayer.spread, clock
+        )
+        self._prober.changed = self._tell_members
+        self._prober.marked = self._tell_marks
+        self._prober.addresses = frozenset(options.seeds)
+        hooks = LinkHooks(
+            lambda: self._members.own,
+            self._members.get,
+            self._prober.greet,
+            self._exchange.receive,
+        )
+        self._links = Links(options, hooks)
+        self._exchange.attach(self._links)
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, name='peers', daemon=True)
+        self._on_members: list[Callable[[], None]] = []
+        self._on_marks: list[Callable[[tuple[Mark, ...]], None]] = []
 
     @property
     def address(self) -> str:
         """Return ``host:port`` of the listener; valid after ``start``."""
-        raise NotImplementedError
+        return self._members.own.peer
 
     @property
     def daemon(self) -> Daemon:
         """Return this daemon as peers see it."""
-        raise NotImplementedError
+        return self._members.own.as_daemon()
+
+    @property
+    def counts(self) -> LinkCounts:
+        """Return the links' traffic since the start."""
+        return self._links.counts
 
     def start(self) -> None:
         """Listen and start the thread; returns when peers can connect."""
-        raise NotImplementedError
+        self._thread.start()
+        port = self._call(self._links.listen(), START_SECONDS)
+        self._members.listen_at(f'{self._options.host}:{port}')
+        self._loop.call_soon_threadsafe(self._prober.start, self._links)
 
     def stop(self) -> None:
         """Close all links and end the thread."""
-        raise NotImplementedError
+        self._call(self._close(), STOP_SECONDS)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(STOP_SECONDS)
 
     def live(self) -> tuple[Daemon, ...]:
         """Return the daemons thought alive and not leaving, this one included."""
-        raise NotImplementedError
+        return self._members.live()
 
     def tell(self, peer: DaemonId, message: PeerMessage) -> None:
         """Send without an answer; dropped if the peer's queue is full."""
-        raise NotImplementedError
+        self._loop.call_soon_threadsafe(self._exchange.tell, peer, message)
 
     def spread(self, message: PeerMessage, scope: Scope) -> None:
-        """Send to all daemons within the scope, without an answer."""
-        raise NotImplementedError
+        """Send to all other daemons within the scope, without an answer."""
+        self._loop.call_soon_threadsafe(self._relayer.spread, message, scope)
 
     def ask(
         self, peer: DaemonId, message: PeerMessage, timeout: timedelta
     ) -> PeerMessage:
-        """Send and wait for the answer.
+        """Send and wait for the answer; never from a callback on the loop.
 
         :raises PeerError: if the peer is cut off or does not answer in time.
         """
-        raise NotImplementedError
+        seconds = timeout.total_seconds() + ASK_GRACE_SECONDS
+        return self._call(self._exchange.ask(peer, message, timeout), seconds)
 
     def handle(self, kind: type[SomeMessage], handler: Handler[SomeMessage]) -> None:
-        """Have a handler called for each message of a kind, in a pool's thread."""
-        raise NotImplementedError
+        """Have a handler called for each message of a kind, in a pool's thread.
 
-    def understand(self, *kinds: type[PeerMessage]) -> None:
-        """Register kinds that come only as answers to an ask."""
-        raise NotImplementedError
+        What the handler returns is the answer. Handlers may ask other peers,
+        but each holds one of few threads meanwhile.
+        """
+        self._exchange.handle(kind.kind, handler)
 
     def announce_leaving(self) -> None:
         """Tell all that this daemon leaves; it is never taken back."""
-        raise NotImplementedError
+        record = self._members.leave()
+        update = StateUpdate(members=(record,))
+        self._loop.call_soon_threadsafe(self._relayer.spread, update, Scope.EVERYWHERE)
 
     def mark_leaving(self, instance: InstanceId, incarnation: Incarnation) -> None:
         """Mark an instance as leaving, up to an incarnation, and tell all."""
-        raise NotImplementedError
+        mark = Mark(kind=MarkKind.LEAVING, key=instance, number=incarnation)
+        self._add_marks((mark,))
 
     def is_leaving(self, instance: InstanceId, incarnation: Incarnation) -> bool:
         """Tell whether an instance is marked as leaving; cheap."""
-        raise NotImplementedError
+        return incarnation <= self._marks.number_of(MarkKind.LEAVING, instance)
 
     def leaving(self) -> dict[InstanceId, Incarnation]:
         """Return the marked instances, with the highest marked incarnation."""
-        raise NotImplementedError
+        marks = self._marks.all_of(MarkKind.LEAVING)
+        return {InstanceId(key): Incarnation(number) for key, number in marks.items()}
 
     def mark_withdrawn(self, deployment: DeploymentId, version: VersionId) -> None:
-        """Mark a version as withdrawn and tell all."""
-        raise NotImplementedError
+        """Mark a version as withdrawn, for good, and tell all."""
+        key = f'{deployment}/{version}'
+        self._add_marks((Mark(kind=MarkKind.WITHDRAWN, key=key, number=WITHDRAWN),))
+
+    def is_withdrawn(self, deployment: DeploymentId, version: VersionId) -> bool:
+        """Tell whether a version is withdrawn; cheap."""
+        key = f'{deployment}/{version}'
+        return self._marks.number_of(MarkKind.WITHDRAWN, key) > 0
 
     def withdrawn(self) -> frozenset[tuple[DeploymentId, VersionId]]:
         """Return the withdrawn versions."""
-        raise NotImplementedError
+        pairs = (key.split('/', 1) for key in self._marks.all_of(MarkKind.WITHDRAWN))
+        return frozenset((DeploymentId(one), VersionId(other)) for one, other in pairs)
 
     def update_instance_list(self, listing: InstanceListing) -> None:
-        """Take in the list: entry instances to ask, leaving ones to mark."""
-        raise NotImplementedError
+        """Take in the list: entry instances to ask, leaving ones to mark.
+
+        An instance listed as live stays marked: the list lags, and only a
+        higher incarnation of the instance is free of the mark.
+        """
+        entries = {
+            one.address
+            for one in listing.instances
+            if one.role is InstanceRole.ENTRY and one.state is InstanceState.LIVE
+        }
+        self._prober.addresses = frozenset(entries.union(self._options.seeds))
+        marks = [
+            Mark(kind=MarkKind.LEAVING, key=one.instance_id, number=one.incarnation)
+            for one in listing.instances
+            if one.state is InstanceState.LEAVING
+        ]
+        self._add_marks(marks)
 
     def on_members(self, callback: Callable[[], None]) -> None:
         """Have a callback called after ``live()`` changed, in a pool's thread."""
-        raise NotImplementedError
+        self._on_members.append(callback)
 
     def on_marks(self, callback: Callable[[tuple[Mark, ...]], None]) -> None:
         """Have a callback called with new marks, in a pool's thread."""
-        raise NotImplementedError
+        self._on_marks.append(callback)
 
     def unreachable_domains(self) -> frozenset[FailureDomainId]:
         """Return the failure domains of which no daemon is thought alive."""
-        raise NotImplementedError
+        alive = {daemon.failure_domain for daemon in self._members.live()}
+        return frozenset(self._members.domains() - alive)
 
     def snapshot_section(self) -> Section:
         """Return the section that holds members and marks."""
-        raise NotImplementedError
+        return Section('members', self._produce_snapshot, self._merge_snapshot)
+
+    def _produce_snapshot(self) -> bytes:
+        records = tuple(self._members.serving())
+        return encode_body(StateUpdate(members=records, marks=self._marks.all()))
+
+    def _merge_snapshot(self, content: bytes) -> None:
+        update = StateUpdate.model_validate(cbor2.loads(content))
+        changed = self._members.merge(update.members)
+        marks = self._marks.merge(update.marks)
+        self._loop.call_soon_threadsafe(self._tell_members, changed)
+        self._loop.call_soon_threadsafe(self._tell_marks, marks)
+
+    def _add_marks(self, marks: list[Mark] | tuple[Mark, ...]) -> None:
+        news = self._marks.merge(marks)
+        if news:
+            self._loop.call_soon_threadsafe(self._prober.note_marks, news)
+
+    def _tell_members(self, _changed: tuple[MemberRecord, ...]) -> None:
+        for callback in tuple(self._on_members):
+            self._exchange.run(callback)
+
+    def _tell_marks(self, marks: tuple[Mark, ...]) -> None:
+        for callback in tuple(self._on_marks):
+            self._exchange.run(partial(callback, marks))
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+        self._loop.close()
+
+    async def _close(self) -> None:
+        self._prober.stop()
+        await self._links.close()
+        self._exchange.close()
+
+    def _call(self, work: Coroutine[Any, Any, Returned], seconds: float) -> Returned:
+        if threading.current_thread() is self._thread or not self._thread.is_alive():
+            work.close()
+            raise PeerError('no waiting on this thread', step=Step.PEER)
+        waiting = asyncio.run_coroutine_threadsafe(work, self._loop)
+        try:
+            return waiting.result(seconds)
+        except TimeoutError as error:
+            waiting.cancel()
+            raise PeerError('peer links are stuck', step=Step.PEER) from error
--- /dev/null
+++ b/libs/membership/fireflyhitch_membership/probing.py
@@ -0,0 +1,332 @@
+"""Heartbeats: who is alive, and repair of what a message loss left different.
+
+Each second a daemon probes one member of its own failure domain, in an order
+that comes round to all. The carriers probe one daemon elsewhere, too. So a daemon sends
+and answers about two probes a second whatever the size of the fleet.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Iterable
+from datetime import timedelta
+
+from loguru import logger
+
+from fireflyhitch_membership.exchange import Exchange
+from fireflyhitch_membership.links import Links
+from fireflyhitch_membership.marks import MarkTable
+from fireflyhitch_membership.members import MemberTable
+from fireflyhitch_membership.messages import (
+    IndirectAnswer,
+    IndirectProbe,
+    Mark,
+    MemberRecord,
+    MemberStatus,
+    Probe,
+    ProbeAnswer,
+    StateUpdate,
+    SyncRequest,
+)
+from fireflyhitch_membership.scope import choose_carriers
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.errors import PeerError
+from fireflyhitch_model.hashing import hash_text
+from fireflyhitch_model.ids import DaemonId, FailureDomainId, Incarnation
+from fireflyhitch_model.peers import Daemon, PeerMessage, Scope
+from fireflyhitch_model.states import Step
+
+PERIOD_SECONDS = 1.0
+# Daemons that started together do not stay in step.
+JITTER = (0.8, 1.2)
+PROBE_TIMEOUT = timedelta(seconds=0.5)
+INDIRECT_TIMEOUT = timedelta(seconds=1)
+SYNC_TIMEOUT = timedelta(seconds=1)
+INDIRECT_HELPERS = 2
+# A round that took longer than this was not held up by its peers' timeouts.
+PAUSE_SECONDS = 3.0
+# How often a daemon with peers still looks for ones it lost or never knew.
+SEARCH_ROUNDS = 4
+
+Seen = tuple[Incarnation, MemberStatus]
+Spread = Callable[[PeerMessage, Scope], None]
+
+
+class Prober:
+    """Runs the heartbeats of one daemon on its event loop.
+
+    :param changed: told of member records that changed here.
+    :param marked: told of marks that were news here.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        members: MemberTable,
+        marks: MarkTable,
+        spread: Spread,
+        clock: Clock,
+    ) -> None:
+        self.addresses: frozenset[str] = frozenset()
+        self.changed: Callable[[tuple[MemberRecord, ...]], None] = _ignore
+        self.marked: Callable[[tuple[Mark, ...]], None] = _ignore
+        self._exchange = exchange
+        self._members = members
+        self._marks = marks
+        self._spread = spread
+        self._clock = clock
+        self._turns: list[DaemonId] = []
+        self._far_turns: list[DaemonId] = []
+        self._syncing: set[DaemonId] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        exchange.handle_quickly(Probe.kind, self._answer_probe)
+        exchange.handle_quickly(StateUpdate.kind, self._take_update)
+        exchange.handle_quickly(SyncRequest.kind, self._answer_sync)
+        exchange.handle_by_task(IndirectProbe.kind, self._start_indirect)
+
+    def start(self, links: Links) -> None:
+        """Begin to probe."""
+        self._start(self._run(links))
+
+    def note(self, changed: tuple[MemberRecord, ...]) -> None:
+        """Spread news about members that arose here."""
+        if not changed:
+            return
+        self._spread(StateUpdate(members=changed), Scope.FAILURE_DOMAIN)
+        self.changed(changed)
+
+    def note_marks(self, marks: tuple[Mark, ...]) -> None:
+        """Spread marks that were made here."""
+        if not marks:
+            return
+        self._spread(StateUpdate(marks=marks), Scope.EVERYWHERE)
+        self.marked(marks)
+
+    def greet(self, peer: MemberRecord) -> None:
+        """Take in a daemon that proved the shared key on a new link."""
+        self.note(self._members.merge((peer,)))
+
+    def stop(self) -> None:
+        """End what runs."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    async def _run(self, links: Links) -> None:
+        rounds = 0
+        while True:
+            began = self._clock.monotonic()
+            self._start(self._probe_near(links))
+            self._start(self._probe_far(links))
+            if rounds % SEARCH_ROUNDS == 0 or len(self._members.live()) < 2:
+                self._start(self._search(links))
+            rounds += 1
+            await asyncio.sleep(PERIOD_SECONDS * random.uniform(*JITTER))
+            if self._clock.monotonic() - began > PAUSE_SECONDS:
+                logger.bind(step=Step.PEER.value).warning('process was paused')
+                self._members.restart_suspicions()
+            self.note(self._members.expire())
+
+    async def _probe_near(self, links: Links) -> None:
+        own = self._members.own
+        near = [
+            daemon
+            for daemon in self._members.live()
+            if daemon.failure_domain == own.domain
+        ]
+        target = _take_turn(self._turns, near, own.daemon_id)
+        if target is not None:
+            await self._probe_or_suspect(target, links)
+
+    async def _probe_far(self, links: Links) -> None:
+        own = self._members.own
+        live = self._members.live()
+        if own.daemon_id not in choose_carriers(own.domain, live):
+            return
+        far = [daemon for daemon in live if daemon.failure_domain != own.domain]
+        target = _take_turn(self._far_turns, far, own.daemon_id)
+        if target is not None:
+            await self._probe_or_suspect(target, links)
+
+    async def _probe_or_suspect(self, target: DaemonId, links: Links) -> None:
+        began = self._clock.monotonic()
+        if await self._probe(target):
+            return
+        await links.drop(target)
+        if await self._probe_indirectly(target):
+            return
+        if self._clock.monotonic() - began > PAUSE_SECONDS:
+            # This process was stopped, so the answers' lateness proves nothing.
+            return
+        self.note(self._members.suspect(target))
+
+    async def _probe(self, target: DaemonId) -> bool:
+        known = self._members.get(target)
+        if known is None:
+            return True
+        own = self._members.own
+        probe = Probe(
+            me=own,
+            members=self._digest_for(known),
+            marks=self._marks.digest(),
+            seen=(known.incarnation, known.status),
+        )
+        try:
+            answer = await self._exchange.ask(target, probe, PROBE_TIMEOUT)
+        except PeerError:
+            return False
+        if isinstance(answer, ProbeAnswer):
+            self.note(self._members.merge((answer.me,)))
+            self._contradict(answer.seen)
+            self._compare(answer.me, answer.members, answer.marks)
+        return True
+
+    async def _probe_indirectly(self, target: DaemonId) -> bool:
+        known = self._members.get(target)
+        if known is None:
+            return True
+        helpers = [
+            daemon.daemon_id
+            for daemon in self._members.live()
+            if daemon.daemon_id not in {target, self._members.own.daemon_id}
+        ]
+        chosen = random.sample(helpers, min(INDIRECT_HELPERS, len(helpers)))
+        answers = await asyncio.gather(
+            *(
+                self._exchange.ask(one, IndirectProbe(target=known), INDIRECT_TIMEOUT)
+                for one in chosen
+            ),
+            return_exceptions=True,
+        )
+        return any(isinstance(one, IndirectAnswer) and one.reached for one in answers)
+
+    async def _start_indirect(
+        self, _sender: DaemonId, request: IndirectProbe
+    ) -> IndirectAnswer:
+        self.note(self._members.merge((request.target,)))
+        reached = await self._probe(request.target.daemon_id)
+        return IndirectAnswer(reached=reached)
+
+    def _answer_probe(self, sender: DaemonId, probe: Probe) -> ProbeAnswer:
+        self.note(self._members.merge((probe.me,)))
+        self._contradict(probe.seen)
+        self._compare(probe.me, probe.members, probe.marks)
+        known = self._members.get(sender)
+        return ProbeAnswer(
+            me=self._members.own,
+            members=self._digest_for(probe.me),
+            marks=self._marks.digest(),
+            seen=(known.incarnation, known.status) if known else None,
+        )
+
+    def _contradict(self, seen: Seen | None) -> None:
+        if seen is None:
+            return
+        incarnation, status = seen
+        claim = {'incarnation': incarnation, 'status': status}
+        self.note(self._members.merge((self._members.own.model_copy(update=claim),)))
+
+    def _compare(self, peer: MemberRecord, members: int, marks: int) -> None:
+        same_members = members == self._digest_for(peer)
+        same_marks = marks == self._marks.digest()
+        if same_members and same_marks or peer.daemon_id in self._syncing:
+            return
+        self._syncing.add(peer.daemon_id)
+        self._start(self._sync(peer, same_marks=same_marks))
+
+    async def _sync(self, peer: MemberRecord, *, same_marks: bool) -> None:
+        request = SyncRequest(
+            domain=self._members.own.domain,
+            members=self._members.digests(peer.domain),
+            marks=() if same_marks else self._marks.bucket_digests(),
+        )
+        try:
+            answer = await self._exchange.ask(peer.daemon_id, request, SYNC_TIMEOUT)
+        except PeerError:
+            return
+        finally:
+            self._syncing.discard(peer.daemon_id)
+        if isinstance(answer, StateUpdate):
+            self._take(peer.domain, answer, hand_on=peer.domain != request.domain)
+
+    def _answer_sync(self, _sender: DaemonId, request: SyncRequest) -> StateUpdate:
+        return StateUpdate(
+            members=self._members.differing(request.domain, request.members),
+            marks=self._marks.differing(request.marks),
+        )
+
+    def _take_update(self, sender: DaemonId, update: StateUpdate) -> None:
+        known = self._members.get(sender)
+        own = self._members.own
+        self._take(known.domain if known else own.domain, update, hand_on=False)
+
+    def _take(
+        self, domain: FailureDomainId, update: StateUpdate, *, hand_on: bool
+    ) -> None:
+        own = self._members.own
+        records = update.members
+        if domain != own.domain:
+            records = tuple(_soften(record, own.domain) for record in records)
+        changed = self._members.merge(records)
+        marks = self._marks.merge(update.marks)
+        if hand_on and (changed or marks):
+            news = StateUpdate(members=changed, marks=marks)
+            self._spread(news, Scope.FAILURE_DOMAIN)
+        elif own != self._members.own:
+            self._spread(
+                StateUpdate(members=(self._members.own,)), Scope.FAILURE_DOMAIN
+            )
+        if changed:
+            self.changed(changed)
+        if marks:
+            self.marked(marks)
+
+    async def _search(self, links: Links) -> None:
+        """Try one address behind which there may be a daemon not known alive."""
+        known = {daemon.peer_address for daemon in self._members.live()}
+        known.add(self._members.own.peer)
+        candidates = (self.addresses | self._members.gone_addresses()) - known
+        if not candidates:
+            return
+        try:
+            found = await links.contact(random.choice(sorted(candidates)))
+        except PeerError:
+            return
+        await self._probe(found.daemon_id)
+
+    def _digest_for(self, peer: MemberRecord) -> int:
+        digests = self._members.digests(peer.domain)
+        return hash_text(repr(sorted(digests.items())))
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _take_turn(
+    turns: list[DaemonId], members: Iterable[Daemon], here: DaemonId
+) -> DaemonId | None:
+    """Return the next of an order that comes round to each member."""
+    ids = {daemon.daemon_id for daemon in members} - {here}
+    while turns:
+        turn = turns.pop()
+        if turn in ids:
+            return turn
+    turns.extend(ids)
+    random.shuffle(turns)
+    return turns.pop() if turns else None
+
+
+def _soften(record: MemberRecord, domain: FailureDomainId) -> MemberRecord:
+    """Take another failure domain's death notice only as a suspicion.
+
+    When a cut heals, each side holds the other's daemons for dead. Taken as it
+    is, the notice would empty the other side's own list for a moment; as a
+    suspicion it leaves its daemon in place and lets it contradict.
+    """
+    if record.domain != domain or record.status is not MemberStatus.DEAD:
+        return record
+    return record.model_copy(update={'status': MemberStatus.SUSPECT})
+
+
+def _ignore(_news: object) -> None:
+    """Do nothing with news until somebody asks for them."""
--- /dev/null
+++ b/libs/membership/fireflyhitch_membership/wire.py
@@ -0,0 +1,123 @@
+"""Frames between daemons: CBOR arrays with version and size limits."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import cbor2
+from pydantic import ValidationError
+
+from fireflyhitch_model.errors import PeerError
+from fireflyhitch_model.peers import PeerMessage
+from fireflyhitch_model.states import Step
+
+# Raised only when a frame can no longer be read by the release before.
+WIRE_VERSION = 1
+# The largest value of the store, with room for an envelope.
+MAX_FRAME_BYTES = 1310720
+# Version, kind, number of the ask, number of the answered ask, body; a later
+# release may add elements, which are passed over.
+FRAME_ELEMENTS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """A message with what links a question to its answer.
+
+    :param ask: the sender's number of the question, if it wants an answer.
+    :param answers: the receiver's number of the question that this answers.
+    """
+
+    kind: str
+    body: dict[str, Any]
+    ask: int | None = None
+    answers: int | None = None
+
+
+class UnknownKindError(PeerError):
+    """The peer sent a kind of message that this release does not know."""
+
+
+def encode(
+    message: PeerMessage, ask: int | None = None, answers: int | None = None
+) -> bytes:
+    """Return a message's frame.
+
+    :raises PeerError: if it is too large for any peer to take.
+    """
+    body = message.model_dump(mode='python')
+    frame = cbor2.dumps(
+        [WIRE_VERSION, message.kind, ask, answers, body], default=_encode_other
+    )
+    if len(frame) > MAX_FRAME_BYTES:
+        raise PeerError(f'{message.kind} of {len(frame)} bytes', step=Step.PEER)
+    return frame
+
+
+def encode_body(message: PeerMessage) -> bytes:
+    """Return a message's fields alone, to go inside another message."""
+    return cbor2.dumps(message.model_dump(mode='python'), default=_encode_other)
+
+
+def decode(frame: bytes, peer: str) -> Frame:
+    """Read a frame.
+
+    :raises PeerError: if it is none, or of another version.
+    """
+    try:
+        elements = cbor2.loads(frame)
+    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        raise PeerError('unreadable frame', step=Step.PEER, peer=peer) from error
+    if not isinstance(elements, list) or len(elements) < FRAME_ELEMENTS:
+        raise PeerError('unreadable frame', step=Step.PEER, peer=peer)
+    version, kind, *numbers = elements[: FRAME_ELEMENTS - 1]
+    body = elements[FRAME_ELEMENTS - 1]
+    if version != WIRE_VERSION:
+        raise PeerError(f'wire version {version}', step=Step.PEER, peer=peer)
+    if not isinstance(kind, str) or not isinstance(body, dict):
+        raise PeerError('unreadable frame', step=Step.PEER, peer=peer)
+    return Frame(kind, body, *numbers)
+
+
+def read_message(kind: str, body: dict[str, Any] | bytes, peer: str) -> PeerMessage:
+    """Return the typed message of a frame.
+
+    :raises UnknownKindError: if this release has no such kind.
+    :raises PeerError: if its fields are not as the kind has them.
+    """
+    known = find_kind(kind)
+    if known is None:
+        raise UnknownKindError(f'unknown kind {kind}', step=Step.PEER, peer=peer)
+    try:
+        fields = cbor2.loads(body) if isinstance(body, bytes) else body
+        return known.model_validate(fields)
+    except (ValidationError, cbor2.CBORDecodeError, ValueError) as error:
+        raise PeerError(f'unreadable {kind}', step=Step.PEER, peer=peer) from error
+
+
+def find_kind(kind: str) -> type[PeerMessage] | None:
+    """Return the class of a kind, among all message classes of the program."""
+    if kind not in _kinds:
+        # Other libraries declare their messages after this module was loaded.
+        _kinds.update((one.kind, one) for one in _collect_kinds())
+    return _kinds.get(kind)
+
+
+_kinds: dict[str, type[PeerMessage]] = {}
+
+
+def _collect_kinds() -> list[type[PeerMessage]]:
+    found: list[type[PeerMessage]] = []
+    pending = list(PeerMessage.__subclasses__())
+    while pending:
+        one = pending.pop()
+        pending.extend(one.__subclasses__())
+        if hasattr(one, 'kind'):
+            found.append(one)
+    return found
+
+
+def _encode_other(encoder: cbor2.CBOREncoder, value: object) -> None:
+    if not isinstance(value, Enum):
+        raise cbor2.CBOREncodeTypeError(f'cannot encode {type(value).__name__}')
+    encoder.encode(value.value)
