--- a/libs/standins/fireflyhitch_standins/keyvalue.py
+++ b/libs/standins/fireflyhitch_standins/keyvalue.py
@@ -25,7 +25,8 @@
 
 MAX_VALUE_BYTES = 1024 * 1024
 # How late a lapsed lease or a fault shows in a waiting watch.
-POLL_INTERVAL = timedelta(milliseconds=50)
+POLL_SECONDS = 0.05
+POLL_INTERVAL = timedelta(seconds=POLL_SECONDS)
 PEER = 'key-value stand-in'
 
 Returned = TypeVar('Returned')
@@ -53,6 +54,11 @@
         self._history: list[WatchEvent] = []
         self._leases: dict[LeaseId, _Lease] = {}
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last write."""
+        return self._revision
+
     def get(self, key: str) -> KeyValue | None:
         """Read one key."""
         return self._call('get', Step.STORE_READ, lambda: self._values.get(key))
@@ -144,17 +150,30 @@
         """Yield changes after a revision, in order, until the timeout."""
         ends = self._clock.monotonic() + timeout.total_seconds()
         position = after
-        self.calls['watch'] += 1
+        self.count('watch')
         while True:
-            news = self._news
-            read = partial(self._read_events, prefix, position)
-            events = self._run('watch', Step.STORE_WATCH, read)
-            for event in events:
+            for event in self.poll_watch(prefix, position, POLL_INTERVAL):
                 position = event.revision
                 yield event
             if self._clock.monotonic() >= ends:
                 return
-            self._clock.wait(news, POLL_INTERVAL)
+
+    def poll_watch(
+        self, prefix: str, after: Revision, patience: timedelta
+    ) -> list[WatchEvent]:
+        """Return the changes of a counted watch, waiting a while for the first."""
+        news = self._news
+        read = partial(self._read_events, prefix, after)
+        events = self._run('watch', Step.STORE_WATCH, read)
+        if not events:
+            self._clock.wait(news, patience)
+            events = self._run('watch', Step.STORE_WATCH, read)
+        return events
+
+    def count(self, operation: str) -> None:
+        """Count a call."""
+        with self._changed:
+            self.calls[operation] += 1
 
     def compact(self) -> None:
         """Forget the history, as the real service does from time to time."""
@@ -177,7 +196,7 @@
     def _call(
         self, operation: str, step: Step, action: Callable[[], Returned]
     ) -> Returned:
-        self.calls[operation] += 1
+        self.count(operation)
         return self._run(operation, step, action)
 
     def _run(
