--- a/libs/standins/fireflyhitch_standins/etcd_server.py
+++ b/libs/standins/fireflyhitch_standins/etcd_server.py
@@ -126,12 +126,11 @@
         write = body['success'][0]
         key = decode_key(compare['key']).decode()
         expected = Revision(int(compare['mod_revision']))
-        if 'request_put' in write:
-            put = write['request_put']
+        put = write.get('request_put')
+        if put is not None:
             content = decode_key(put['value'])
-            lease = int(put.get('lease', 0))
-            held = LeaseId(lease) if lease else None
-            result = self.store.put_if(key, content, expected, held)
+            lease = LeaseId(int(put.get('lease', 0))) or None
+            result = self.store.put_if(key, content, expected, lease)
         else:
             result = self.store.delete_if(key, expected)
         if isinstance(result, Written):
