--- /dev/null
+++ b/libs/membership/tests/test_network.py
@@ -0,0 +1,242 @@
+"""Tests of the peer network over loopback."""
+
+import socket
+import ssl
+import threading
+import time
+from datetime import timedelta
+from typing import ClassVar
+
+import pytest
+import trustme
+
+from fireflyhitch_membership.links import LinkOptions
+from fireflyhitch_membership.messages import MemberRecord
+from fireflyhitch_membership.network import PeerNetwork
+from fireflyhitch_membership.snapshots import Section, SnapshotExchange
+from fireflyhitch_model.clock import SystemClock
+from fireflyhitch_model.errors import PeerError
+from fireflyhitch_model.instances import Instance, InstanceListing
+from fireflyhitch_model.peers import Daemon, PeerMessage, Scope
+from fireflyhitch_model.states import InstanceRole, InstanceState, MachineClass
+
+PATIENCE = 15
+SECOND = timedelta(seconds=1)
+
+
+class Echo(PeerMessage):
+    kind: ClassVar[str] = 'test-echo'
+    text: str
+
+
+def wait_until(holds):
+    ends = time.monotonic() + PATIENCE
+    while not holds():
+        assert time.monotonic() < ends, 'gave up waiting'
+        time.sleep(0.01)
+
+
+class Cluster:
+    """Networks that are stopped at the end of the test."""
+
+    def __init__(self):
+        self.networks = []
+        self.cut = False
+
+    def add(self, name, domain, key='key', seeds=None, **tls):
+        first = tuple(one.address for one in self.networks[:1])
+        options = LinkOptions(
+            seeds=first if seeds is None else seeds,
+            peer_key=key,
+            link_filter=lambda _peer, _kind: not self.cut,
+            **tls,
+        )
+        daemon = Daemon(name, domain, '127.0.0.1:0', f'{name}:80')
+        network = PeerNetwork(daemon, options, SystemClock())
+        network.start()
+        self.networks.append(network)
+        return network
+
+    def settle(self):
+        count = len(self.networks)
+        wait_until(lambda: all(len(one.live()) == count for one in self.networks))
+
+
+@pytest.fixture
+def cluster():
+    made = Cluster()
+    yield made
+    for network in made.networks:
+        network.stop()
+
+
+@pytest.fixture
+def three(cluster):
+    networks = [cluster.add(name, 'gent') for name in ('a', 'b')]
+    networks.append(cluster.add('c', 'brugge'))
+    cluster.settle()
+    return networks
+
+
+class TestMessages:
+    """Telling, asking and spreading."""
+
+    def test_question_gets_its_answer(self, three):
+        three[2].handle(Echo, lambda sender, echo: Echo(text=f'{sender}: {echo.text}'))
+        assert three[0].ask('c', Echo(text='hi'), SECOND) == Echo(text='a: hi')
+
+    def test_unanswered_and_unknown_peers_are_errors(self, three):
+        three[1].handle(Echo, lambda _sender, _echo: None)
+        for peer in ('b', 'nobody'):
+            with pytest.raises(PeerError) as caught:
+                three[0].ask(peer, Echo(text=''), timedelta(milliseconds=100))
+            assert caught.value.peer == peer
+
+    def test_spread_reaches_its_scope_once(self, three):
+        arrived = []
+        done = threading.Event()
+
+        def take(name):
+            def handler(sender, echo):
+                arrived.append((name, sender, echo.text))
+                if echo.text == 'last':
+                    done.set()
+
+            return handler
+
+        for network in three:
+            network.handle(Echo, take(network.daemon.daemon_id))
+        three[0].spread(Echo(text='near'), Scope.FAILURE_DOMAIN)
+        three[0].spread(Echo(text='all'), Scope.EVERYWHERE)
+        wait_until(lambda: len(arrived) == 3)
+        three[2].tell('b', Echo(text='last'))
+        assert done.wait(PATIENCE)
+        assert sorted(arrived) == [
+            ('b', 'a', 'all'),
+            ('b', 'a', 'near'),
+            ('b', 'c', 'last'),
+            ('c', 'a', 'all'),
+        ]
+
+    def test_silent_peer_does_not_hold_up_another(self, three):
+        """Questions to others are answered while one peer is silent.
+
+        The peer's port accepts connections and then says nothing. More is told
+        to it than its queue holds; the surplus is dropped, and only its own
+        writer waits.
+        """
+        with socket.create_server(('127.0.0.1', 0)) as silent:
+            address = f'127.0.0.1:{silent.getsockname()[1]}'
+            ghost = MemberRecord(
+                daemon_id='ghost', domain='gent', peer=address, entry='', incarnation=1
+            )
+            three[0]._members.merge([ghost])
+            three[1].handle(Echo, lambda _sender, echo: echo)
+            for number in range(1000):
+                three[0].tell('ghost', Echo(text=str(number)))
+            assert three[0].ask('b', Echo(text='hi'), SECOND) == Echo(text='hi')
+            assert three[0].counts.dropped > 0
+
+    def test_failing_handler_leaves_the_link_in_place(self, three):
+        def fail(_sender, echo):
+            if echo.text == 'bad':
+                raise ValueError(echo.text)
+            return echo
+
+        three[1].handle(Echo, fail)
+        with pytest.raises(PeerError):
+            three[0].ask('b', Echo(text='bad'), timedelta(milliseconds=100))
+        assert three[0].ask('b', Echo(text='good'), SECOND) == Echo(text='good')
+
+
+class TestAccess:
+    """Who may join."""
+
+    def test_daemon_without_the_key_stays_out(self, cluster):
+        inside = cluster.add('a', 'gent')
+        stranger = cluster.add('x', 'gent', key='guess')
+        with pytest.raises(PeerError):
+            stranger._call(stranger._links.contact(inside.address), PATIENCE)
+        assert [one.daemon_id for one in inside.live()] == ['a']
+        assert [one.daemon_id for one in stranger.live()] == ['x']
+
+    def test_mutual_tls(self, cluster):
+        authority = trustme.CA()
+        certificate = authority.issue_cert('127.0.0.1')
+        server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        server.verify_mode = ssl.CERT_REQUIRED
+        client = ssl.create_default_context()
+        for context in (server, client):
+            authority.configure_trust(context)
+            certificate.configure_cert(context)
+        for name in ('a', 'b'):
+            cluster.add(name, 'gent', server_tls=server, client_tls=client)
+        cluster.settle()
+        plain = cluster.add('c', 'gent', seeds=())
+        with pytest.raises(PeerError):
+            plain._call(plain._links.contact(cluster.networks[0].address), PATIENCE)
+
+
+class TestLeaving:
+    """Marks and daemons that go."""
+
+    def test_lagging_list_does_not_undo_a_mark(self, three):
+        """The instance gets no new work although the list still says live.
+
+        One daemon marks the instance; all hear of it. Another then reads the
+        lagging list. Only a higher incarnation, a restarted instance, is free
+        of the mark.
+        """
+        three[0].mark_leaving('engine', 2)
+        wait_until(lambda: all(one.is_leaving('engine', 2) for one in three))
+        live = Instance(
+            'engine',
+            InstanceRole.BACKEND,
+            InstanceState.LIVE,
+            'gent',
+            'e:1',
+            MachineClass.RECLAIMABLE,
+            incarnation=2,
+        )
+        three[1].update_instance_list(InstanceListing((live,)))
+        assert three[1].leaving() == {'engine': 2}
+        assert not three[1].is_leaving('engine', 3)
+
+    def test_leaving_daemon_is_out_of_all_lists(self, three):
+        changed = threading.Event()
+        three[2].on_members(changed.set)
+        three[0].announce_leaving()
+        wait_until(lambda: all(len(one.live()) == 2 for one in three))
+        assert changed.wait(PATIENCE)
+
+    def test_cut_off_sides_merge_their_marks(self, cluster, three):
+        """After a cut each side knows what the other marked meanwhile.
+
+        No message gets through while one side marks an instance and the other
+        withdraws a version. When the links work again, digests in heartbeats
+        differ and both sides pull the union.
+        """
+        cluster.cut = True
+        three[0].mark_leaving('engine', 1)
+        three[2].mark_withdrawn('chat', '2')
+        cluster.cut = False
+        wait_until(lambda: all(one.is_leaving('engine', 1) for one in three))
+        wait_until(lambda: all(one.is_withdrawn('chat', '2') for one in three))
+
+
+class TestSnapshots:
+    """Soft state for a replacement."""
+
+    def test_replacement_is_warm_at_once(self, cluster):
+        first = cluster.add('a', 'gent')
+        first.mark_leaving('engine', 1)
+        second = cluster.add('b', 'gent')
+        cluster.settle()
+        taken = []
+        for network, content in ((first, b'statistics'), (second, b'')):
+            exchange = SnapshotExchange(network, network.daemon)
+            exchange.add(network.snapshot_section())
+            exchange.add(Section('routing', lambda held=content: held, taken.append))
+        assert exchange.warm_up(SECOND) == 'a'
+        assert taken == [b'statistics']
+        assert second.is_leaving('engine', 1)
--- /dev/null
+++ b/libs/membership/tests/test_scope.py
@@ -0,0 +1,71 @@
+"""Tests of who does what within a failure domain."""
+
+import pytest
+
+from fireflyhitch_membership.scope import (
+    choose_carriers,
+    choose_first_hops,
+    choose_next_hops,
+    choose_summary,
+    choose_watchers,
+)
+from fireflyhitch_model.peers import Daemon, Scope
+
+
+def make_daemons(domains, each):
+    return [
+        Daemon(f'{domain}-{number}', f'd{domain}', 'p', 'e')
+        for domain in range(domains)
+        for number in range(each)
+    ]
+
+
+def reach(origin, daemons, scope):
+    """Walk a message's hops; the first arrival counts."""
+    by_id = {daemon.daemon_id: daemon for daemon in daemons}
+    hops = {origin.daemon_id: 0}
+    senders = [(origin, choose_first_hops('m', origin, daemons, scope))]
+    while senders:
+        sender, targets = senders.pop(0)
+        for target in targets:
+            if target in hops:
+                continue
+            hops[target] = hops[sender.daemon_id] + 1
+            here = by_id[target]
+            is_entry = here.failure_domain != sender.failure_domain
+            following = choose_next_hops('m', here, daemons, is_entry=is_entry)
+            senders.append((here, following))
+    return hops
+
+
+class TestTree:
+    """Messages to all of a scope."""
+
+    @pytest.mark.parametrize(('domains', 'each'), [(4, 1), (4, 2), (4, 9), (19, 42)])
+    def test_everyone_is_reached_in_few_hops(self, domains, each):
+        daemons = make_daemons(domains, each)
+        hops = reach(daemons[0], daemons, Scope.EVERYWHERE)
+        assert len(hops) == len(daemons)
+        assert max(hops.values()) <= 4
+
+    def test_domain_scope_stays_in_the_domain(self):
+        daemons = make_daemons(4, 9)
+        reached = reach(daemons[0], daemons, Scope.FAILURE_DOMAIN)
+        assert reached.keys() == {daemon.daemon_id for daemon in daemons[:9]}
+
+
+class TestChoices:
+    """Hash-chosen duties."""
+
+    def test_carriers_are_part_of_the_summary(self):
+        daemons = make_daemons(1, 42)
+        summary = choose_summary('d0', [one.daemon_id for one in daemons])
+        known_elsewhere = [one for one in daemons if one.daemon_id in summary]
+        carriers = choose_carriers('d0', daemons)
+        assert carriers == choose_carriers('d0', known_elsewhere)
+
+    def test_loss_of_a_watcher_moves_only_its_own_duty(self):
+        daemons = make_daemons(1, 9)
+        first, second = choose_watchers('d0', daemons)
+        rest = [one for one in daemons if one.daemon_id != first]
+        assert choose_watchers('d0', rest)[0] == second
