--- /dev/null
+++ b/libs/membership/tests/test_configuration.py
@@ -0,0 +1,249 @@
+"""Tests of the configuration keeper over small fakes."""
+
+from datetime import timedelta
+
+import pytest
+
+from fireflyhitch_membership.configuration import (
+    Accepted,
+    ConfigurationKeeper,
+    Rejected,
+)
+from fireflyhitch_membership.storing import CONFIGURATION_KEY
+from fireflyhitch_model.clock import ManualClock
+from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.ids import ABSENT
+from fireflyhitch_model.peers import Daemon
+from fireflyhitch_model.states import Outcome
+from fireflyhitch_settings.schema import Configuration, ServiceDeployment
+from fireflyhitch_standins.faults import Fault
+from fireflyhitch_standins.keyvalue import MemoryKeyValueStore
+from fireflyhitch_standins.peers import MemoryPeerNetwork
+
+
+def make_configuration(name):
+    deployment = ServiceDeployment(name=name, failure_domains=('gent',), version='1')
+    return Configuration(deployments=(deployment,), customers=())
+
+
+class Site:
+    """A store and the keepers that tests add."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.store = MemoryKeyValueStore(self.clock)
+        self.peers = MemoryPeerNetwork()
+
+    def add(self, name, domain='gent'):
+        daemon = Daemon(name, domain, f'{name}:1', f'{name}:2')
+        messenger = self.peers.join(daemon)
+        return ConfigurationKeeper(self.store, messenger, daemon, self.clock)
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+@pytest.fixture
+def keeper(site):
+    made = site.add('a')
+    for number, name in enumerate(('one', 'two', 'three')):
+        made.propose(make_configuration(name), number, name)
+    return made
+
+
+def revision_of(keeper):
+    in_force = keeper.in_force()
+    return in_force.revision if in_force else ABSENT
+
+
+class TestProposals:
+    """Accepted, rejected, or honestly not known."""
+
+    def test_lost_answer_is_settled_by_the_change_id(self, site, keeper):
+        """The operator hears that the change was accepted, at its revision.
+
+        The write takes effect and its answer is lost. The keeper looks for the
+        change's id among the accepted ones before it writes again.
+        """
+        site.store.faults.queue('put_if', Fault.LOST_ANSWER)
+        assert keeper.propose(make_configuration('x'), 3, 'x') == Accepted(4)
+        assert site.store.calls['put_if'] == 4
+
+    def test_lost_answer_is_settled_after_another_change(self, site, keeper):
+        """The operator hears of acceptance although another change came since.
+
+        The write takes effect, its answer is lost, and another operator's
+        change follows before the keeper reads back. The record of recent
+        changes still tells that the first one was accepted.
+        """
+        other = site.add('b')
+        other.follow_store_once()
+        site.store.faults.queue('put_if', Fault.LOST_ANSWER)
+
+        def change_too(operation):
+            if operation == 'get' and site.store.calls['put_if'] == 4:
+                site.store.faults.before(None)
+                other.propose(make_configuration('y'), 4, 'y')
+
+        site.store.faults.before(change_too)
+        assert keeper.propose(make_configuration('x'), 3, 'x') == Accepted(4)
+        assert revision_of(keeper) == 5
+
+    def test_second_operator_gets_what_is_in_force(self, site, keeper):
+        other = site.add('b')
+        result = other.propose(make_configuration('x'), 2, 'x')
+        assert isinstance(result, Rejected)
+        assert result.current.configuration == make_configuration('three')
+
+    def test_repeated_change_gives_the_same_answer(self, keeper):
+        assert keeper.propose(make_configuration('two'), 1, 'two') == Accepted(2)
+        assert revision_of(keeper) == 3
+
+    @pytest.mark.parametrize(
+        ('fault', 'outcome'),
+        [(Fault.REFUSED, Outcome.NOT_RUN), (Fault.LOST_REQUEST, Outcome.UNKNOWN)],
+    )
+    def test_unsettled_change_says_what_is_known(self, site, keeper, fault, outcome):
+        site.store.faults.stand('put_if', fault)
+        with pytest.raises(PlatformError) as caught:
+            keeper.propose(make_configuration('x'), 3, 'x')
+        assert caught.value.outcome is outcome
+
+    def test_doubt_outlasts_a_later_refusal(self, site, keeper):
+        """The operator hears "unknown", since the first write may yet land.
+
+        The first attempt's answer is lost, and all later ones are refused.
+        """
+        faults = (Fault.LOST_REQUEST, *(Fault.REFUSED for _ in range(9)))
+        site.store.faults.queue('put_if', *faults)
+        with pytest.raises(PlatformError) as caught:
+            keeper.propose(make_configuration('x'), 3, 'x')
+        assert caught.value.outcome is Outcome.UNKNOWN
+
+
+class TestStaleStore:
+    """A store that was restored, wiped or lost its key."""
+
+    def test_restored_store_is_refused_until_the_next_change(self, site, keeper):
+        """Nothing in force goes back, and operators can go on.
+
+        The store is restored from a backup two changes old. Daemons read it and
+        keep what they have. The next change, made from what is in force, brings
+        the store forward.
+        """
+        backup = MemoryKeyValueStore(site.clock)
+        old = Site()
+        old.store = backup
+        old.add('z').propose(make_configuration('one'), ABSENT, 'one')
+        site.store.restore(*backup.dump())
+        keeper.follow_store_once()
+        assert revision_of(keeper) == 3
+        late = site.add('b')
+        late.follow_peers_once()
+        late.follow_peers_once()
+        assert revision_of(late) == 3
+        assert keeper.propose(make_configuration('x'), 3, 'x') == Accepted(4)
+        late.follow_store_once()
+        assert revision_of(late) == 4
+
+    def test_wiped_store_and_deleted_key_change_nothing(self, site, keeper):
+        stored = site.store.get(CONFIGURATION_KEY)
+        site.store.delete_if(CONFIGURATION_KEY, stored.revision)
+        keeper.follow_store_once()
+        site.store.restore({}, 1)
+        keeper.follow_store_once()
+        assert revision_of(keeper) == 3
+        assert keeper.propose(make_configuration('x'), 3, 'x') == Accepted(4)
+
+
+class TestStart:
+    """Where a daemon that knows nothing gets its configuration."""
+
+    def test_daemon_that_starts_in_an_outage_loads_from_peers(self, site, keeper):
+        site.store.faults.stand('*', Fault.REFUSED)
+        late = site.add('b', 'brugge')
+        late.follow_store_once()
+        assert late.in_force() is None
+        late.follow_peers_once()
+        assert revision_of(late) == 3
+
+    def test_daemon_without_any_source_has_nothing_in_force(self, site):
+        site.store.faults.stand('*', Fault.REFUSED)
+        alone = site.add('a')
+        waits = [alone.follow_store_once() for _ in range(9)]
+        alone.follow_peers_once()
+        assert alone.in_force() is None
+        assert waits[0] < timedelta(seconds=1) < waits[-1]
+        assert max(waits) <= timedelta(seconds=15)
+
+    def test_snapshot_brings_the_configuration(self, site, keeper):
+        late = site.add('b')
+        late.snapshot_section().merge(keeper.snapshot_section().produce())
+        assert late.in_force().configuration == make_configuration('three')
+
+
+class TestWatching:
+    """Who calls the store, and how often."""
+
+    def test_two_of_a_failure_domain_watch(self, site):
+        keepers = [site.add(f'd{number}') for number in range(9)]
+        assert sum(one.is_watcher() for one in keepers) == 2
+
+    def test_others_poll_once_and_then_rarely(self, site, keeper):
+        """The store is spared: two calls in a minute, and then none for long."""
+        idle = next(
+            one
+            for one in (site.add(f'd{number}') for number in range(9))
+            if not one.is_watcher()
+        )
+        before = site.store.calls.total()
+        for _ in range(60):
+            idle.follow_store_once()
+            site.clock.advance(timedelta(seconds=1))
+        assert site.store.calls.total() - before == 1
+
+    def test_change_during_a_watch_is_applied_at_once(self, site, keeper):
+        told = []
+        keeper.on_change(lambda one: told.append(one.revision))
+        other = site.add('b')
+        polls = []
+
+        def change_at_third_poll(operation):
+            polls.append(operation)
+            if polls.count('watch') == 3:
+                site.store.faults.before(None)
+                other.propose(make_configuration('x'), 3, 'x')
+
+        site.store.faults.before(change_at_third_poll)
+        began = site.clock.monotonic()
+        keeper.follow_store_once()
+        assert told == [4]
+        assert site.clock.monotonic() - began >= 20
+
+
+class TestSpreading:
+    """From peer to peer."""
+
+    def test_daemon_far_behind_pulls_the_whole(self, site, keeper):
+        late = site.add('b')
+        late.follow_peers_once()
+        for number in range(3, 40):
+            name = f'n{number}'
+            keeper.propose(make_configuration(name), number, name)
+        site.clock.advance(timedelta(seconds=2))
+        late.follow_peers_once()
+        late.follow_peers_once()
+        assert late.in_force().configuration == keeper.in_force().configuration
+
+    def test_status_names_domains_that_cannot_be_asked(self, site, keeper):
+        site.add('b', 'brugge').follow_store_once()
+        site.add('c', 'aalst')
+        site.peers.separate('a', 'c')
+        shown = keeper.revisions_by_failure_domain()
+        assert {name: one.revision for name, one in shown.items()} == {
+            'gent': 3,
+            'brugge': 3,
+            'aalst': None,
+        }
--- /dev/null
+++ b/libs/membership/tests/test_records.py
@@ -0,0 +1,86 @@
+"""Tests of stored configurations and differences between two."""
+
+import json
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fireflyhitch_membership.records import (
+    NOTHING,
+    ConfigurationRecord,
+    apply_difference,
+    pack,
+    pack_difference,
+    parse_configuration,
+    unpack,
+    write_canonical,
+)
+from fireflyhitch_settings.schema import (
+    Configuration,
+    Customer,
+    ModelDeployment,
+    ServiceDeployment,
+)
+
+names = st.lists(st.sampled_from('abcdef'), unique=True, max_size=5)
+
+
+def make_configuration(services, customers, version='1'):
+    domains = ('gent',)
+    return Configuration(
+        deployments=(
+            ModelDeployment(name='chat', failure_domains=domains, version=version),
+            *(
+                ServiceDeployment(name=one, failure_domains=domains, version=version)
+                for one in services
+            ),
+        ),
+        customers=tuple(
+            Customer(customer_id=one, api_key_sha256='0' * 64) for one in customers
+        ),
+    )
+
+
+class TestDifference:
+    """What is sent to a peer that is a few changes behind."""
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(before=names, after=names, version=st.sampled_from('12'))
+    def test_applied_difference_is_exact_or_shows(self, before, after, version):
+        old = NOTHING.follow(1, 'one', make_configuration(before, after))
+        new = old.follow(2, 'two', make_configuration(after, before, version))
+        made = apply_difference(old, pack_difference(old, new), 2, 'two')
+        if made.content == new.content:
+            assert made == new
+        else:
+            # Only the order differs; the puller then asks for the whole.
+            ours, theirs = json.loads(made.text), json.loads(new.text)
+            for key in ('deployments', 'customers'):
+                assert sorted(map(str, ours[key])) == sorted(map(str, theirs[key]))
+
+    def test_difference_is_small(self):
+        many = [f's{number}' for number in range(200)]
+        old = NOTHING.follow(1, 'one', make_configuration(many, ()))
+        new = old.follow(2, 'two', make_configuration([*many, 'more'], ()))
+        assert len(pack_difference(old, new)) < len(pack(new)) / 2
+
+    def test_unreadable_difference_is_none(self):
+        assert apply_difference(NOTHING, b'no', 1, 'x') is None
+
+
+class TestRecord:
+    """The stored form."""
+
+    def test_round_trip_keeps_fields_of_a_later_release(self):
+        text = write_canonical({'deployments': [], 'customers': [], 'later': 1})
+        record = ConfigurationRecord(3, 'x', (('x', 3),), text)
+        assert unpack(pack(record), 'peer') == record
+
+    def test_fields_of_a_later_release_are_passed_over_anywhere(self):
+        wanted = make_configuration(['a'], ['b'])
+        document = wanted.model_dump(mode='json')
+        document['later'] = 1
+        document['deployments'][0]['later'] = 2
+        document['deployments'][0]['capacity']['later'] = 3
+        document['customers'][0]['limits']['later'] = [4]
+        assert parse_configuration(json.dumps(document)) == wanted
