Drive the engine model over HTTP: continuous batching

With pacing 'batch' the stand-in engine queues by priority, shares its steps, keeps a prefix cache in limited memory and reports load and cache events late and with gaps.

--- a/libs/standins/fireflyhitch_standins/engine_generation.py
+++ b/libs/standins/fireflyhitch_standins/engine_generation.py
@@ -52,6 +52,7 @@
 class Generation:
     """One attempt's stream, which outlives its connections for a while.
 
+    :param key: names it within the pacing.
     :param imported_tokens: prompt tokens whose KV cache was imported.
     :param cached_tokens: prompt tokens that need not be computed, imports included.
     :param finish_reason: set when the last token is out.
@@ -59,6 +60,7 @@
 
     ask: Ask
     created: int
+    key: str = ''
     imported_tokens: int = 0
     cached_tokens: int = 0
     produced: int = 0
--- a/libs/standins/fireflyhitch_standins/engine_pacing.py
+++ b/libs/standins/fireflyhitch_standins/engine_pacing.py
@@ -30,11 +30,17 @@
     """Decides on the loop when each stream gets its tokens."""
 
     def begin(self, generation: Generation) -> None:
-        """Take a new stream."""
+        """Take a new stream.
+
+        :raises EngineRefusal: if there is no room for it.
+        """
 
     def end(self, generation: Generation) -> None:
         """Forget a stream that finished, failed or was cancelled."""
 
+    def count(self) -> int:
+        """Return how many streams run or wait now."""
+
     def load(self) -> Load:
         """Return the load as far as it is visible."""
 
@@ -74,6 +80,10 @@
         """Count a stream out; its planned token does nothing."""
         self._running -= 1
 
+    def count(self) -> int:
+        """Return how many streams run now."""
+        return self._running
+
     def load(self) -> Load:
         """Return the load of now."""
         return Load(self._running, 0)
--- a/libs/standins/fireflyhitch_standins/engine_server.py
+++ b/libs/standins/fireflyhitch_standins/engine_server.py
@@ -16,12 +16,14 @@
     Reply,
     Request,
 )
+from fireflyhitch_standins.engine import EngineRefusal
 from fireflyhitch_standins.engine_asks import read_ask
+from fireflyhitch_standins.engine_batch import BatchPacing
 from fireflyhitch_standins.engine_generation import FAILURE, Generation, Listener
 from fireflyhitch_standins.engine_kv import KvImports, export_cache
 from fireflyhitch_standins.engine_orders import EngineHoldings
 from fireflyhitch_standins.engine_pacing import FixedPacing, Pacing
-from fireflyhitch_standins.engine_settings import EngineSettings
+from fireflyhitch_standins.engine_settings import EngineSettings, PacingKind
 from fireflyhitch_standins.processes import serve_until_stopped
 
 COMPLETIONS = '/v1/completions'
@@ -59,9 +61,7 @@
         self.holdings = EngineHoldings(
             self._loop, lambda: self.settings, self._set_version
         )
-        self._pacing: Pacing = FixedPacing(
-            self._loop, lambda: self.settings, self._advance
-        )
+        self._pacing = self._make_pacing()
         self._routes: dict[str, Handler] = {
             CHAT: self._complete,
             COMPLETIONS: self._complete,
@@ -83,8 +83,7 @@
     @property
     def running(self) -> int:
         """Return how many streams run or wait."""
-        load = self._pacing.load()
-        return load.running + load.waiting
+        return self._pacing.count()
 
     def start(self) -> None:
         """Listen and serve."""
@@ -94,6 +93,10 @@
         """Reset all connections, as an instance that goes does."""
         self._server.stop()
 
+    def _make_pacing(self) -> Pacing:
+        make = BatchPacing if self.settings.pacing is PacingKind.BATCH else FixedPacing
+        return make(self._loop, lambda: self.settings, self._advance)
+
     def _handle(self, request: Request, reply: Reply) -> None:
         path = request.path
         for prefix in (STREAMS, KV):
@@ -110,8 +113,7 @@
 
     def _complete(self, request: Request, reply: Reply) -> None:
         if not self.holdings.takes_calls:
-            body = b'{"error":{"message":"takes no calls","code":"not_ready"}}'
-            reply.send(body, NOT_RUN, HTTPStatus.SERVICE_UNAVAILABLE)
+            _refuse_call(reply, 'not_ready')
             return
         ask = read_ask(request, request.path == CHAT)
         if _is_chosen(f'{ask.attempt}/error', self.settings.error_share):
@@ -119,9 +121,13 @@
             return
         generation = Generation(ask, int(time.time()))
         generation.imported_tokens = self._imports.count_tokens(ask)
+        try:
+            self._pacing.begin(generation)
+        except EngineRefusal:
+            _refuse_call(reply, 'queue_full')
+            return
         self.generations[ask.attempt] = generation
         self._attach(generation, Listener(reply, ask.stream))
-        self._pacing.begin(generation)
 
     def _advance(self, generation: Generation) -> None:
         if not generation.produced:
@@ -260,6 +266,12 @@
     return share > 0 and hash_text(key) / HASH_RANGE < share
 
 
+def _refuse_call(reply: Reply, code: str) -> None:
+    error = {'message': 'takes no calls now', 'code': code}
+    body = json.dumps({'error': error}).encode()
+    reply.send(body, NOT_RUN, HTTPStatus.SERVICE_UNAVAILABLE)
+
+
 def _refuse(reply: Reply, status: HTTPStatus, message: str) -> None:
     error = {'message': message, 'type': 'invalid_request_error', 'code': None}
     reply.send_json({'error': error}, status)
--- a/libs/standins/fireflyhitch_standins/engine_settings.py
+++ b/libs/standins/fireflyhitch_standins/engine_settings.py
@@ -15,10 +15,12 @@
     """How tokens are timed.
 
     ``FIXED`` gives each stream its own fixed times, whatever else runs; it is
-    the cheapest.
+    the cheapest. ``BATCH`` is continuous batching with a queue by priority, a
+    prefix cache in limited memory, and reports that lag.
     """
 
     FIXED = 'fixed'
+    BATCH = 'batch'
 
 
 class EngineSettings(BaseModel):
@@ -33,6 +35,12 @@
     :param load_seconds: how long it takes to load a version or an adapter.
     :param fencing: whether orders with an old fencing number are refused.
     :param kv_bytes_per_token: size of an exported KV cache.
+    :param max_running: calls in a batch; the others wait.
+    :param max_waiting: calls that may wait; more are refused.
+    :param cache_tokens: tokens that the KV cache holds, running calls included.
+    :param report_lag_seconds: how late the load is reported.
+    :param event_lag_seconds: how late cache events are published.
+    :param event_loss: share of cache events that are never published.
     :param slowness: factor on the time of each token.
     :param slow_above: the factor holds only with more running streams than this.
     :param error_share: share of calls answered with an error at once.
@@ -58,6 +66,12 @@
     load_seconds: float = 0
     fencing: bool = True
     kv_bytes_per_token: int = Field(default=KV_BYTES_PER_TOKEN, ge=0)
+    max_running: int = 16
+    max_waiting: int = 64
+    cache_tokens: int = 60000
+    report_lag_seconds: float = 1
+    event_lag_seconds: float = 0.5
+    event_loss: float = 0
     slowness: float = 1
     slow_above: int = 0
     error_share: float = 0
