--- a/libs/bench/fireflyhitch_bench/site.py
+++ b/libs/bench/fireflyhitch_bench/site.py
@@ -1,33 +1,48 @@
-"""A whole site on loopback: stand-ins, backend servers and daemons."""
+"""A whole site on loopback: the platform's stand-ins, servers and daemons."""
 
 import hashlib
-from dataclasses import dataclass
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+from time import monotonic, sleep
 from typing import Any
 
+import urllib3
+from pydantic import TypeAdapter
+
 from fireflyhitch_bench.processes import Process, ProcessGroup
-from fireflyhitch_bench.thin_platform import serve_platform
-from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.ids import (
-    BackendServerId,
     CustomerId,
     DeploymentId,
     FailureDomainId,
     InstanceId,
     VersionId,
 )
-from fireflyhitch_model.instances import Instance, InstanceListing
+from fireflyhitch_model.instances import Instance
 from fireflyhitch_model.states import InstanceRole, InstanceState, MachineClass
 from fireflyhitch_settings.schema import (
     Configuration,
     Customer,
+    CustomerLimits,
     ModelDeployment,
     ServiceDeployment,
 )
+from fireflyhitch_standins.engine_settings import EngineSettings
+from fireflyhitch_standins.service_server import ServiceSettings
+from fireflyhitch_standins.world import (
+    DeploymentWorld,
+    InitialServers,
+    WorldSettings,
+)
 
 API_KEY = 'key-of-the-first-customer'
 ADMIN_TOKEN = 'operators-token'
 PEER_KEY = 'key-of-the-peers'
 VERSION = VersionId('v1')
+NEW_VERSION = VersionId('v2')
+TIMEOUT = 20.0
+
+_INSTANCE = TypeAdapter(Instance)
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +55,26 @@
     engines: int = 5
     services: int = 4
     daemons: int = 8
+    customers: int = 5
+    engine: EngineSettings = field(default_factory=EngineSettings)
+    new_engine: EngineSettings = field(default_factory=EngineSettings)
+    max_streams: int | None = None
+
+    def place(self, number: int) -> FailureDomainId:
+        """Return the failure domain of the n-th of some processes."""
+        return self.failure_domains[number % len(self.failure_domains)]
+
+
+BRANDVEILIG = SitePlan(
+    tuple(map(FailureDomainId, ('gent', 'brugge', 'kortrijk', 'aalst'))),
+    DeploymentId('inspection-assistant'),
+    DeploymentId('rounds'),
+)
+ZAPESTNICE = SitePlan(
+    tuple(map(FailureDomainId, ('bezigrad', 'moste', 'kranj', 'domzale'))),
+    DeploymentId('wristband-assistant'),
+    DeploymentId('print-orders'),
+)
 
 
 @dataclass(slots=True)
@@ -47,9 +82,13 @@
     """A running site."""
 
     plan: SitePlan
-    engines: list[Process]
-    services: list[Process]
-    daemons: list[Process]
+    group: ProcessGroup
+    platform: Process
+    store: Process
+    daemons: list[Process] = field(default_factory=list)
+    http: urllib3.PoolManager = field(
+        default_factory=lambda: urllib3.PoolManager(timeout=TIMEOUT, retries=False)
+    )
 
     @property
     def entries(self) -> list[str]:
@@ -61,53 +100,121 @@
         return {
             'entries': [f'http://{entry}' for entry in self.entries],
             'admin': [f'http://{daemon.ready["admin"]}' for daemon in self.daemons],
+            'admin_token': ADMIN_TOKEN,
             'api_key': API_KEY,
             'model': self.plan.model,
             'booking_path': f'/services/{self.plan.service}/bookings',
-            'runs_url': f'http://{self.services[0].ready["address"]}/runs',
+            'runs_url': f'http://{self.platform.ready["address"]}/standin/runs',
             'pids': [daemon.pid for daemon in self.daemons],
         }
 
+    def start_daemon(self, number: int) -> Process:
+        """Start one more daemon."""
+        name = f'entry-{number}'
+        domain = self.plan.place(number)
+        path = self.group.write(f'{name}.json', self._make_settings(name, domain))
+        return self.group.start(name, 'fireflyhitch_daemon.main', [str(path)])
 
-BRANDVEILIG = SitePlan(
-    tuple(map(FailureDomainId, ('gent', 'brugge', 'kortrijk', 'aalst'))),
-    DeploymentId('inspection-assistant'),
-    DeploymentId('rounds'),
-)
-ZAPESTNICE = SitePlan(
-    tuple(map(FailureDomainId, ('bezigrad', 'moste', 'kranj', 'domzale'))),
-    DeploymentId('wristband-assistant'),
-    DeploymentId('print-orders'),
-)
+    def list_daemon(self, daemon: Process, number: int) -> None:
+        """Have the instance list name a daemon's instance."""
+        entry = Instance(
+            InstanceId(daemon.name),
+            InstanceRole.ENTRY,
+            InstanceState.LIVE,
+            self.plan.place(number),
+            daemon.ready['peers'],
+            MachineClass.RECLAIMABLE,
+        )
+        self.call_platform(
+            'PUT', '/standin/instances', _INSTANCE.dump_python(entry, mode='json')
+        )
+
+    def call_platform(self, method: str, path: str, body: Any = None) -> Any:
+        """Call the platform's stand-in."""
+        return self._call(self.platform.ready['address'], method, path, body)
+
+    def set_store_faults(self, body: Any) -> Any:
+        """Set the key-value stand-in's faults."""
+        return self._call(self.store.ready['address'], 'PUT', '/standin/faults', body)
+
+    def call_admin(self, number: int, method: str, path: str, body: Any = None) -> Any:
+        """Call a daemon's admin interface."""
+        return self._call(self.daemons[number].ready['admin'], method, path, body)
+
+    def _call(self, address: str, method: str, path: str, body: Any) -> Any:
+        answer = self.http.request(
+            method,
+            f'http://{address}{path}',
+            json=body,
+            headers={'Authorization': f'Bearer {ADMIN_TOKEN}'},
+        )
+        if answer.status >= 400:
+            raise RuntimeError(f'{method} {path}: {answer.status} {answer.data!r}')
+        return json.loads(answer.data) if answer.data else None
+
+    def _make_settings(self, name: str, domain: FailureDomainId) -> dict[str, Any]:
+        platform = f'http://{self.platform.ready["address"]}'
+        limits = {}
+        if self.plan.max_streams is not None:
+            limits['max_streams'] = self.plan.max_streams
+        return {
+            'daemon_id': name,
+            'instance_id': name,
+            'failure_domain': domain,
+            'admin_token_sha256': _hash(ADMIN_TOKEN),
+            'peer_key': PEER_KEY,
+            'limits': limits,
+            'platform': {
+                'key_value': f'http://{self.store.ready["address"]}',
+                'instance_list': f'{platform}/instances',
+                'cloud': f'{platform}/cloud',
+                'weight_store': f'{platform}/weights',
+            },
+        }
 
 
 def start_site(group: ProcessGroup, plan: SitePlan) -> Site:
     """Start all processes of a site and return when callers can be served."""
-    engines = [
-        group.start(f'engine-{number}', 'fireflyhitch_standins.engine_server')
-        for number in range(plan.engines)
-    ]
-    services = [
-        group.start(f'service-{number}', 'fireflyhitch_standins.service_server')
-        for number in range(plan.services)
-    ]
-    listing = InstanceListing(
-        tuple(
-            _list_server(plan, process, number, deployment)
-            for deployment, processes in (
-                (plan.model, engines),
-                (plan.service, services),
-            )
-            for number, process in enumerate(processes)
-        )
-    )
-    platform = serve_platform(listing, make_configuration(plan))
-    host, port = platform.bind_addr[:2]
-    address = f'http://{host}:{port}'
-    daemons = [
-        _start_daemon(group, plan, number, address) for number in range(plan.daemons)
-    ]
-    return Site(plan, engines, services, daemons)
+    world = group.write('world.json', _make_world(plan).model_dump(mode='json'))
+    module = 'fireflyhitch_standins.platform_server'
+    platform = group.start('platform', module, ['--world', str(world)])
+    store = group.start('store', 'fireflyhitch_standins.etcd_main')
+    site = Site(plan, group, platform, store)
+    site.daemons = [site.start_daemon(number) for number in range(plan.daemons)]
+    for number, daemon in enumerate(site.daemons):
+        site.list_daemon(daemon, number)
+    configuration = make_configuration(plan).model_dump(mode='json')
+    put_configuration(site, configuration, 0, 'first')
+    wait_until_ready(site)
+    return site
+
+
+def put_configuration(
+    site: Site, configuration: Any, expected: int, change: str
+) -> int:
+    """Have a configuration accepted; return its revision."""
+    proposal = {
+        'expected_revision': expected,
+        'change_id': change,
+        'configuration': configuration,
+    }
+    answer = site.call_admin(0, 'PUT', '/admin/configuration', proposal)
+    revision: int = answer['revision']
+    return revision
+
+
+def wait_until_ready(site: Site, seconds: float = TIMEOUT) -> None:
+    """Wait until all daemons are ready and know a server of each deployment.
+
+    :raises RuntimeError: if one is not by then.
+    """
+    ends = monotonic() + seconds
+    waiting = list(range(len(site.daemons)))
+    while waiting:
+        if monotonic() > ends:
+            raise RuntimeError(f'not ready: {waiting}')
+        waiting = [number for number in waiting if not _is_ready(site, number)]
+        sleep(0.05)
 
 
 def make_configuration(plan: SitePlan) -> Configuration:
@@ -116,58 +223,68 @@
         'failure_domains': plan.failure_domains,
         'version': VERSION,
     }
-    key_hash = hashlib.sha256(API_KEY.encode()).hexdigest()
+    customers = [API_KEY, *(f'key-{number}' for number in range(1, plan.customers))]
+    limits = CustomerLimits(
+        requests_per_second=2000, tokens_per_second=2e6, concurrent_requests=4000
+    )
     return Configuration(
         deployments=(
             ModelDeployment(name=plan.model, **common),
             ServiceDeployment(name=plan.service, **common),
         ),
-        customers=(Customer(customer_id=CustomerId('first'), api_key_sha256=key_hash),),
+        customers=tuple(
+            Customer(
+                customer_id=CustomerId(f'customer-{number}'),
+                api_key_sha256=_hash(key),
+                limits=limits,
+            )
+            for number, key in enumerate(customers)
+        ),
     )
 
 
-def _list_server(
-    plan: SitePlan, process: Process, number: int, deployment: DeploymentId
-) -> Instance:
-    domain = plan.failure_domains[number % len(plan.failure_domains)]
-    instance = InstanceId(f'{deployment}-{number}')
-    server = BackendServer(
-        server_id=BackendServerId(f'{deployment}-{number}'),
-        instance=instance,
-        deployment=deployment,
-        version=VERSION,
-        failure_domain=domain,
-        address=process.ready['address'],
-        machine_class=MachineClass.RECLAIMABLE,
-        price=1.0,
-        capacity=16,
-    )
-    return Instance(
-        instance,
-        InstanceRole.BACKEND,
-        InstanceState.LIVE,
-        domain,
-        server.address,
-        server.machine_class,
-        server=server,
-    )
+def _is_ready(site: Site, number: int) -> bool:
+    entry = site.entries[number]
+    ready = site.http.request('GET', f'http://{entry}/readyz')
+    if ready.status != 200:
+        return False
+    status = site.call_admin(number, 'GET', '/admin/status')
+    known = {server['deployment'] for server in status['backend_servers']}
+    return known >= {site.plan.model, site.plan.service}
 
 
-def _start_daemon(
-    group: ProcessGroup, plan: SitePlan, number: int, platform: str
-) -> Process:
-    name = f'entry-{number}'
-    settings = {
-        'daemon_id': name,
-        'instance_id': name,
-        'failure_domain': plan.failure_domains[number % len(plan.failure_domains)],
-        'admin_token_sha256': hashlib.sha256(ADMIN_TOKEN.encode()).hexdigest(),
-        'peer_key': PEER_KEY,
-        'platform': {
-            'key_value': platform,
-            'instance_list': f'{platform}/instances',
-            'cloud': platform,
+def _make_world(plan: SitePlan) -> WorldSettings:
+    return WorldSettings(
+        deployments={
+            plan.model: DeploymentWorld(
+                engines={VERSION: plan.engine, NEW_VERSION: plan.new_engine},
+                capacity=16,
+            ),
+            plan.service: DeploymentWorld(services={VERSION: ServiceSettings()}),
         },
-    }
-    path = group.write(f'{name}.json', settings)
-    return group.start(name, 'fireflyhitch_daemon.main', [str(path)])
+        initial=tuple(
+            InitialServers(
+                deployment=deployment,
+                version=VERSION,
+                failure_domain=domain,
+                count=len(range(place, count, len(plan.failure_domains))),
+            )
+            for deployment, count in (
+                (plan.model, plan.engines),
+                (plan.service, plan.services),
+            )
+            for place, domain in enumerate(plan.failure_domains)
+            if place < count
+        ),
+    )
+
+
+def _hash(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def read_log(group: ProcessGroup, name: str) -> list[dict[str, Any]]:
+    """Return a process's log, a record a line."""
+    path: Path = group.directory / f'{name}.log'
+    lines = path.read_text(encoding='utf-8').splitlines()
+    return [json.loads(line) for line in lines if line.startswith('{')]
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/accounts.py
@@ -0,0 +1,113 @@
+"""What is recorded of a call that has ended: metrics, burn and evidence."""
+
+from dataclasses import dataclass
+
+from loguru import logger
+
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.calls import Call
+from fireflyhitch_model.ids import VersionId
+from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_rollout.evidence import EvidenceBook
+from fireflyhitch_routing.choices import Ticket
+from fireflyhitch_telemetry.burn import BurnRecorder
+from fireflyhitch_telemetry.metrics import CallRecord, Metrics
+
+NO_VERSION = VersionId('')
+
+
+@dataclass(frozen=True, slots=True)
+class EndedCall:
+    """A call that has ended, as its caller saw it.
+
+    :param first_token: seconds from arrival; ``None`` if there was none.
+    """
+
+    call: Call
+    server: BackendServer | None
+    status: int
+    outcome: Outcome
+    ok: bool
+    tokens: int
+    attempts: int
+    first_token: float | None
+    longest_gap: float
+    seconds: float
+
+    @property
+    def between_tokens(self) -> float | None:
+        """Return the mean seconds between tokens, if there were several."""
+        if self.first_token is None or self.tokens < 2:
+            return None
+        return (self.seconds - self.first_token) / (self.tokens - 1)
+
+
+class Accounts:
+    """Hands what is known of ended calls to all that count them."""
+
+    def __init__(
+        self, metrics: Metrics, burn: BurnRecorder, evidence: EvidenceBook
+    ) -> None:
+        self.metrics = metrics
+        self._burn = burn
+        self._evidence = evidence
+
+    def record_call(self, ended: EndedCall) -> None:
+        """Count a call once it has ended for its caller."""
+        call = ended.call
+        version = ended.server.version if ended.server else NO_VERSION
+        self.metrics.record_call(
+            CallRecord(
+                customer=call.customer,
+                deployment=call.deployment,
+                version=version,
+                status=ended.status,
+                outcome=ended.outcome,
+                tokens=ended.tokens,
+                attempts=ended.attempts,
+                first_token_seconds=ended.first_token,
+                longest_gap_seconds=ended.longest_gap,
+                seconds=ended.seconds,
+            )
+        )
+        self._burn.record(
+            call.customer,
+            call.deployment,
+            call.route,
+            version,
+            ok=ended.ok,
+            first_token=ended.first_token,
+            between_tokens=ended.between_tokens,
+        )
+        logger.bind(
+            request_id=call.request_id,
+            customer=call.customer,
+            deployment=call.deployment,
+            version=version,
+            step=Step.ANSWER.value,
+            peer=ended.server.server_id if ended.server else None,
+            status=int(ended.status),
+            outcome=ended.outcome.value,
+            attempts=ended.attempts,
+            tokens=ended.tokens,
+            seconds=round(ended.seconds, 4),
+        ).info('call ended')
+
+    def record_attempt(
+        self,
+        ticket: Ticket,
+        *,
+        ok: bool,
+        first_token: float | None,
+        between_tokens: float | None,
+    ) -> None:
+        """Count an attempt as evidence for or against its server's version."""
+        server = ticket.choice.server
+        self._evidence.record(
+            ticket.call,
+            server,
+            ok=ok,
+            first_token=first_token,
+            between_tokens=between_tokens,
+            load=ticket.in_flight / max(server.capacity, 1),
+        )
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/admin.py
@@ -0,0 +1,257 @@
+"""The operators' interface: status, configuration, moves, drain and burn."""
+
+import hashlib
+import hmac
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Any, ClassVar
+
+from loguru import logger
+from pydantic import BaseModel, TypeAdapter, ValidationError
+
+from fireflyhitch_daemon.calls import ModelCalls
+from fireflyhitch_daemon.directory import Directory
+from fireflyhitch_daemon.front import (
+    JSON_TYPE,
+    OUTCOME_HEADER,
+    CallerRequest,
+    Header,
+    Response,
+)
+from fireflyhitch_daemon.health import Health
+from fireflyhitch_membership.configuration import (
+    Accepted,
+    ConfigurationKeeper,
+    InForce,
+)
+from fireflyhitch_membership.network import PeerNetwork
+from fireflyhitch_model.errors import PeerError, PlatformError
+from fireflyhitch_model.ids import ChangeId, FailureDomainId, InstanceId, Revision
+from fireflyhitch_model.invariants import count_violations
+from fireflyhitch_model.peers import PeerMessage
+from fireflyhitch_model.states import Step
+from fireflyhitch_platform.rates import CallBudget
+from fireflyhitch_rollout.moves import MoveKeeper
+from fireflyhitch_rollout.records import MoveReport
+from fireflyhitch_settings.schema import Configuration
+from fireflyhitch_telemetry.burn import BurnRecorder, BurnSnapshot, merge_snapshots
+
+BEARER = 'Bearer '
+ASK_TIMEOUT = timedelta(seconds=1)
+_REPORTS = TypeAdapter(tuple[MoveReport, ...])
+
+
+class BurnRequest(PeerMessage):
+    """Asks a daemon for its counts."""
+
+    kind: ClassVar[str] = 'burn-request'
+
+
+class BurnReply(PeerMessage):
+    """A daemon's counts."""
+
+    kind: ClassVar[str] = 'burn-reply'
+
+    snapshot: BurnSnapshot
+
+
+class _Proposal(BaseModel):
+    expected_revision: Revision
+    change_id: ChangeId
+    configuration: Configuration
+
+
+class _DrainWish(BaseModel):
+    instance: InstanceId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AdminParts:
+    """What operators see and change.
+
+    :param drain: starts the graceful stop of this daemon.
+    """
+
+    token_sha256: str
+    network: PeerNetwork
+    keeper: ConfigurationKeeper
+    moves: MoveKeeper
+    burn: BurnRecorder
+    calls: ModelCalls
+    directory: Directory
+    health: Health
+    budget: CallBudget
+    drain: Callable[[], None]
+
+
+class Admin:
+    """Answers operators, who bear the admin token."""
+
+    def __init__(self, parts: AdminParts) -> None:
+        self._parts = parts
+        self._routes: dict[tuple[str, str], Callable[[CallerRequest], Response]] = {
+            ('GET', '/admin/status'): self._show_status,
+            ('GET', '/admin/configuration'): self._show_configuration,
+            ('PUT', '/admin/configuration'): self._propose,
+            ('GET', '/admin/moves'): self._show_moves,
+            ('POST', '/admin/drain'): self._drain,
+            ('GET', '/admin/burn'): self._show_burn,
+        }
+        parts.network.handle(BurnRequest, self._reply_burn)
+
+    def handle(self, request: CallerRequest) -> Response:
+        """Answer an operator's request."""
+        given = request.headers.get('authorization', '').removeprefix(BEARER)
+        digest = hashlib.sha256(given.encode()).hexdigest()
+        if not hmac.compare_digest(digest, self._parts.token_sha256):
+            return _refuse(HTTPStatus.UNAUTHORIZED, 'the token is not accepted')
+        route = self._routes.get((request.method, request.path))
+        if route is None:
+            return _refuse(HTTPStatus.NOT_FOUND, f'nothing at {request.path}')
+        try:
+            return route(request)
+        except ValidationError as error:
+            return _refuse(HTTPStatus.BAD_REQUEST, str(error))
+        except PlatformError as error:
+            return _refuse_platform(error)
+
+    def _show_status(self, _: CallerRequest) -> Response:
+        parts = self._parts
+        here = parts.network.daemon
+        in_force = parts.keeper.in_force()
+        return _answer(
+            {
+                'daemon': here.daemon_id,
+                'failure_domain': here.failure_domain,
+                'ready': parts.health.find_obstacle() is None,
+                'obstacle': parts.health.find_obstacle(),
+                'revision': in_force.revision if in_force else None,
+                'since': in_force.since.isoformat() if in_force else None,
+                'open_streams': parts.calls.count_open(),
+                'invariant_violations': count_violations(),
+                'failure_domains': self._describe_domains(),
+                'daemons': [
+                    {
+                        'daemon': daemon.daemon_id,
+                        'failure_domain': daemon.failure_domain,
+                        'entry': daemon.entry_address,
+                    }
+                    for daemon in parts.network.live()
+                ],
+                'backend_servers': [
+                    {
+                        'server': server.server_id,
+                        'deployment': server.deployment,
+                        'version': server.version,
+                        'failure_domain': server.failure_domain,
+                        'machine_class': server.machine_class.value,
+                    }
+                    for server in parts.directory.list_servers()
+                ],
+                'leaving': sorted(parts.network.leaving()),
+                'store_calls': {
+                    kind.value: count for kind, count in parts.budget.counts().items()
+                },
+            }
+        )
+
+    def _describe_domains(self) -> list[Mapping[str, Any]]:
+        revisions = self._parts.keeper.revisions_by_failure_domain()
+        return [
+            {
+                'failure_domain': domain,
+                'revision': held.revision,
+                'lowest': held.lowest,
+                'since': held.since.isoformat() if held.since else None,
+            }
+            for domain, held in sorted(revisions.items())
+        ]
+
+    def _show_configuration(self, _: CallerRequest) -> Response:
+        return _answer(_describe(self._parts.keeper.in_force()))
+
+    def _propose(self, request: CallerRequest) -> Response:
+        proposal = _Proposal.model_validate_json(request.body)
+        decided = self._parts.keeper.propose(
+            proposal.configuration, proposal.expected_revision, proposal.change_id
+        )
+        log = logger.bind(step=Step.CONFIGURE.value, change=proposal.change_id)
+        if isinstance(decided, Accepted):
+            log.bind(revision=decided.revision).info('configuration accepted')
+            return _answer({'revision': decided.revision})
+        log.info('configuration rejected: another change came first')
+        current = _describe(decided.current)
+        return _answer(
+            {
+                'error': 'another change came first',
+                'current_revision': current['revision'],
+                'configuration': current.get('configuration'),
+            },
+            HTTPStatus.CONFLICT,
+        )
+
+    def _show_moves(self, _: CallerRequest) -> Response:
+        reports = self._parts.moves.moves()
+        return _answer({'moves': _REPORTS.dump_python(reports, mode='json')})
+
+    def _drain(self, request: CallerRequest) -> Response:
+        wish = _DrainWish.model_validate_json(request.body or b'{}')
+        if wish.instance is None:
+            self._parts.drain()
+            return _answer({'draining': self._parts.network.daemon.daemon_id})
+        server = self._parts.directory.find(wish.instance)
+        if server is None:
+            return _refuse(HTTPStatus.NOT_FOUND, f'no instance {wish.instance}')
+        self._parts.network.mark_leaving(wish.instance, server.incarnation)
+        self._parts.directory.remove((wish.instance,))
+        return _answer({'draining': wish.instance})
+
+    def _show_burn(self, _: CallerRequest) -> Response:
+        merged = self._collect_burn()
+        return _answer(merged.model_dump(mode='json'))
+
+    def _collect_burn(self) -> BurnSnapshot:
+        """Ask all daemons; those that do not answer have their domain named."""
+        network = self._parts.network
+        snapshots = [self._parts.burn.snapshot()]
+        unreached: set[FailureDomainId] = set(network.unreachable_domains())
+        for daemon in network.live():
+            if daemon.daemon_id == network.daemon.daemon_id:
+                continue
+            try:
+                reply = network.ask(daemon.daemon_id, BurnRequest(), ASK_TIMEOUT)
+            except PeerError:
+                unreached.add(daemon.failure_domain)
+                continue
+            if isinstance(reply, BurnReply):
+                snapshots.append(reply.snapshot)
+        return merge_snapshots(snapshots, sorted(unreached))
+
+    def _reply_burn(self, _sender: object, _request: BurnRequest) -> BurnReply:
+        return BurnReply(snapshot=self._parts.burn.snapshot())
+
+
+def _describe(in_force: InForce | None) -> dict[str, Any]:
+    if in_force is None:
+        return {'revision': 0, 'configuration': None}
+    configuration = in_force.configuration.model_dump(mode='json')
+    return {'revision': in_force.revision, 'configuration': configuration}
+
+
+def _answer(document: Mapping[str, Any], status: int = HTTPStatus.OK) -> Response:
+    body = json.dumps(document).encode()
+    return Response(status, body, (Header('Content-Type', JSON_TYPE),))
+
+
+def _refuse(status: int, message: str) -> Response:
+    return _answer({'error': {'message': message}}, status)
+
+
+def _refuse_platform(error: PlatformError) -> Response:
+    document = {'error': {'message': str(error)}, 'outcome': error.outcome.value}
+    answer = _answer(document, HTTPStatus.SERVICE_UNAVAILABLE)
+    outcome = Header(OUTCOME_HEADER, error.outcome.value)
+    return Response(answer.status, answer.body, (*answer.headers, outcome))
--- a/libs/daemon/fireflyhitch_daemon/assembly.py
+++ b/libs/daemon/fireflyhitch_daemon/assembly.py
@@ -1,64 +1,65 @@
 """Putting an answer's events together into the whole answer."""
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Sequence
 from typing import Any
 
-from fireflyhitch_daemon.exchange import Endpoint
-from fireflyhitch_daemon.sse import parse_event
+from fireflyhitch_recovery.continuation import read_generated
+from fireflyhitch_recovery.requests import AcceptedRequest, CompletionKind
 
 Json = dict[str, Any]
 
 
-def collect_text(endpoint: Endpoint, events: Iterable[bytes]) -> str:
-    """Return the text that an answer's events hold so far."""
-    return ''.join(
-        _read_text(endpoint, choice)
-        for event in events
-        for choice in parse_event(event).get('choices', ())
-    )
-
-
-def assemble_answer(
-    endpoint: Endpoint, request: Mapping[str, Any], events: list[bytes]
-) -> bytes:
+def assemble_answer(accepted: AcceptedRequest, events: Sequence[bytes]) -> bytes:
     """Return the body for a caller that asked for the answer as a whole."""
-    parsed = [parse_event(event) for event in events]
+    parsed: list[Json] = [json.loads(event) for event in events]
     first: Json = parsed[0] if parsed else {}
     usage = next((one['usage'] for one in reversed(parsed) if one.get('usage')), None)
+    choice = _assemble_choice(accepted.kind, parsed, read_generated(events).text)
     answer: Json = {
         'id': first.get('id', ''),
-        'object': _name_object(endpoint),
+        'object': _name_object(accepted.kind),
         'created': first.get('created', 0),
-        'model': request.get('model', first.get('model', '')),
-        'choices': [_assemble_choice(endpoint, parsed)],
+        'model': accepted.call.deployment,
+        'choices': [choice],
     }
     if usage is not None:
         answer['usage'] = usage
     return json.dumps(answer).encode()
 
 
-def _name_object(endpoint: Endpoint) -> str:
-    if endpoint is Endpoint.CHAT:
+def _name_object(kind: CompletionKind) -> str:
+    if kind is CompletionKind.CHAT:
         return 'chat.completion'
     return 'text_completion'
 
 
-def _assemble_choice(endpoint: Endpoint, parsed: list[Json]) -> Json:
+def _assemble_choice(kind: CompletionKind, parsed: list[Json], text: str) -> Json:
     choices = [choice for one in parsed for choice in one.get('choices', ())]
-    text = ''.join(_read_text(endpoint, choice) for choice in choices)
     reasons = [choice.get('finish_reason') for choice in choices]
     reason = next((reason for reason in reversed(reasons) if reason), None)
     choice: Json = {'index': 0, 'finish_reason': reason, 'logprobs': None}
-    if endpoint is Endpoint.CHAT:
-        choice['message'] = {'role': 'assistant', 'content': text}
-    else:
-        choice['text'] = text
-    return choice
+    if kind is CompletionKind.TEXT:
+        return {**choice, 'text': text}
+    message: Json = {'role': 'assistant', 'content': text}
+    calls = _merge_tool_calls(choices)
+    if calls:
+        message['tool_calls'] = calls
+    return {**choice, 'message': message}
 
 
-def _read_text(endpoint: Endpoint, choice: Json) -> str:
-    if endpoint is Endpoint.TEXT:
-        return choice.get('text') or ''
-    delta = choice.get('delta') or {}
-    return delta.get('content') or ''
+def _merge_tool_calls(choices: list[Json]) -> list[Json]:
+    """Join the pieces of tool calls, which come in fragments by index."""
+    calls: dict[int, Json] = {}
+    for choice in choices:
+        delta = choice.get('delta') or {}
+        for piece in delta.get('tool_calls') or ():
+            call = calls.setdefault(
+                piece.get('index', 0),
+                {'type': 'function', 'function': {'name': '', 'arguments': ''}},
+            )
+            call['id'] = piece.get('id') or call.get('id', '')
+            function = piece.get('function') or {}
+            call['function']['name'] += function.get('name') or ''
+            call['function']['arguments'] += function.get('arguments') or ''
+    return [calls[index] for index in sorted(calls)]
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/attempts.py
@@ -0,0 +1,279 @@
+"""Attempts at a model call: the first, and those after a server was lost."""
+
+import json
+from collections.abc import Callable
+from datetime import timedelta
+from http import HTTPStatus
+from threading import Lock
+from typing import TYPE_CHECKING, TypeAlias
+
+from loguru import logger
+
+from fireflyhitch_daemon.dispatch import (
+    is_callers_fault,
+    name_attempt,
+    request_stream,
+    send_call,
+    send_resume,
+)
+from fireflyhitch_daemon.exchange import Exchange, ExchangeState
+from fireflyhitch_daemon.relay import Relay
+from fireflyhitch_daemon.upstream import Continuation, Upstream
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.errors import RequestError
+from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_recovery.answers import AnswerEnd, AttemptStream
+from fireflyhitch_recovery.continuation import (
+    LIMIT_FIELDS,
+    GeneratedText,
+    build_continuation,
+    is_continuable,
+    read_generated,
+)
+from fireflyhitch_recovery.requests import Placement
+from fireflyhitch_recovery.resume import ResumeFacts, ResumeKind, plan_resume
+from fireflyhitch_routing.choices import CallResult, Choice, ResultStatus
+
+if TYPE_CHECKING:
+    from fireflyhitch_daemon.calls import CallParts
+
+SECOND = timedelta(seconds=1)
+
+
+class Attempts:
+    """Sends calls and goes on with them; blocks, so never on the relay's thread."""
+
+    Step: TypeAlias = Callable[[Exchange], None]
+
+    def __init__(self, parts: 'CallParts', relay: Relay) -> None:
+        self._parts = parts
+        self._clock = parts.clock
+        self._relay = relay
+        self._lock = Lock()
+
+    def begin(self, exchange: Exchange) -> None:
+        """Send a call for the first time.
+
+        :raises RequestError: if no server took it; then it was not run.
+        """
+        self._send(exchange, exchange.tracked.log.current(), None)
+
+    def recover(self, exchange: Exchange, upstream: Upstream, reason: str) -> None:
+        """Go on after an attempt was lost, or give the final answer at once.
+
+        :raises RequestError: if the answer cannot go on.
+        """
+        if not exchange.open:
+            return
+        started = bool(exchange.tracked.log.count())
+        refused = upstream.refused and not started
+        self._finish_ticket(
+            exchange, ResultStatus.REFUSED if refused else ResultStatus.FAILED
+        )
+        if is_callers_fault(upstream.status):
+            raise _pass_refusal(upstream, reason)
+        if not refused:
+            exchange.sent = True
+        outcome = Outcome.NOT_RUN if refused else Outcome.UNKNOWN
+        if not self._parts.retries.take(exchange.call, outcome):
+            raise _give_up(exchange, reason)
+        broke_off = started and upstream.status == HTTPStatus.OK
+        if broke_off and self._resume_stream(exchange):
+            return
+        self._continue(exchange)
+
+    def resume(self, exchange: Exchange) -> None:
+        """Go on with an answer that another daemon began.
+
+        :raises RequestError: if the answer cannot go on.
+        """
+        if not self._resume_stream(exchange):
+            self._continue(exchange)
+
+    def close(self, exchange: Exchange) -> BackendServer | None:
+        """Account for the last attempt of a call that has ended.
+
+        :returns: the server that it was with.
+        """
+        ticket = exchange.ticket
+        if ticket is None:
+            return None
+        done = exchange.state is ExchangeState.DONE
+        self._finish_ticket(
+            exchange, ResultStatus.SUCCEEDED if done else _judge_end(exchange)
+        )
+        return ticket.choice.server
+
+    def _resume_stream(self, exchange: Exchange) -> bool:
+        """Ask the engine that had the stream for its rest.
+
+        :returns: whether the answer goes on; an engine that has lost the stream
+            says so on the connection, and then the answer is continued.
+        """
+        placement = exchange.tracked.placement
+        if placement is None:
+            return False
+        received = exchange.tracked.log.count()
+        try:
+            sock = send_resume(placement, received)
+        except OSError:
+            return False
+        stream = exchange.tracked.log.current()
+        # Only one try: a second loss at the same engine goes on elsewhere.
+        exchange.tracked.placement = None
+        self._relay.attach(exchange, Upstream(sock, stream, placement.server_id))
+        return True
+
+    def _continue(self, exchange: Exchange) -> None:
+        """Have another engine go on behind the text so far."""
+        log = exchange.tracked.log
+        events = log.read_after(0).events
+        generated = read_generated(events)
+        if generated.finished:
+            log.current().finish(AnswerEnd.COMPLETE)
+            self._relay.complete(exchange)
+            return
+        self._check_continuable(exchange, generated)
+        stream = log.open_attempt()
+        if stream is None:
+            # The answer is held for a peer, or has moved: it goes on there.
+            return
+        try:
+            self._send(exchange, stream, generated)
+        except RequestError as error:
+            if exchange.sent:
+                # An earlier attempt was sent, so "not run" is no longer certain.
+                error.outcome = Outcome.UNKNOWN
+            raise
+
+    def _check_continuable(self, exchange: Exchange, generated: GeneratedText) -> None:
+        facts = ResumeFacts(
+            prompt_tokens=exchange.call.prompt_tokens,
+            generated_tokens=generated.tokens,
+            continuable=is_continuable(exchange.tracked.accepted.body),
+        )
+        if plan_resume(facts).kind is ResumeKind.IMPOSSIBLE:
+            raise _give_up(exchange, 'the form of the request allows no continuation')
+
+    def _send(
+        self,
+        exchange: Exchange,
+        stream: AttemptStream,
+        generated: GeneratedText | None,
+    ) -> None:
+        """Send to one server after another until one takes the call."""
+        body = _build_body(exchange, generated)
+        continuation = _find_continuation(exchange, generated)
+        offset = exchange.tracked.log.count()
+        while True:
+            choice = self._parts.selection.choose(exchange.call, exchange.tried)
+            server = choice.server
+            exchange.tried.add(server.server_id)
+            attempt = name_attempt(exchange.call.request_id, stream.tag)
+            self._start_ticket(exchange, choice)
+            try:
+                sock = send_call(server, exchange.tracked.accepted, body, attempt)
+            except OSError as error:
+                self._finish_ticket(exchange, ResultStatus.REFUSED)
+                _log_unreached(exchange, server, error)
+                continue
+            exchange.offset = offset
+            exchange.tracked.placement = Placement(
+                server.server_id, server.address, attempt, offset
+            )
+            upstream = Upstream(sock, stream, server.server_id, continuation)
+            self._relay.attach(exchange, upstream)
+            return
+
+    def _start_ticket(self, exchange: Exchange, choice: Choice) -> None:
+        exchange.attempts += 1
+        exchange.ticket = self._parts.selection.router.start(choice, exchange.call)
+
+    def _finish_ticket(self, exchange: Exchange, status: ResultStatus) -> None:
+        with self._lock:
+            # A deadline may end a call on the relay's thread while its next
+            # attempt is prepared here; the router takes each ticket back once.
+            ticket = exchange.ticket
+            exchange.ticket = None
+        if ticket is None:
+            return
+        now = self._clock.monotonic()
+        tokens = exchange.tracked.log.count() - exchange.offset
+        seconds = now - ticket.started
+        outcome = CallResult(status, generated_tokens=tokens, seconds=seconds)
+        self._parts.selection.router.finish(ticket, outcome)
+        if status is ResultStatus.CANCELLED:
+            return
+        first = None
+        gap = None
+        if ticket.first_token_at is not None:
+            first = ticket.first_token_at - ticket.started
+            gap = (seconds - first) / max(tokens - 1, 1)
+        self._parts.accounts.record_attempt(
+            ticket,
+            ok=status is ResultStatus.SUCCEEDED,
+            first_token=first,
+            between_tokens=gap,
+        )
+
+
+def _build_body(exchange: Exchange, generated: GeneratedText | None) -> bytes:
+    accepted = exchange.tracked.accepted
+    body = request_stream(accepted.body, with_usage=not accepted.streaming)
+    if generated is None or not generated.tokens:
+        return body
+    return _bound_tokens(build_continuation(accepted.kind, body, generated))
+
+
+def _bound_tokens(body: bytes) -> bytes:
+    """Keep a continuation's limit above zero, which engines do not take."""
+    request = json.loads(body)
+    for field in LIMIT_FIELDS:
+        if request.get(field) is not None:
+            request[field] = max(1, request[field])
+    return json.dumps(request).encode()
+
+
+def _find_continuation(
+    exchange: Exchange, generated: GeneratedText | None
+) -> Continuation | None:
+    if generated is None or not generated.tokens:
+        return None
+    first = exchange.tracked.log.read_after(0).events[0]
+    return Continuation(first, generated.tokens)
+
+
+def _judge_end(exchange: Exchange) -> ResultStatus:
+    if exchange.state is ExchangeState.FAILED:
+        return ResultStatus.FAILED
+    return ResultStatus.CANCELLED
+
+
+def _log_unreached(exchange: Exchange, server: BackendServer, error: OSError) -> None:
+    logger.bind(
+        request_id=exchange.call.request_id,
+        step=Step.CONNECT.value,
+        peer=server.address,
+        error=repr(error),
+    ).warning('backend server not reached')
+
+
+def _pass_refusal(upstream: Upstream, reason: str) -> RequestError:
+    return RequestError(
+        f'the backend server refused the call: {reason}',
+        step=Step.FIRST_BYTE,
+        peer=upstream.server_id,
+        status=upstream.status,
+        code='backend_refused',
+    )
+
+
+def _give_up(exchange: Exchange, reason: str) -> RequestError:
+    return RequestError(
+        f'no backend server finished the answer: {reason}',
+        step=Step.RELAY,
+        status=HTTPStatus.BAD_GATEWAY,
+        code='backend_lost',
+        outcome=Outcome.UNKNOWN if exchange.sent else Outcome.NOT_RUN,
+        retry_after=SECOND,
+    )
--- a/libs/daemon/fireflyhitch_daemon/callers.py
+++ b/libs/daemon/fireflyhitch_daemon/callers.py
@@ -2,10 +2,10 @@
 
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from fireflyhitch_daemon.calls import ModelCalls
-from fireflyhitch_daemon.exchange import Endpoint
 from fireflyhitch_daemon.front import (
     JSON_TYPE,
     REQUEST_ID_HEADER,
@@ -19,57 +19,70 @@
 from fireflyhitch_daemon.parsing import (
     authenticate,
     list_models,
-    make_request_id,
     parse_model_request,
 )
+from fireflyhitch_daemon.replies import REQUESTS_PREFIX
+from fireflyhitch_daemon.requests import RequestAnswers
+from fireflyhitch_daemon.services import SERVICES_PREFIX, ServiceCalls
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.errors import RequestError
+from fireflyhitch_model.errors import FireflyhitchError, RequestError
 from fireflyhitch_model.ids import DaemonId, RequestId
-from fireflyhitch_model.states import Step
+from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_recovery.inflight import make_request_id
+from fireflyhitch_recovery.requests import CompletionKind
 from fireflyhitch_settings.schema import Configuration
 from fireflyhitch_telemetry.metrics import METRICS_TYPE, Metrics
 
-ENDPOINTS = {endpoint.value: endpoint for endpoint in Endpoint}
-SERVICES_PREFIX = '/services/'
-REQUESTS_PREFIX = '/v1/requests/'
+ENDPOINTS = {
+    '/v1/chat/completions': CompletionKind.CHAT,
+    '/v1/completions': CompletionKind.TEXT,
+}
+PROBES = frozenset(('/livez', '/readyz', '/metrics'))
+
+
+@dataclass(frozen=True, slots=True)
+class CallerParts:
+    """What answers callers."""
+
+    daemon_id: DaemonId
+    clock: Clock
+    calls: ModelCalls
+    services: ServiceCalls
+    requests: RequestAnswers
+    health: Health
+    metrics: Metrics
+    read_configuration: Callable[[], Configuration | None]
 
 
 class Callers:
     """Answers the requests that come in at the callers' address."""
 
-    def __init__(
-        self,
-        daemon_id: DaemonId,
-        clock: Clock,
-        calls: ModelCalls,
-        health: Health,
-        metrics: Metrics,
-        read_configuration: Callable[[], Configuration | None],
-    ) -> None:
-        self._daemon_id = daemon_id
-        self._clock = clock
-        self._calls = calls
-        self._health = health
-        self._metrics = metrics
-        self._read_configuration = read_configuration
+    def __init__(self, parts: CallerParts) -> None:
+        self._parts = parts
 
     def handle(self, request: CallerRequest) -> Response | Detached:
-        """Answer a request; errors carry the request's id like all answers."""
-        if request.path in {'/livez', '/readyz', '/metrics'}:
+        """Answer a request; all answers carry the request's id."""
+        if request.path in PROBES:
             return self._answer_probe(request.path)
-        request_id = make_request_id(self._daemon_id)
+        request_id = make_request_id(self._parts.daemon_id)
         try:
-            return self._answer(request, request_id)
+            answer = self._answer(request, request_id)
         except RequestError as error:
-            return _with_request_id(render_error(error), request_id)
+            answer = render_error(error)
+        except FireflyhitchError as error:
+            answer = render_error(_describe_fault(error))
+        if isinstance(answer, Detached):
+            return answer
+        header = Header(REQUEST_ID_HEADER, request_id)
+        return Response(answer.status, answer.body, (*answer.headers, header))
 
     def _answer_probe(self, path: str) -> Response:
         if path == '/livez':
             return Response(HTTPStatus.OK, b'alive\n')
         if path == '/metrics':
             kind = Header('Content-Type', METRICS_TYPE)
-            return Response(HTTPStatus.OK, self._metrics.render(), (kind,))
-        obstacle = self._health.find_obstacle()
+            return Response(HTTPStatus.OK, self._parts.metrics.render(), (kind,))
+        obstacle = self._parts.health.find_obstacle()
         if obstacle is None:
             return Response(HTTPStatus.OK, b'ready\n')
         return Response(HTTPStatus.SERVICE_UNAVAILABLE, f'{obstacle}\n'.encode())
@@ -77,7 +90,7 @@
     def _answer(
         self, request: CallerRequest, request_id: RequestId
     ) -> Response | Detached:
-        configuration = self._read_configuration()
+        configuration = self._parts.read_configuration()
         if configuration is None:
             raise RequestError(
                 'this daemon has no configuration yet',
@@ -85,23 +98,37 @@
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
                 code='not_configured',
             )
-        endpoint = ENDPOINTS.get(request.path)
-        if endpoint is not None:
+        kind = ENDPOINTS.get(request.path)
+        if kind is not None:
             _require_method(request, 'POST')
-            now = self._clock.monotonic()
-            asked = parse_model_request(
-                request, endpoint, configuration, request_id, now
+            now = self._parts.clock.monotonic()
+            asked = parse_model_request(request, kind, configuration, request_id, now)
+            return self._parts.calls.accept(request, asked)
+        if request.path.startswith(SERVICES_PREFIX):
+            return self._parts.services.answer(request, configuration, request_id)
+        return self._answer_query(request, configuration)
+
+    def _answer_query(
+        self, request: CallerRequest, configuration: Configuration
+    ) -> Response | Detached:
+        is_models = request.path == '/v1/models'
+        if not is_models and not request.path.startswith(REQUESTS_PREFIX):
+            raise RequestError(
+                f'there is nothing at {request.path}',
+                step=Step.PARSE,
+                status=HTTPStatus.NOT_FOUND,
+                code='not_found',
             )
-            return self._calls.accept(request, asked)
-        if request.path == '/v1/models':
-            authenticate(request, configuration)
-            return _with_request_id(_answer_models(configuration), request_id)
-        raise RequestError(
-            f'there is nothing at {request.path}',
-            step=Step.PARSE,
-            status=HTTPStatus.NOT_FOUND,
-            code='not_found',
-        )
+        _require_method(request, 'GET')
+        customer = authenticate(request, configuration)
+        if not is_models:
+            return self._parts.requests.answer(request, customer.customer_id)
+        models = [
+            {'id': name, 'object': 'model', 'created': 0, 'owned_by': 'fireflyhitch'}
+            for name in list_models(configuration, customer)
+        ]
+        body = json.dumps({'object': 'list', 'data': models}).encode()
+        return Response(HTTPStatus.OK, body, (Header('Content-Type', JSON_TYPE),))
 
 
 def _require_method(request: CallerRequest, method: str) -> None:
@@ -114,15 +141,12 @@
         )
 
 
-def _answer_models(configuration: Configuration) -> Response:
-    models = [
-        {'id': name, 'object': 'model', 'created': 0, 'owned_by': 'fireflyhitch'}
-        for name in list_models(configuration)
-    ]
-    body = json.dumps({'object': 'list', 'data': models}).encode()
-    return Response(HTTPStatus.OK, body, (Header('Content-Type', JSON_TYPE),))
-
-
-def _with_request_id(answer: Response, request_id: RequestId) -> Response:
-    header = Header(REQUEST_ID_HEADER, request_id)
-    return Response(answer.status, answer.body, (*answer.headers, header))
+def _describe_fault(error: FireflyhitchError) -> RequestError:
+    return RequestError(
+        error.message,
+        step=error.step,
+        peer=error.peer,
+        status=HTTPStatus.INTERNAL_SERVER_ERROR,
+        code='internal_error',
+        outcome=Outcome.UNKNOWN,
+    )
--- a/libs/daemon/fireflyhitch_daemon/calls.py
+++ b/libs/daemon/fireflyhitch_daemon/calls.py
@@ -1,56 +1,74 @@
-"""Model calls: accepted, sent, sent again where needed, and accounted for."""
+"""Model calls: accepted, sent, gone on with elsewhere, and accounted for."""
 
-from collections.abc import Callable
+from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from datetime import timedelta
 from http import HTTPStatus
 from threading import Lock
 
-from cachetools import LRUCache
 from loguru import logger
 
-from fireflyhitch_daemon.dispatch import send_call
-from fireflyhitch_daemon.exchange import Exchange, ExchangeState, Follower
+from fireflyhitch_daemon.accounts import Accounts, EndedCall
+from fireflyhitch_daemon.attempts import Attempts
+from fireflyhitch_daemon.exchange import (
+    Exchange,
+    ExchangeState,
+    Follower,
+)
 from fireflyhitch_daemon.front import DETACHED, CallerRequest, Detached
 from fireflyhitch_daemon.parsing import ModelRequest
-from fireflyhitch_daemon.relay import LostUpstream, Relay, RelayEvents
-from fireflyhitch_daemon.selection import LeastInFlight
+from fireflyhitch_daemon.relay import Relay, RelayEvents
+from fireflyhitch_daemon.selection import Selection
 from fireflyhitch_daemon.upstream import Upstream
-from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import RequestError
 from fireflyhitch_model.ids import RequestId
 from fireflyhitch_model.states import Outcome, Step
-from fireflyhitch_telemetry.metrics import CallRecord, Metrics
+from fireflyhitch_recovery.answers import AnswerEnd
+from fireflyhitch_recovery.inflight import InFlight
+from fireflyhitch_recovery.requests import AcceptedRequest, TrackedRequest
+from fireflyhitch_routing.admission import Admission
+from fireflyhitch_routing.retries import RetryBudget
 
-MAX_ATTEMPTS = 4
 RESEND_THREADS = 8
-# Answers that ended are kept for callers that lost their connection.
-KEPT_EXCHANGES = 2048
+# Callers of a request that a peer handed over come back within this time.
+RETURN_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallParts:
+    """What model calls are made with."""
+
+    clock: Clock
+    selection: Selection
+    admission: Admission
+    retries: RetryBudget
+    in_flight: InFlight
+    accounts: Accounts
 
 
 class ModelCalls:
-    """The model calls of this daemon."""
-
-    def __init__(
-        self, clock: Clock, selector: LeastInFlight, metrics: Metrics, max_streams: int
-    ) -> None:
-        self._clock = clock
-        self._selector = selector
-        self._metrics = metrics
+    """The model calls of this daemon.
+
+    :param max_streams: how many it carries well at once.
+    """
+
+    def __init__(self, parts: CallParts, max_streams: int) -> None:
+        self._parts = parts
+        self._clock = parts.clock
         self._max_streams = max_streams
         self._lock = Lock()
-        self._open = 0
-        self._kept: LRUCache[RequestId, Exchange] = LRUCache(KEPT_EXCHANGES)
-        self._resenders = ThreadPoolExecutor(RESEND_THREADS, 'resend')
-        self.relay = Relay(
-            clock,
-            RelayEvents(
-                lost=self._on_lost,
-                first_event=_ignore,
-                ended=self._on_ended,
-            ),
+        self._exchanges: dict[RequestId, Exchange] = {}
+        self._workers = ThreadPoolExecutor(RESEND_THREADS, 'resend')
+        events = RelayEvents(
+            lost=self._on_lost,
+            first_event=self._on_first_event,
+            ended=self._on_ended,
+            orphaned=self._on_orphaned,
         )
+        self.relay = Relay(parts.clock, events)
+        self._attempts = Attempts(parts, self.relay)
 
     def start(self) -> None:
         """Start the relay."""
@@ -59,140 +77,142 @@
     def stop(self) -> None:
         """Stop the relay; streams still open are cut off."""
         self.relay.stop()
-        self._resenders.shutdown(wait=False)
+        self._workers.shutdown(wait=False, cancel_futures=True)
 
     def count_open(self) -> int:
-        """Return how many calls await their answer."""
+        """Return how many calls await their answer here."""
         with self._lock:
-            return self._open
+            return len(self._exchanges)
 
-    def find(self, request_id: RequestId) -> Exchange | None:
-        """Return a call that is open or ended not long ago."""
+    def read_room(self) -> int:
+        """Return how many more streams can be carried."""
+        return max(0, self._max_streams - self.count_open())
+
+    def list_open(self) -> tuple[Exchange, ...]:
+        """Return the calls that await their answer here."""
+        with self._lock:
+            return tuple(self._exchanges.values())
+
+    def find_open(self, request_id: RequestId) -> Exchange | None:
+        """Return a call that awaits its answer here."""
         with self._lock:
-            return self._kept.get(request_id)
+            return self._exchanges.get(request_id)
 
     def accept(self, request: CallerRequest, asked: ModelRequest) -> Detached:
         """Send a call to a backend server and answer it from the relay.
 
-        :raises RequestError: if it could not be sent; then it was not run.
+        :raises RequestError: if it was not sent; then it was not run.
         """
-        exchange = Exchange(asked.call, asked.endpoint, asked.body, asked.streaming)
+        if self.read_room() == 0:
+            raise _refuse_overload()
+        permit = self._parts.admission.admit(asked.call)
+        accepted = AcceptedRequest(
+            asked.call, asked.kind, request.body, asked.streaming
+        )
+        exchange = Exchange(self._parts.in_flight.register(accepted), permit)
         self._enter(exchange)
+        self._parts.retries.record_call(asked.call.customer)
         try:
-            self._dispatch(exchange)
-        except RequestError:
-            self._leave(exchange)
+            self._attempts.begin(exchange)
+        except RequestError as error:
+            exchange.error = error
+            exchange.state = ExchangeState.FAILED
+            self._on_ended(exchange)
             raise
         self.relay.follow(exchange, Follower(request.detach(), asked.streaming))
         return DETACHED
 
+    def take_over(self, tracked: TrackedRequest) -> None:
+        """Go on with a request that a peer handed over; does not block."""
+        exchange = Exchange(tracked, sent=True)
+        exchange.left_until = self._clock.monotonic() + RETURN_SECONDS
+        exchange.relayed = tracked.log.count()
+        self._enter(exchange)
+        self._workers.submit(self._guard, exchange, self._attempts.resume)
+
+    def leave_server(self, request_ids: Iterable[RequestId]) -> None:
+        """Have answers go on at another server before theirs goes."""
+        for request_id in request_ids:
+            exchange = self.find_open(request_id)
+            if exchange is not None:
+                # Without a placement the old engine is not asked for the rest.
+                exchange.tracked.placement = None
+                self.relay.drop(exchange, 'backend server is leaving')
+
     def _enter(self, exchange: Exchange) -> None:
         with self._lock:
-            if self._open >= self._max_streams:
-                raise _refuse_overload()
-            self._open += 1
-            self._kept[exchange.call.request_id] = exchange
-        self._metrics.count_stream(1)
+            self._exchanges[exchange.call.request_id] = exchange
+        self._parts.accounts.metrics.count_stream(1)
 
-    def _leave(self, exchange: Exchange) -> None:
-        with self._lock:
-            self._open -= 1
-        self._metrics.count_stream(-1)
-
-    def _dispatch(self, exchange: Exchange) -> None:
-        """Send to one server after another until one takes the call."""
-        while True:
-            server = self._selector.take(exchange.call, exchange.tried)
-            exchange.tried.add(server.server_id)
-            try:
-                upstream = send_call(exchange, server)
-            except OSError as error:
-                self._selector.release(server.server_id)
-                self._log(exchange, 'backend server not reached', server, str(error))
-                continue
-            exchange.server = server
-            exchange.timing.sent = self._clock.monotonic()
-            self.relay.attach(exchange, upstream)
-            return
+    def _guard(self, exchange: Exchange, step: 'Attempts.Step') -> None:
+        try:
+            step(exchange)
+        except RequestError as error:
+            self.relay.fail(exchange, error)
+        except Exception as error:
+            logger.bind(request_id=exchange.call.request_id).exception('resend failed')
+            self.relay.fail(exchange, _describe_fault(error))
 
-    def _on_lost(
-        self, exchange: Exchange, upstream: Upstream, lost: LostUpstream
-    ) -> None:
-        self._release(exchange)
+    def _on_lost(self, exchange: Exchange, upstream: Upstream, reason: str) -> None:
         logger.bind(
             request_id=exchange.call.request_id,
             step=Step.RELAY.value,
             peer=upstream.server_id,
-            attempt=lost.attempt,
-        ).warning(f'attempt lost: {lost.reason}')
-        if HTTPStatus.BAD_REQUEST <= lost.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            self.relay.fail(exchange, _pass_refusal(upstream, lost))
-            return
-        if exchange.attempts >= MAX_ATTEMPTS:
-            self.relay.fail(exchange, _give_up(exchange, lost))
-            return
-        self._resenders.submit(self._resend, exchange)
+            attempt=exchange.attempts,
+            reason=reason,
+        ).warning('attempt lost')
+        self._workers.submit(
+            self._guard,
+            exchange,
+            lambda lost: self._attempts.recover(lost, upstream, reason),
+        )
 
-    def _resend(self, exchange: Exchange) -> None:
-        try:
-            self._dispatch(exchange)
-        except RequestError as error:
-            # An earlier attempt was sent, so "not run" is no longer certain.
-            error.outcome = Outcome.UNKNOWN
-            self.relay.fail(exchange, error)
+    def _on_first_event(self, exchange: Exchange) -> None:
+        if exchange.ticket is not None:
+            self._parts.selection.router.first_token(exchange.ticket)
+
+    def _on_orphaned(self, exchange: Exchange) -> None:
+        self._attempts.close(exchange)
 
     def _on_ended(self, exchange: Exchange) -> None:
-        self._release(exchange)
-        self._leave(exchange)
-        self._metrics.record_call(_describe(exchange, self._clock.monotonic()))
-        logger.bind(
-            request_id=exchange.call.request_id,
-            customer=exchange.call.customer,
-            deployment=exchange.call.deployment,
-            step=Step.ANSWER.value,
-            state=exchange.state.value,
-            attempts=exchange.attempts,
-            tokens=len(exchange.events),
-        ).info('call ended')
-
-    def _release(self, exchange: Exchange) -> None:
-        if exchange.server is not None:
-            self._selector.release(exchange.server.server_id)
-            exchange.server = None
-
-    def _log(
-        self, exchange: Exchange, event: str, server: BackendServer, detail: str
-    ) -> None:
-        logger.bind(
-            request_id=exchange.call.request_id,
-            step=Step.CONNECT.value,
-            peer=server.address,
-            detail=detail,
-        ).warning(event)
-
-
-_ignore: Callable[[Exchange], None] = lambda exchange: None  # noqa: E731
-
-
-def _describe(exchange: Exchange, now: float) -> CallRecord:
-    timing = exchange.timing
-    first = None
-    if timing.first_event is not None:
-        first = timing.first_event - exchange.call.arrived
-    failed = exchange.error
-    done = exchange.state is ExchangeState.DONE
-    return CallRecord(
-        customer=exchange.call.customer,
-        deployment=exchange.call.deployment,
-        version=None,
-        status=failed.status if failed else HTTPStatus.OK,
-        outcome=Outcome.RAN if done else Outcome.UNKNOWN,
-        tokens=len(exchange.events),
-        attempts=exchange.attempts,
-        first_token_seconds=first,
-        longest_gap_seconds=timing.longest_gap,
-        seconds=now - exchange.call.arrived,
-    )
+        """Account for a call that has ended here; called once for each."""
+        with self._lock:
+            self._exchanges.pop(exchange.call.request_id, None)
+        self._parts.accounts.metrics.count_stream(-1)
+        server = self._attempts.close(exchange)
+        tokens = exchange.tracked.log.count()
+        if exchange.permit is not None:
+            used = exchange.call.prompt_tokens + tokens
+            self._parts.admission.release(exchange.permit, used)
+        if exchange.state is ExchangeState.MOVED:
+            self._parts.in_flight.leave(exchange.tracked)
+            return
+        done = exchange.state is ExchangeState.DONE
+        end = AnswerEnd.COMPLETE if done else AnswerEnd.FAILED
+        self._parts.in_flight.finish(exchange.tracked, end)
+        timing = exchange.timing
+        first = timing.first_event
+        arrived = exchange.call.arrived
+        self._parts.accounts.record_call(
+            EndedCall(
+                call=exchange.call,
+                server=server,
+                status=exchange.error.status if exchange.error else HTTPStatus.OK,
+                outcome=_find_outcome(exchange),
+                ok=exchange.error is None,
+                tokens=tokens,
+                attempts=exchange.attempts,
+                first_token=None if first is None else first - arrived,
+                longest_gap=timing.longest_gap,
+                seconds=self._clock.monotonic() - arrived,
+            )
+        )
+
+
+def _find_outcome(exchange: Exchange) -> Outcome:
+    if exchange.error is not None:
+        return exchange.error.outcome
+    return Outcome.RAN
 
 
 def _refuse_overload() -> RequestError:
@@ -205,22 +225,11 @@
     )
 
 
-def _pass_refusal(upstream: Upstream, lost: LostUpstream) -> RequestError:
+def _describe_fault(error: Exception) -> RequestError:
     return RequestError(
-        f'the backend server refused the call: {lost.reason}',
-        step=Step.FIRST_BYTE,
-        peer=upstream.server_id,
-        status=lost.status,
-        code='backend_refused',
-    )
-
-
-def _give_up(exchange: Exchange, lost: LostUpstream) -> RequestError:
-    return RequestError(
-        f'no backend server finished the answer: {lost.reason}',
-        step=Step.RELAY,
-        status=HTTPStatus.BAD_GATEWAY,
-        code='backend_lost',
+        f'the answer could not be gone on with: {error!r}',
+        step=Step.RESUME,
+        status=HTTPStatus.INTERNAL_SERVER_ERROR,
+        code='internal_error',
         outcome=Outcome.UNKNOWN,
-        retry_after=timedelta(seconds=1),
     )
--- a/libs/daemon/fireflyhitch_daemon/composition.py
+++ b/libs/daemon/fireflyhitch_daemon/composition.py
@@ -1,145 +1,327 @@
 """How a daemon is put together from its settings."""
 
-import hashlib
-import hmac
-import json
-import threading
+import ssl
+from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
-from http import HTTPStatus
+from functools import partial
 
-from cheroot.server import HTTPServer
-from loguru import logger
-from pydantic import TypeAdapter
-from urllib3 import PoolManager
-from urllib3.exceptions import HTTPError
-
-from fireflyhitch_daemon.callers import Callers
-from fireflyhitch_daemon.calls import ModelCalls
+from fireflyhitch_daemon.accounts import Accounts
+from fireflyhitch_daemon.admin import Admin, AdminParts
+from fireflyhitch_daemon.callers import CallerParts, Callers
+from fireflyhitch_daemon.calls import CallParts, ModelCalls
+from fireflyhitch_daemon.departure import Departure, DepartureParts
+from fireflyhitch_daemon.directory import Directory
+from fireflyhitch_daemon.forwarding import Forwarder
 from fireflyhitch_daemon.front import (
-    JSON_TYPE,
     CallerRequest,
-    Header,
+    Detached,
+    FrontServer,
     Response,
     build_server,
 )
 from fireflyhitch_daemon.health import Health
-from fireflyhitch_daemon.selection import LeastInFlight
+from fireflyhitch_daemon.reports import EngineReports
+from fireflyhitch_daemon.requests import RequestAnswers
+from fireflyhitch_daemon.selection import Selection
+from fireflyhitch_daemon.services import ServiceCalls, ServiceParts
+from fireflyhitch_fleet.duties import DutyKeeper
+from fireflyhitch_ledger.ledger import Ledger
+from fireflyhitch_membership.configuration import ConfigurationKeeper
+from fireflyhitch_membership.links import LinkOptions
+from fireflyhitch_membership.network import PeerNetwork
+from fireflyhitch_membership.snapshots import SnapshotExchange
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.instances import InstanceListing
-from fireflyhitch_model.invariants import observe_violations
-from fireflyhitch_model.states import InstanceState, Step
+from fireflyhitch_model.ids import Incarnation
+from fireflyhitch_model.peers import Daemon
+from fireflyhitch_platform.cloud import HttpCloud
+from fireflyhitch_platform.engines import HttpEngines
+from fireflyhitch_platform.etcd import EtcdKeyValueStore
+from fireflyhitch_platform.instance_list import HttpInstanceList
+from fireflyhitch_platform.rates import CallBudget
+from fireflyhitch_recovery.drain import Drain
+from fireflyhitch_recovery.handover import HandOver
+from fireflyhitch_recovery.inflight import InFlight, make_request_id
+from fireflyhitch_rollout.evidence import EvidenceBook
+from fireflyhitch_rollout.moves import MoveKeeper
+from fireflyhitch_rollout.shares import VersionPicker
+from fireflyhitch_routing.admission import Admission
+from fireflyhitch_routing.retries import RetryBudget
+from fireflyhitch_routing.router import Router
 from fireflyhitch_settings.bootstrap import DaemonSettings
 from fireflyhitch_settings.schema import Configuration
+from fireflyhitch_settings.tls import TlsContexts
+from fireflyhitch_telemetry.burn import BurnRecorder
 from fireflyhitch_telemetry.metrics import Metrics
 
-REFRESH = timedelta(seconds=1)
-PLATFORM_SECONDS = 2.0
-DRAIN_POLL_SECONDS = 0.05
+MILLISECONDS = 1000
+
+Handle = Callable[[CallerRequest], Response | Detached]
+
+
+class Listeners:
+    """The two HTTP listeners, bound before there is anything to serve.
+
+    A daemon tells its peers the port on which callers reach it, and the kernel
+    may choose that; so the listeners come first and their handlers later.
+    """
+
+    def __init__(
+        self, settings: DaemonSettings, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._handle_caller: Handle | None = None
+        self._handle_admin: Handle | None = None
+        limits = settings.limits
+        make_id = partial(make_request_id, settings.daemon_id)
+        self.callers = build_server(
+            settings.callers, limits, self._serve_caller, make_id, tls
+        )
+        self.admin = build_server(
+            settings.admin, limits, self._serve_admin, make_id, tls
+        )
 
+    def use(self, callers: Callers, admin: Admin) -> None:
+        """Set what answers."""
+        self._handle_caller = callers.handle
+        self._handle_admin = admin.handle
 
-@dataclass(slots=True)
-class Soft:
-    """What the daemon learned from the platform."""
+    def _serve_caller(self, request: CallerRequest) -> Response | Detached:
+        assert self._handle_caller is not None
+        return self._handle_caller(request)
 
-    configuration: Configuration | None = None
+    def _serve_admin(self, request: CallerRequest) -> Response | Detached:
+        assert self._handle_admin is not None
+        return self._handle_admin(request)
 
 
-class DaemonProcess:
-    """A daemon: its listeners, its loops, and how they start and stop."""
+class Platform:
+    """The clients of the platform's services."""
 
     def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
-        self._settings = settings
-        self._clock = clock
-        self._soft = Soft()
-        self._stopping = threading.Event()
-        self._http = PoolManager(timeout=PLATFORM_SECONDS, retries=False)
+        addresses = settings.platform
+        self.budget = CallBudget(clock)
+        self.store = EtcdKeyValueStore(addresses.key_value, clock, self.budget)
+        self.instance_list = HttpInstanceList(addresses.instance_list)
+        self.cloud = HttpCloud(addresses.cloud)
+
+
+class Control:
+    """What the daemons do together: membership, configuration, version moves."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        platform: Platform,
+        entry_address: str,
+        tls: TlsContexts | None,
+    ) -> None:
+        # Restarts within a millisecond do not occur; a clock that was set back
+        # between them shows as a daemon that peers take for dead, and it then
+        # raises its incarnation itself.
+        incarnation = Incarnation(int(clock.now().timestamp() * MILLISECONDS))
+        here = Daemon(
+            settings.daemon_id,
+            settings.failure_domain,
+            f'{settings.peers.host}:{settings.peers.port}',
+            entry_address,
+            incarnation,
+        )
+        options = LinkOptions(
+            seeds=settings.seeds,
+            peer_key=settings.peer_key,
+            host=settings.peers.host,
+            port=settings.peers.port,
+            server_tls=tls.peers_server if tls else None,
+            client_tls=tls.peers_client if tls else None,
+        )
+        self.network = PeerNetwork(here, options, clock)
+        self.keeper = ConfigurationKeeper(platform.store, self.network, here, clock)
+        self.snapshots = SnapshotExchange(self.network, here)
+        self.snapshots.add(self.keeper.snapshot_section())
+        self.snapshots.add(self.network.snapshot_section())
+        self.duties = DutyKeeper(
+            platform.store, clock, settings.daemon_id, self.network.live
+        )
+        self.evidence = EvidenceBook(here, self.network, clock)
+        self.picker = VersionPicker()
+        self.moves = MoveKeeper(
+            here,
+            platform.store,
+            self.network,
+            self.duties,
+            self.evidence,
+            self.picker,
+            clock,
+        )
+
+    def read_configuration(self) -> Configuration | None:
+        """Return the configuration in force at this daemon."""
+        in_force = self.keeper.in_force()
+        return in_force.configuration if in_force else None
+
+
+class Serving:
+    """What answers callers."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        platform: Platform,
+        control: Control,
+    ) -> None:
+        daemon_id = settings.daemon_id
+        network = control.network
         self.metrics = Metrics()
-        observe_violations(self.metrics.record_violation)
-        self.selector = LeastInFlight()
-        limits = settings.limits
-        self.calls = ModelCalls(clock, self.selector, self.metrics, limits.max_streams)
-        self.health = Health(
-            lambda: self._soft.configuration is not None,
-            self.calls.count_open,
-            limits.max_streams,
+        self.burn = BurnRecorder(clock, settings.failure_domain)
+        self.router = Router(clock, daemon_id)
+        self.admission = Admission(clock, daemon_id, network)
+        self.ledger = Ledger(daemon_id, platform.store, network, clock)
+        self.directory = Directory(daemon_id, self.router, network)
+        self.drain = Drain(clock)
+        self.in_flight = InFlight(daemon_id, clock)
+        self.forwarder = Forwarder()
+        engines = HttpEngines(self.directory.find_address, clock=clock)
+        self.reports = EngineReports(
+            engines,
+            self.router,
+            lambda: self.directory.list_engines(control.read_configuration()),
         )
-        callers = Callers(
-            settings.daemon_id,
+        accounts = Accounts(self.metrics, self.burn, control.evidence)
+        selection = Selection(
+            self.router,
+            control.picker,
+            self.directory.list_versions,
+            self.directory.read_subset,
+        )
+        retries = RetryBudget(clock)
+        self.calls = ModelCalls(
+            CallParts(
+                clock, selection, self.admission, retries, self.in_flight, accounts
+            ),
+            settings.limits.max_streams,
+        )
+        self.services = ServiceCalls(
+            ServiceParts(
+                clock, selection, self.admission, retries, self.ledger, accounts
+            )
+        )
+        self.hand_over = HandOver(
+            network.daemon,
+            network,
             clock,
-            self.calls,
-            self.health,
-            self.metrics,
-            lambda: self._soft.configuration,
+            self.in_flight,
+            self.calls.take_over,
+            self.calls.read_room,
         )
-        self.front = build_server(settings.callers, limits, callers.handle)
-        self.admin = build_server(settings.admin, limits, self._answer_admin)
-
-    def start(self) -> None:
-        """Start all threads; return when callers can be served."""
-        self.calls.start()
-        self._refresh()
-        for server, name in ((self.front, 'callers'), (self.admin, 'admin')):
-            threading.Thread(target=server.serve, name=name, daemon=True).start()
-        threading.Thread(target=self._follow, name='platform', daemon=True).start()
-        logger.bind(callers=_address(self.front), admin=_address(self.admin)).info(
-            'started'
+        self.health = Health(
+            self.drain,
+            lambda: control.keeper.in_force() is not None,
+            self.calls.count_open,
+            settings.limits.max_streams,
         )
 
-    def describe(self) -> dict[str, str]:
-        """Return the addresses that the kernel chose."""
-        return {'callers': _address(self.front), 'admin': _address(self.admin)}
-
-    def stop(self) -> None:
-        """Take no new calls, finish those in progress, then stop."""
-        self.health.draining.set()
-        limit = self._clock.monotonic() + self._settings.limits.drain_seconds
-        while self.calls.count_open() and self._clock.monotonic() < limit:
-            self._stopping.wait(DRAIN_POLL_SECONDS)
-        self._stopping.set()
-        self.front.stop()
-        self.admin.stop()
-        self.calls.stop()
-        logger.bind(open=self.calls.count_open()).info('stopped')
-
-    def _follow(self) -> None:
-        while not self._stopping.wait(REFRESH.total_seconds()):
-            self._refresh()
-
-    def _refresh(self) -> None:
-        addresses = self._settings.platform
-        try:
-            listing = TypeAdapter(InstanceListing).validate_json(
-                self._http.request('GET', addresses.instance_list).data
-            )
-            configuration = Configuration.model_validate_json(
-                self._http.request('GET', f'{addresses.key_value}/configuration').data
+    def count_in_progress(self) -> int:
+        """Return how many calls of either kind are in progress."""
+        return self.calls.count_open() + self.services.count_running()
+
+
+@dataclass(frozen=True, slots=True)
+class Components:
+    """All parts of one daemon."""
+
+    settings: DaemonSettings
+    clock: Clock
+    tls: TlsContexts | None
+    listeners: Listeners
+    platform: Platform
+    control: Control
+    serving: Serving
+    departure: Departure
+
+
+def compose(
+    settings: DaemonSettings, clock: Clock, request_stop: Callable[[], None]
+) -> Components:
+    """Build all parts of a daemon; nothing runs yet.
+
+    :param request_stop: has the process stop gracefully.
+    :raises SettingsErrors: if the TLS files cannot be used.
+    :raises OSError: if an address cannot be listened at.
+    """
+    tls = TlsContexts(settings.tls) if settings.tls else None
+    listeners = Listeners(settings, tls.callers if tls else None)
+    platform = Platform(settings, clock)
+    entry_address = find_address(listeners.callers)
+    control = Control(settings, clock, platform, entry_address, tls)
+    serving = Serving(settings, clock, platform, control)
+    departure = _make_departure(settings, clock, platform, control, serving)
+    listeners.use(
+        Callers(_gather_caller_parts(settings, clock, control, serving)),
+        Admin(
+            AdminParts(
+                settings.admin_token_sha256,
+                control.network,
+                control.keeper,
+                control.moves,
+                serving.burn,
+                serving.calls,
+                serving.directory,
+                serving.health,
+                platform.budget,
+                request_stop,
             )
-        except (HTTPError, ValueError) as error:
-            logger.bind(step=Step.LIST_INSTANCES.value).warning(str(error))
-            return
-        self._soft.configuration = configuration
-        self.selector.update_servers(
-            instance.server
-            for instance in listing.instances
-            if instance.server is not None and instance.state is InstanceState.LIVE
-        )
+        ),
+    )
+    return Components(
+        settings, clock, tls, listeners, platform, control, serving, departure
+    )
 
-    def _answer_admin(self, request: CallerRequest) -> Response:
-        token = request.headers.get('authorization', '').removeprefix('Bearer ')
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        if not hmac.compare_digest(digest, self._settings.admin_token_sha256):
-            return Response(HTTPStatus.UNAUTHORIZED)
-        status = {
-            'daemon': self._settings.daemon_id,
-            'failure_domain': self._settings.failure_domain,
-            'obstacle': self.health.find_obstacle(),
-            'open_streams': self.calls.count_open(),
-        }
-        body = json.dumps(status).encode()
-        return Response(HTTPStatus.OK, body, (Header('Content-Type', JSON_TYPE),))
-
-
-def _address(server: HTTPServer) -> str:
+
+def find_address(server: FrontServer) -> str:
+    """Return ``host:port`` that a server is bound to."""
     host, port = server.bind_addr[:2]
     return f'{host}:{port}'
+
+
+def _make_departure(
+    settings: DaemonSettings,
+    clock: Clock,
+    platform: Platform,
+    control: Control,
+    serving: Serving,
+) -> Departure:
+    parts = DepartureParts(
+        clock,
+        serving.drain,
+        control.network,
+        serving.hand_over,
+        serving.calls,
+        serving.directory,
+        platform.cloud,
+        control.evidence,
+    )
+    return Departure(settings.instance_id, parts)
+
+
+def _gather_caller_parts(
+    settings: DaemonSettings, clock: Clock, control: Control, serving: Serving
+) -> CallerParts:
+    requests = RequestAnswers(
+        settings.daemon_id,
+        serving.calls,
+        serving.in_flight,
+        serving.hand_over.locations,
+        control.network,
+        serving.forwarder,
+    )
+    return CallerParts(
+        settings.daemon_id,
+        clock,
+        serving.calls,
+        serving.services,
+        requests,
+        serving.health,
+        serving.metrics,
+        control.read_configuration,
+    )
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/directory.py
@@ -0,0 +1,135 @@
+"""The backend servers there are, as the instance list and the marks tell."""
+
+from collections.abc import Iterable
+from threading import Lock
+
+from fireflyhitch_membership.network import PeerNetwork
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.ids import (
+    BackendServerId,
+    DaemonId,
+    DeploymentId,
+    InstanceId,
+    VersionId,
+)
+from fireflyhitch_model.instances import InstanceListing
+from fireflyhitch_model.states import InstanceState
+from fireflyhitch_routing.router import Router
+from fireflyhitch_routing.subset import choose_subset
+from fireflyhitch_settings.schema import Configuration, ModelDeployment
+
+
+class Directory:
+    """Keeps the router's servers and this daemon's subset of them."""
+
+    def __init__(
+        self, daemon_id: DaemonId, router: Router, network: PeerNetwork
+    ) -> None:
+        self._daemon_id = daemon_id
+        self._router = router
+        self._network = network
+        self._lock = Lock()
+        self._servers: dict[BackendServerId, BackendServer] = {}
+        self._subsets: dict[DeploymentId, frozenset[BackendServerId]] = {}
+
+    def update(self, listing: InstanceListing) -> None:
+        """Take in the instance list; leaving marks hold whatever it says."""
+        self._network.update_instance_list(listing)
+        servers = {
+            instance.server.server_id: instance.server
+            for instance in listing.instances
+            if instance.server is not None
+            and instance.state is InstanceState.LIVE
+            and not self._network.is_leaving(
+                instance.instance_id, instance.server.incarnation
+            )
+        }
+        subsets = self._choose_subsets(servers.values())
+        with self._lock:
+            self._servers = servers
+            self._subsets = subsets
+        self._router.update_servers(servers.values())
+        self._router.share_with(len(self._network.live()))
+
+    def remove(self, instances: Iterable[InstanceId]) -> tuple[BackendServerId, ...]:
+        """Give the servers of some instances no new work.
+
+        :returns: the servers.
+        """
+        leaving = frozenset(instances)
+        with self._lock:
+            gone = tuple(
+                server.server_id
+                for server in self._servers.values()
+                if server.instance in leaving
+            )
+            for server_id in gone:
+                self._servers.pop(server_id)
+        for server_id in gone:
+            self._router.mark_leaving(server_id)
+        return gone
+
+    def list_servers(self) -> tuple[BackendServer, ...]:
+        """Return the servers that may be given work."""
+        with self._lock:
+            return tuple(self._servers.values())
+
+    def list_engines(
+        self, configuration: Configuration | None
+    ) -> tuple[BackendServer, ...]:
+        """Return the model engines that this daemon uses; plain services report
+        nothing, and asking them would be a call.
+        """
+        if configuration is None:
+            return ()
+        models = {
+            deployment.name
+            for deployment in configuration.deployments
+            if isinstance(deployment, ModelDeployment)
+        }
+        return tuple(
+            server
+            for server in self.list_servers()
+            if server.deployment in models
+            and server.server_id in (self.read_subset(server.deployment) or ())
+        )
+
+    def find(self, instance: InstanceId) -> BackendServer | None:
+        """Return the server of an instance."""
+        for server in self.list_servers():
+            if server.instance == instance:
+                return server
+        return None
+
+    def find_address(self, server_id: BackendServerId) -> str | None:
+        """Return where a server listens."""
+        with self._lock:
+            server = self._servers.get(server_id)
+        return server.address if server else None
+
+    def list_versions(self, deployment: DeploymentId) -> frozenset[VersionId]:
+        """Return the versions that a deployment's servers have."""
+        return frozenset(
+            server.version
+            for server in self.list_servers()
+            if server.deployment == deployment
+        )
+
+    def read_subset(
+        self, deployment: DeploymentId
+    ) -> frozenset[BackendServerId] | None:
+        """Return the servers that this daemon uses; ``None`` for all."""
+        with self._lock:
+            return self._subsets.get(deployment)
+
+    def _choose_subsets(
+        self, servers: Iterable[BackendServer]
+    ) -> dict[DeploymentId, frozenset[BackendServerId]]:
+        daemons = [daemon.daemon_id for daemon in self._network.live()]
+        replicas: dict[DeploymentId, list[BackendServerId]] = {}
+        for server in servers:
+            replicas.setdefault(server.deployment, []).append(server.server_id)
+        return {
+            deployment: choose_subset(self._daemon_id, daemons, names)
+            for deployment, names in replicas.items()
+        }
--- a/libs/daemon/fireflyhitch_daemon/dispatch.py
+++ b/libs/daemon/fireflyhitch_daemon/dispatch.py
@@ -1,68 +1,96 @@
-"""Sending a model call to a backend server, and again where that is safe."""
+"""Opening connections to backend servers and sending model calls on them."""
 
 import json
 import socket
-from collections.abc import Mapping
-from typing import Any
+from http import HTTPStatus
 
 from urllib3.connection import HTTPConnection
 
-from fireflyhitch_daemon.assembly import collect_text
-from fireflyhitch_daemon.exchange import Endpoint, Exchange
-from fireflyhitch_daemon.upstream import Upstream
 from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.ids import AttemptId, RequestId
+from fireflyhitch_recovery.events import AttemptTag
+from fireflyhitch_recovery.requests import (
+    AcceptedRequest,
+    CompletionKind,
+    Placement,
+)
 
 CONNECT_SECONDS = 1.0
 NO_DELAY: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 ]
+PATHS = {
+    CompletionKind.CHAT: '/v1/chat/completions',
+    CompletionKind.TEXT: '/v1/completions',
+}
 
 
-def send_call(exchange: Exchange, server: BackendServer) -> Upstream:
-    """Connect to a server and send the call, or its continuation.
+def open_connection(address: str) -> HTTPConnection:
+    """Connect to a backend server.
 
-    :raises OSError: if the server could not be reached.
+    :param address: ``host:port``.
+    :raises OSError: if it is not reached in time; nothing was sent then.
     """
-    exchange.attempts += 1
-    host, _, port = server.address.rpartition(':')
+    host, _, port = address.rpartition(':')
     connection = HTTPConnection(
         host, int(port), timeout=CONNECT_SECONDS, socket_options=NO_DELAY
     )
+    connection.connect()
+    return connection
+
+
+def name_attempt(request_id: RequestId, tag: AttemptTag) -> AttemptId:
+    """Return the id under which an engine knows an attempt."""
+    return AttemptId(f'{request_id}.{tag or 1}')
+
+
+def send_call(
+    server: BackendServer, accepted: AcceptedRequest, body: bytes, attempt: AttemptId
+) -> socket.socket:
+    """Send a call, or its continuation, and return the connection's socket.
+
+    :raises OSError: if the server was not reached or the connection broke.
+    """
+    connection = open_connection(server.address)
+    headers = {'Content-Type': 'application/json', 'X-Request-Id': attempt}
+    connection.request('POST', PATHS[accepted.kind], body=body, headers=headers)
+    return _take_socket(connection)
+
+
+def send_resume(placement: Placement, received: int) -> socket.socket:
+    """Ask an engine for the rest of a stream that it still runs.
+
+    :param received: how many events of the whole answer there are already.
+    :raises OSError: if the engine was not reached.
+    """
+    connection = open_connection(placement.address)
+    after = received - placement.offset
     connection.request(
-        'POST',
-        exchange.endpoint.value,
-        body=json.dumps(build_body(exchange)).encode(),
-        headers={
-            'Content-Type': 'application/json',
-            'X-Request-Id': f'{exchange.call.request_id}.{exchange.attempts}',
-        },
+        'GET', f'/engine/streams/{placement.engine_attempt}?after={after}'
     )
-    sock: socket.socket = connection.sock
-    return Upstream(sock, exchange.attempts, server.server_id)
+    return _take_socket(connection)
 
 
-def build_body(exchange: Exchange) -> Mapping[str, Any]:
-    """Return what the backend server is asked for.
+def request_stream(body: bytes, *, with_usage: bool) -> bytes:
+    """Return a body that asks for the answer as a stream.
 
-    The answer is always asked for as a stream, also for a caller that wants it
-    whole: only a stream tells how far the answer had come when a server is lost.
+    All answers are asked for as streams, also those that a caller wants whole:
+    only a stream tells how far the answer had come when a server is lost.
     """
-    body = {**exchange.body, 'stream': True}
-    if not exchange.streaming:
-        body['stream_options'] = {'include_usage': True}
-    if not exchange.events:
-        return body
-    return _continue_body(exchange, body)
-
-
-def _continue_body(exchange: Exchange, body: dict[str, Any]) -> Mapping[str, Any]:
-    text = collect_text(exchange.endpoint, exchange.events)
-    body['max_tokens'] = max(1, exchange.call.max_tokens - len(exchange.events))
-    if exchange.endpoint is Endpoint.TEXT:
-        body['prompt'] = f'{body["prompt"]}{text}'
-        return body
-    partial = {'role': 'assistant', 'content': text}
-    body['messages'] = [*body['messages'], partial]
-    body['continue_final_message'] = True
-    body['add_generation_prompt'] = False
-    return body
+    request = json.loads(body)
+    request['stream'] = True
+    if with_usage:
+        request['stream_options'] = {'include_usage': True}
+    return json.dumps(request).encode()
+
+
+def is_callers_fault(status: int) -> bool:
+    """Tell whether a backend server found fault with the request itself."""
+    if status in {HTTPStatus.REQUEST_TIMEOUT, HTTPStatus.TOO_MANY_REQUESTS}:
+        return False
+    return HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+def _take_socket(connection: HTTPConnection) -> socket.socket:
+    sock: socket.socket = connection.sock
+    return sock
--- a/libs/daemon/fireflyhitch_daemon/exchange.py
+++ b/libs/daemon/fireflyhitch_daemon/exchange.py
@@ -1,33 +1,30 @@
-"""A model call from its acceptance to its last byte."""
+"""A model call from its acceptance to its last byte, as the relay sees it."""
 
 import socket
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
 
 from fireflyhitch_daemon.upstream import Upstream
-from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.errors import RequestError
 from fireflyhitch_model.ids import BackendServerId
-
-
-class Endpoint(Enum):
-    """Which of the two model endpoints was called."""
-
-    CHAT = '/v1/chat/completions'
-    TEXT = '/v1/completions'
+from fireflyhitch_recovery.requests import CompletionKind, TrackedRequest
+from fireflyhitch_routing.admission import Permit
+from fireflyhitch_routing.choices import Ticket
 
 
 class ExchangeState(Enum):
-    """How far a call has come."""
+    """How far a call has come here."""
 
     WAITING = 'waiting'
     STREAMING = 'streaming'
     DONE = 'done'
     FAILED = 'failed'
     ABANDONED = 'abandoned'
+    MOVED = 'moved'
+
+
+OPEN_STATES = frozenset((ExchangeState.WAITING, ExchangeState.STREAMING))
 
 
 @dataclass(slots=True, eq=False)
@@ -35,7 +32,7 @@
     """A caller's connection that receives an exchange's answer.
 
     :param streaming: whether it gets events as they come, or the whole at the end.
-    :param position: how many events it has been sent.
+    :param position: the number of the last event that it was sent.
     :param pending: bytes that its socket has not taken yet.
     """
 
@@ -51,7 +48,6 @@
 class Timing:
     """Monotonic seconds of what happened when, for evidence and burn."""
 
-    sent: float = 0
     first_event: float | None = None
     last_event: float = 0
     longest_gap: float = 0
@@ -61,29 +57,41 @@
 class Exchange:
     """A call, its answer so far, and who receives it.
 
-    Only the relay's thread changes an exchange once it has been handed over.
+    Only the relay's thread changes ``followers``, ``upstream``, ``relayed``,
+    ``state`` and ``timing``; dispatch owns the rest between two attempts.
 
-    :param body: the caller's request, parsed.
-    :param events: the data of each event so far; event ids count from 1.
+    :param relayed: how many events the answer has that may be relayed.
+    :param offset: how many events came before the present attempt.
+    :param left_until: monotonic seconds until which a caller may come back;
+        ``None`` while one is there.
     """
 
-    call: Call
-    endpoint: Endpoint
-    body: Mapping[str, Any]
-    streaming: bool
-    events: list[bytes] = field(default_factory=list)
+    tracked: TrackedRequest
+    permit: Permit | None = None
     followers: list[Follower] = field(default_factory=list)
     upstream: Upstream | None = None
+    relayed: int = 0
     attempts: int = 0
-    server: BackendServer | None = None
+    offset: int = 0
     tried: set[BackendServerId] = field(default_factory=set)
+    ticket: Ticket | None = None
+    sent: bool = False
     state: ExchangeState = ExchangeState.WAITING
     timing: Timing = field(default_factory=Timing)
     error: RequestError | None = None
-    ended: float | None = None
-    left_alone: float | None = None
+    left_until: float | None = None
+
+    @property
+    def call(self) -> Call:
+        """Return the call as the decisions see it."""
+        return self.tracked.accepted.call
+
+    @property
+    def kind(self) -> CompletionKind:
+        """Return the form of the request."""
+        return self.tracked.accepted.kind
 
     @property
     def open(self) -> bool:
-        """Tell whether the answer is still awaited."""
-        return self.state in {ExchangeState.WAITING, ExchangeState.STREAMING}
+        """Tell whether the answer is still awaited here."""
+        return self.state in OPEN_STATES
--- a/libs/daemon/fireflyhitch_daemon/front.py
+++ b/libs/daemon/fireflyhitch_daemon/front.py
@@ -52,6 +52,9 @@
 class CallerRequest:
     """A request as read from its connection.
 
+    The body is read when it is first asked for, so that a request which is refused
+    for its key or its path costs no memory.
+
     :param headers: names in lower case.
     :param peer: the caller's IP number.
     """
@@ -60,9 +63,20 @@
     path: str
     query: str
     headers: Mapping[str, str]
-    body: bytes
     peer: str
     _request: HTTPRequest = field(repr=False)
+    _max_body_bytes: int = field(repr=False)
+    _body: bytes | None = field(default=None, repr=False)
+
+    @property
+    def body(self) -> bytes:
+        """Return the body.
+
+        :raises RequestError: 413 if it is larger than the limit.
+        """
+        if self._body is None:
+            self._body = _read_body(self._request, self.headers, self._max_body_bytes)
+        return self._body
 
     def detach(self) -> socket.socket:
         """Take the connection's socket away from the front.
@@ -87,9 +101,13 @@
     listener: Listener,
     limits: Limits,
     handler: Handler,
+    make_id: Callable[[], str],
     tls: ssl.SSLContext | None = None,
 ) -> 'FrontServer':
-    """Make a server that is bound but does not serve yet."""
+    """Make a server that is bound but does not serve yet.
+
+    :param make_id: makes ids for requests that are refused before the handler.
+    """
     server = FrontServer(
         (listener.host, listener.port),
         gateway=_FrontGateway,
@@ -100,6 +118,7 @@
         reuse_port=listener.port != 0,
     )
     server.handler = handler
+    server.make_id = make_id
     server.limits = limits
     server.requests = ThreadPool(server, min=WORKER_THREADS, max=WORKER_THREADS)
     server.ConnectionClass.RequestHandlerClass = _JsonErrorRequest
@@ -139,6 +158,7 @@
 
     handler: Handler
     limits: Limits
+    make_id: Callable[[], str]
 
 
 class _JsonErrorRequest(HTTPRequest):
@@ -154,7 +174,11 @@
             code='bad_request',
         )
         self.close_connection = True
-        _write_response(self, render_error(error))
+        answer = render_error(error)
+        server: FrontServer = self.server
+        header = Header(REQUEST_ID_HEADER, server.make_id())
+        named = Response(answer.status, answer.body, (*answer.headers, header))
+        _write_response(self, named)
 
 
 class _ContextAdapter(BuiltinSSLAdapter):
@@ -189,9 +213,9 @@
         path=request.path.decode('latin-1'),
         query=(request.qs or b'').decode('latin-1'),
         headers=headers,
-        body=_read_body(request, headers, limits.max_body_bytes),
         peer=str(request.conn.remote_addr),
         _request=request,
+        _max_body_bytes=limits.max_body_bytes,
     )
 
 
--- a/libs/daemon/fireflyhitch_daemon/health.py
+++ b/libs/daemon/fireflyhitch_daemon/health.py
@@ -1,7 +1,8 @@
 """Whether the platform's balancer should send callers here."""
 
 from collections.abc import Callable
-from threading import Event
+
+from fireflyhitch_recovery.drain import Drain
 
 # Near its limit a daemon asks for no more callers, so that the streams it has
 # keep their pace; what still arrives is taken up to the limit.
@@ -13,18 +14,19 @@
 
     def __init__(
         self,
+        drain: Drain,
         is_configured: Callable[[], bool],
         count_open: Callable[[], int],
         max_streams: int,
     ) -> None:
+        self._drain = drain
         self._is_configured = is_configured
         self._count_open = count_open
         self._max_streams = max_streams
-        self.draining = Event()
 
     def find_obstacle(self) -> str | None:
         """Return why the daemon is not ready, or ``None`` if it is."""
-        if self.draining.is_set():
+        if not self._drain.ready:
             return 'draining'
         if not self._is_configured():
             return 'no configuration'
--- a/libs/daemon/fireflyhitch_daemon/main.py
+++ b/libs/daemon/fireflyhitch_daemon/main.py
@@ -11,9 +11,10 @@
 
 from loguru import logger
 
-from fireflyhitch_daemon.composition import DaemonProcess
+from fireflyhitch_daemon.process import DaemonProcess
 from fireflyhitch_model.clock import SystemClock
-from fireflyhitch_settings.bootstrap import DaemonSettings
+from fireflyhitch_settings.errors import SettingsErrors
+from fireflyhitch_settings.loader import load_daemon_settings
 from fireflyhitch_telemetry.logs import configure_logs
 
 EXIT_SETTINGS = 2
@@ -30,17 +31,24 @@
     parser = argparse.ArgumentParser(prog='fireflyhitchd', description=__doc__)
     parser.add_argument('settings', type=Path, help="the daemon's settings file")
     chosen = parser.parse_args(arguments)
-    settings = DaemonSettings.model_validate(
-        json.loads(chosen.settings.read_text(encoding='utf-8'))
-    )
+    try:
+        settings = load_daemon_settings(chosen.settings)
+    except SettingsErrors as errors:
+        lines = '\n'.join(map(str, errors.exceptions))
+        sys.stderr.write(f'{lines}\n')
+        return EXIT_SETTINGS
     configure_logs(settings.log_level)
     sys.setswitchinterval(SWITCH_SECONDS)
-    stop = threading.Event()
-    stop_on_signals(stop)
-    process = DaemonProcess(settings, SystemClock())
+    try:
+        process = DaemonProcess(settings, SystemClock())
+    except OSError as error:
+        logger.bind(error=repr(error)).error('cannot listen')
+        return EXIT_SETTINGS
+    stop_on_signals(process.stop_requested)
+    signal.signal(signal.SIGHUP, lambda *_: process.reload_tls())
     process.start()
     print(json.dumps(process.describe()), flush=True)  # noqa: WPS421
-    stop.wait()
+    process.stop_requested.wait()
     logger.info('stopping')
     process.stop()
     return 0
--- a/libs/daemon/fireflyhitch_daemon/parsing.py
+++ b/libs/daemon/fireflyhitch_daemon/parsing.py
@@ -3,24 +3,23 @@
 import hashlib
 import hmac
 import json
-import secrets
-from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from fireflyhitch_daemon.exchange import Endpoint
 from fireflyhitch_daemon.front import CallerRequest
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.errors import RequestError
-from fireflyhitch_model.ids import DaemonId, DeploymentId, RequestId
+from fireflyhitch_model.ids import DeploymentId, RequestId
 from fireflyhitch_model.prompts import estimate_tokens, hash_prefix_blocks
 from fireflyhitch_model.states import Step
+from fireflyhitch_recovery.requests import CompletionKind
 from fireflyhitch_settings.schema import (
     Configuration,
     Customer,
+    Deployment,
     ModelDeployment,
     ServiceDeployment,
 )
@@ -28,7 +27,6 @@
 DEADLINE_HEADER = 'fireflyhitch-deadline-ms'
 BEARER = 'Bearer '
 DEFAULT_MAX_TOKENS = 1024
-REQUEST_ID_BYTES = 12
 MILLISECONDS = 1000
 
 
@@ -64,17 +62,11 @@
     """A model call, checked."""
 
     call: Call
-    endpoint: Endpoint
-    body: Mapping[str, Any]
+    kind: CompletionKind
     streaming: bool
     deployment: ModelDeployment
 
 
-def make_request_id(daemon: DaemonId) -> RequestId:
-    """Return a new id that names the accepting daemon and cannot be guessed."""
-    return RequestId(f'req-{daemon}-{secrets.token_hex(REQUEST_ID_BYTES)}')
-
-
 def authenticate(request: CallerRequest, configuration: Configuration) -> Customer:
     """Return the customer whose key the request bears.
 
@@ -99,12 +91,14 @@
     return found
 
 
-def find_service(configuration: Configuration, name: str) -> ServiceDeployment:
+def find_service(
+    configuration: Configuration, customer: Customer, name: str
+) -> ServiceDeployment:
     """Return a plain service's deployment.
 
     :raises RequestError: 404 if there is none of that name.
     """
-    for deployment in configuration.deployments:
+    for deployment in _list_served(configuration, customer):
         if isinstance(deployment, ServiceDeployment) and deployment.name == name:
             return deployment
     raise RequestError(
@@ -130,7 +124,7 @@
 
 def parse_model_request(
     request: CallerRequest,
-    endpoint: Endpoint,
+    kind: CompletionKind,
     configuration: Configuration,
     request_id: RequestId,
     now: float,
@@ -141,15 +135,15 @@
     """
     customer = authenticate(request, configuration)
     body = _parse_json(request.body)
-    checked = _check_body(endpoint, body)
-    deployment = _find_model(configuration, checked.model)
+    checked = _check_body(kind, body)
+    deployment = _find_model(configuration, customer, checked.model)
     prompt = _read_prompt(checked)
     max_tokens = checked.max_tokens or checked.max_completion_tokens
     call = Call(
         request_id=request_id,
         customer=customer.customer_id,
         deployment=deployment.name,
-        route=endpoint.value,
+        route=kind.value,
         priority=customer.priority,
         prompt_tokens=estimate_tokens(prompt),
         max_tokens=max_tokens or DEFAULT_MAX_TOKENS,
@@ -157,7 +151,7 @@
         arrived=now,
         deadline=read_deadline(request, now, deployment.timeout_seconds),
     )
-    return ModelRequest(call, endpoint, body, checked.stream, deployment)
+    return ModelRequest(call, kind, checked.stream, deployment)
 
 
 def _parse_json(body: bytes) -> dict[str, Any]:
@@ -170,8 +164,8 @@
     return parsed
 
 
-def _check_body(endpoint: Endpoint, body: dict[str, Any]) -> _ChatBody | _TextBody:
-    shape = _ChatBody if endpoint is Endpoint.CHAT else _TextBody
+def _check_body(kind: CompletionKind, body: dict[str, Any]) -> _ChatBody | _TextBody:
+    shape = _ChatBody if kind is CompletionKind.CHAT else _TextBody
     try:
         return shape.model_validate(body)
     except ValidationError as error:
@@ -182,8 +176,10 @@
         raise _refuse(problems, 'invalid_request') from error
 
 
-def _find_model(configuration: Configuration, name: str) -> ModelDeployment:
-    for deployment in configuration.deployments:
+def _find_model(
+    configuration: Configuration, customer: Customer, name: str
+) -> ModelDeployment:
+    for deployment in _list_served(configuration, customer):
         if isinstance(deployment, ModelDeployment) and deployment.name == name:
             return deployment
     raise RequestError(
@@ -208,10 +204,18 @@
     )
 
 
-def list_models(configuration: Configuration) -> list[DeploymentId]:
-    """Return the names of the models that are served."""
+def list_models(configuration: Configuration, customer: Customer) -> list[DeploymentId]:
+    """Return the names of the models that a customer may call."""
     return [
         deployment.name
-        for deployment in configuration.deployments
+        for deployment in _list_served(configuration, customer)
         if isinstance(deployment, ModelDeployment)
     ]
+
+
+def _list_served(configuration: Configuration, customer: Customer) -> list[Deployment]:
+    return [
+        deployment
+        for deployment in configuration.deployments
+        if deployment.serves(customer.customer_id)
+    ]
--- a/libs/daemon/fireflyhitch_daemon/relay.py
+++ b/libs/daemon/fireflyhitch_daemon/relay.py
@@ -7,73 +7,46 @@
 
 import os
 import select
-import ssl
 import threading
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from http import HTTPStatus
 
 from loguru import logger
 
 from fireflyhitch_daemon.exchange import Exchange, ExchangeState, Follower
-from fireflyhitch_daemon.replies import (
-    describe_fault,
-    describe_timeout,
-    render_stream_end,
-    render_stream_head,
-    render_whole,
-)
-from fireflyhitch_daemon.sse import (
-    DONE,
-    LAST_CHUNK,
-    render_chunk,
-    render_events,
-    split_events,
-)
+from fireflyhitch_daemon.followers import Followers
+from fireflyhitch_daemon.replies import describe_fault, describe_timeout
+from fireflyhitch_daemon.sse import DONE, render_chunk, render_events, split_events
 from fireflyhitch_daemon.upstream import Upstream
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.errors import FireflyhitchError, RequestError
+from fireflyhitch_model.errors import RequestError
 from fireflyhitch_model.invariants import Invariant, invariant
 from fireflyhitch_model.states import Step
+from fireflyhitch_recovery.answers import AnswerEnd, LogState
+from fireflyhitch_recovery.continuation import adapt_event
 
 SWEEP_SECONDS = 0.1
-DRAIN_BYTES = 4096
 # A backend server that is silent this long in mid answer is taken for lost:
 # engines that still work send a token at least every few seconds.
 STALL_SECONDS = 5.0
+# One that has not begun by then is taken for lost too; a healthy engine that is
+# this far behind is refused by routing before the call is sent.
+START_SECONDS = 20.0
 # A caller that lost its connection may come back for the rest this long; after
 # that nobody waits for the answer and the engine's stream is cancelled.
 RECONNECT_SECONDS = 2.0
-# A caller that reads too slowly is cut off rather than filling the memory; it can
-# come back for the rest by its last event id.
-MAX_PENDING_BYTES = 1024 * 1024
-RETRY_LATER = (ssl.SSLWantReadError, ssl.SSLWantWriteError, BlockingIOError)
-READABLE = select.EPOLLIN | select.EPOLLRDHUP
-WRITABLE = READABLE | select.EPOLLOUT
-
-
-@dataclass(frozen=True, slots=True)
-class LostUpstream:
-    """Why an attempt ended without the whole answer.
-
-    :param refused: the backend server said that it did not run the call.
-    """
-
-    attempt: int
-    reason: str
-    status: int
-    refused: bool
 
 
 @dataclass(frozen=True, slots=True)
 class RelayEvents:
     """Whom the relay tells; each function must return at once."""
 
-    lost: Callable[[Exchange, Upstream, LostUpstream], None]
+    lost: Callable[[Exchange, Upstream, str], None]
     first_event: Callable[[Exchange], None]
     ended: Callable[[Exchange], None]
+    orphaned: Callable[[Exchange], None]
 
 
 Command = Callable[[], None]
@@ -89,8 +62,9 @@
         self._wake = os.eventfd(0, os.EFD_NONBLOCK)
         self._commands: deque[Command] = deque()
         self._upstreams: dict[int, tuple[Exchange, Upstream]] = {}
-        self._followers: dict[int, tuple[Exchange, Follower]] = {}
+        self._followers = Followers(self._poll, self._note_left)
         self._exchanges: set[Exchange] = set()
+        self._parked: list[Upstream] = []
         self._stopping = False
         self._next_sweep = 0.0
         self._thread = threading.Thread(target=self._run, name='relay', daemon=True)
@@ -106,27 +80,28 @@
         self._notify()
         self._thread.join()
 
-    def count_open(self) -> int:
-        """Return how many exchanges await their answer."""
-        return len(self._exchanges)
-
     def attach(self, exchange: Exchange, upstream: Upstream) -> None:
         """Read an exchange's answer from a new attempt."""
-        self._submit(partial(self._attach, exchange, upstream))
+        self.run(partial(self._attach, exchange, upstream))
 
     def follow(self, exchange: Exchange, follower: Follower) -> None:
         """Send an exchange's answer to one more caller's connection."""
-        self._submit(partial(self._follow, exchange, follower))
+        self.run(partial(self._follow, exchange, follower))
 
     def fail(self, exchange: Exchange, error: RequestError) -> None:
         """End an exchange with an error."""
-        self._submit(partial(self._fail, exchange, error))
+        self.run(partial(self._fail, exchange, error))
+
+    def complete(self, exchange: Exchange) -> None:
+        """End an exchange whose answer turned out to be whole."""
+        self.run(partial(self._end, exchange, ExchangeState.DONE))
+
+    def drop(self, exchange: Exchange, reason: str) -> None:
+        """Leave an exchange's backend server and have the answer go on elsewhere."""
+        self.run(partial(self._drop_upstream, exchange, reason))
 
     def run(self, command: Command) -> None:
         """Run a short function on the loop's thread."""
-        self._submit(command)
-
-    def _submit(self, command: Command) -> None:
         self._commands.append(command)
         self._notify()
 
@@ -141,16 +116,16 @@
                 self._sweep()
 
     def _serve(self, descriptor: int, flags: int) -> None:
-        if descriptor == self._wake:
-            self._run_commands()
-            return
         reading = self._upstreams.get(descriptor)
         if reading is not None:
             self._guard(reading[0], self._read, *reading)
             return
-        following = self._followers.get(descriptor)
+        if descriptor == self._wake:
+            self._run_commands()
+            return
+        following = self._followers.find(descriptor)
         if following is not None:
-            self._guard(following[0], self._serve_follower, *following, flags)
+            self._guard(following[0], self._followers.serve, *following, flags)
 
     def _run_commands(self) -> None:
         os.eventfd_read(self._wake)
@@ -168,16 +143,16 @@
     ) -> None:
         try:
             step(*arguments)
-        except FireflyhitchError as error:
-            self._fail(exchange, describe_fault(error))
         except Exception as error:
             # As above: only this exchange ends.
-            logger.exception('relay step failed')
+            logger.bind(request_id=exchange.call.request_id).exception('relay failed')
             self._fail(exchange, describe_fault(error))
 
     def _attach(self, exchange: Exchange, upstream: Upstream) -> None:
         if not exchange.open:
+            # It ended while its next attempt was being sent.
             upstream.close()
+            self._events.orphaned(exchange)
             return
         exchange.upstream = upstream
         exchange.timing.last_event = self._clock.monotonic()
@@ -186,58 +161,69 @@
         self._upstreams[descriptor] = (exchange, upstream)
         self._poll.register(descriptor, select.EPOLLIN)
 
-    def _detach(self, upstream: Upstream) -> None:
+    def _forget(self, upstream: Upstream) -> None:
         descriptor = upstream.sock.fileno()
         if self._upstreams.pop(descriptor, None) is not None:
             self._poll.unregister(descriptor)
-        upstream.close()
 
     def _follow(self, exchange: Exchange, follower: Follower) -> None:
-        follower.sock.setblocking(False)
-        descriptor = follower.sock.fileno()
-        exchange.followers.append(follower)
-        exchange.left_alone = None
-        self._followers[descriptor] = (exchange, follower)
-        self._poll.register(descriptor, READABLE)
+        self._followers.add(exchange, follower)
+        exchange.left_until = None
         if exchange.open:
             self._exchanges.add(exchange)
-        if follower.streaming and len(exchange.events) > follower.position:
-            self._send_head(exchange, follower)
-            self._send_events(exchange, follower)
-        if not exchange.open:
-            self._finish_follower(exchange, follower)
+            self._followers.catch_up(exchange, follower)
+            return
+        self._followers.finish(exchange, follower)
 
     def _read(self, exchange: Exchange, upstream: Upstream) -> None:
         more = upstream.read()
         if upstream.body:
             self._take_body(exchange, upstream)
-        if more or not exchange.open:
+        if more or exchange.upstream is not upstream:
             return
-        self._detach(upstream)
+        self._forget(upstream)
+        upstream.close()
         self._lose(exchange, upstream, 'connection ended in mid answer')
 
     def _take_body(self, exchange: Exchange, upstream: Upstream) -> None:
         invariant(
             exchange.upstream is upstream,
             Invariant.ANSWER_OWNER,
-            f'{exchange.call.request_id} attempt {upstream.attempt}',
+            exchange.call.request_id,
             step=Step.RELAY,
             peer=upstream.server_id,
         )
-        events, rest = split_events(upstream.body)
-        upstream.body = rest
+        events, upstream.body = split_events(upstream.body)  # noqa: WPS414
         if not events:
             return
         done = events[-1] == DONE
         if done:
             events.pop()
+        if upstream.continuation is not None:
+            events = _adapt(upstream, events)
         self._note_progress(exchange)
-        exchange.events.extend(events)
-        for follower in tuple(exchange.followers):
-            if follower.streaming and events:
-                self._send_events(exchange, follower)
+        if events and upstream.stream.extend(events):
+            self._relay(exchange, upstream, events)
         if done:
-            self._complete(exchange, upstream)
+            self._take_end(exchange, upstream)
+
+    def _relay(
+        self, exchange: Exchange, upstream: Upstream, events: list[bytes]
+    ) -> None:
+        """Send new events to all callers; those up to date share one rendering."""
+        before = exchange.relayed
+        exchange.relayed = before + len(events)
+        chunk = b''
+        for follower in tuple(exchange.followers):
+            if not follower.streaming:
+                continue
+            if follower.position != before:
+                self._followers.catch_up(exchange, follower)
+                continue
+            if not chunk:
+                chunk = render_chunk(render_events(events, before + 1, upstream.tag))
+            follower.position = exchange.relayed
+            self._followers.send(exchange, follower, chunk)
 
     def _note_progress(self, exchange: Exchange) -> None:
         now = self._clock.monotonic()
@@ -250,99 +236,61 @@
             timing.longest_gap = max(timing.longest_gap, now - timing.last_event)
         timing.last_event = now
 
-    def _complete(self, exchange: Exchange, upstream: Upstream) -> None:
-        self._detach(upstream)
-        self._end(exchange, ExchangeState.DONE)
+    def _take_end(self, exchange: Exchange, upstream: Upstream) -> None:
+        upstream.stream.finish(AnswerEnd.COMPLETE)
+        self._forget(upstream)
+        upstream.close()
+        exchange.upstream = None
+        # While the answer is held for a peer, whether it ends here is open; the
+        # sweep sees what became of it.
+        if exchange.tracked.log.state is LogState.OPEN:
+            self._end(exchange, ExchangeState.DONE)
 
     def _lose(self, exchange: Exchange, upstream: Upstream, reason: str) -> None:
         exchange.upstream = None
-        status = upstream.status
-        refused = status == HTTPStatus.SERVICE_UNAVAILABLE
-        if status not in {0, HTTPStatus.OK}:
+        if upstream.error_body:
             detail = upstream.error_body.decode(errors='replace')
-            reason = f'status {status}: {detail}'
-        lost = LostUpstream(upstream.attempt, reason, status, refused)
-        self._events.lost(exchange, upstream, lost)
+            reason = f'status {upstream.status}: {detail}'
+        self._events.lost(exchange, upstream, reason)
 
-    def _fail(self, exchange: Exchange, error: RequestError) -> None:
-        if not exchange.open:
+    def _drop_upstream(self, exchange: Exchange, reason: str) -> None:
+        upstream = exchange.upstream
+        if upstream is None:
             return
-        exchange.error = error
-        if exchange.upstream is not None:
-            self._detach(exchange.upstream)
-        self._end(exchange, ExchangeState.FAILED)
+        self._forget(upstream)
+        upstream.close()
+        self._lose(exchange, upstream, reason)
+
+    def _fail(self, exchange: Exchange, error: RequestError) -> None:
+        if exchange.open:
+            exchange.error = error
+            self._end(exchange, ExchangeState.FAILED)
 
     def _end(self, exchange: Exchange, state: ExchangeState) -> None:
+        if not exchange.open:
+            return
         exchange.state = state
+        upstream = exchange.upstream
         exchange.upstream = None
-        exchange.ended = self._clock.monotonic()
+        if upstream is not None:
+            self._forget(upstream)
+            self._let_go(upstream, state)
         self._exchanges.discard(exchange)
         for follower in tuple(exchange.followers):
-            self._finish_follower(exchange, follower)
+            self._followers.finish(exchange, follower)
         self._events.ended(exchange)
 
-    def _send_head(self, exchange: Exchange, follower: Follower) -> None:
-        if not follower.head_sent:
-            follower.head_sent = True
-            follower.pending += render_stream_head(exchange)
-
-    def _send_events(self, exchange: Exchange, follower: Follower) -> None:
-        events = exchange.events[follower.position :]
-        self._send_head(exchange, follower)
-        text = render_events(events, follower.position + 1)
-        follower.position += len(events)
-        self._send(exchange, follower, render_chunk(text))
-
-    def _finish_follower(self, exchange: Exchange, follower: Follower) -> None:
-        follower.closing = True
-        if follower.streaming and (exchange.error is None or follower.head_sent):
-            self._send_head(exchange, follower)
-            ending = render_stream_end(exchange)
-            self._send(exchange, follower, render_chunk(ending) + LAST_CHUNK)
+    def _let_go(self, upstream: Upstream, state: ExchangeState) -> None:
+        if state is ExchangeState.MOVED:
+            # Engines cancel a stream whose connection closes, and the peer may
+            # not have taken it up yet: it stays open until this process ends.
+            self._parked.append(upstream)
             return
-        self._send(exchange, follower, render_whole(exchange))
-
-    def _send(self, exchange: Exchange, follower: Follower, text: bytes) -> None:
-        if follower.pending:
-            text = bytes(follower.pending) + text
-            follower.pending.clear()
-        try:
-            sent = follower.sock.send(text)
-        except RETRY_LATER:
-            sent = 0
-        except OSError:
-            self._drop_follower(exchange, follower)
-            return
-        if sent < len(text):
-            follower.pending += text[sent:]
-            self._poll.modify(follower.sock.fileno(), WRITABLE)
-        elif follower.closing:
-            self._drop_follower(exchange, follower)
-        if len(follower.pending) > MAX_PENDING_BYTES:
-            self._drop_follower(exchange, follower)
-
-    def _serve_follower(
-        self, exchange: Exchange, follower: Follower, flags: int
-    ) -> None:
-        if flags & (select.EPOLLHUP | select.EPOLLERR | select.EPOLLRDHUP):
-            self._drop_follower(exchange, follower)
-            return
-        if flags & select.EPOLLIN and not _drain(follower):
-            self._drop_follower(exchange, follower)
-            return
-        if flags & select.EPOLLOUT:
-            self._poll.modify(follower.sock.fileno(), READABLE)
-            self._send(exchange, follower, b'')
+        upstream.close()
 
-    def _drop_follower(self, exchange: Exchange, follower: Follower) -> None:
-        descriptor = follower.sock.fileno()
-        if self._followers.pop(descriptor, None) is None:
-            return
-        self._poll.unregister(descriptor)
-        follower.sock.close()
-        exchange.followers.remove(follower)
-        if exchange.open and not exchange.followers:
-            exchange.left_alone = self._clock.monotonic()
+    def _note_left(self, exchange: Exchange) -> None:
+        if exchange.open:
+            exchange.left_until = self._clock.monotonic() + RECONNECT_SECONDS
 
     def _sweep(self) -> None:
         now = self._clock.monotonic()
@@ -351,30 +299,56 @@
             self._guard(exchange, self._check, exchange, now)
 
     def _check(self, exchange: Exchange, now: float) -> None:
-        left_alone = exchange.left_alone
-        if left_alone is not None and now - left_alone > RECONNECT_SECONDS:
-            self._abandon(exchange)
+        log = exchange.tracked.log
+        if log.state is LogState.HELD:
+            return
+        if log.state is LogState.MOVED:
+            self._end(exchange, ExchangeState.MOVED)
+            return
+        self._catch_up(exchange)
+        if log.end is not None:
+            self._end(exchange, ExchangeState.DONE)
+            return
+        self._check_times(exchange, now)
+
+    def _check_times(self, exchange: Exchange, now: float) -> None:
+        if exchange.left_until is not None and now > exchange.left_until:
+            self._end(exchange, ExchangeState.ABANDONED)
             return
         if now > exchange.call.deadline:
             self._fail(exchange, describe_timeout(exchange))
             return
+        self._check_pace(exchange, now)
+
+    def _catch_up(self, exchange: Exchange) -> None:
+        """Send what came in while the answer was held, if it was."""
         upstream = exchange.upstream
+        if upstream is None or exchange.relayed == len(upstream.stream.events):
+            return
+        for follower in tuple(exchange.followers):
+            self._followers.catch_up(exchange, follower)
+        exchange.relayed = exchange.tracked.log.count()
+
+    def _check_pace(self, exchange: Exchange, now: float) -> None:
         started = exchange.timing.first_event is not None
-        if upstream and started and now - exchange.timing.last_event > STALL_SECONDS:
-            self._detach(upstream)
-            self._lose(exchange, upstream, 'silent in mid answer')
-
-    def _abandon(self, exchange: Exchange) -> None:
-        if exchange.upstream is not None:
-            self._detach(exchange.upstream)
-        self._end(exchange, ExchangeState.ABANDONED)
-
-
-def _drain(follower: Follower) -> bool:
-    """Read what a caller sends in mid answer; tell whether it is still there."""
-    try:
-        return bool(follower.sock.recv(DRAIN_BYTES))
-    except RETRY_LATER:
-        return True
-    except OSError:
-        return False
+        patience = STALL_SECONDS if started else START_SECONDS
+        if now - exchange.timing.last_event > patience:
+            self._drop_upstream(exchange, 'silent for too long')
+
+
+def _adapt(upstream: Upstream, events: list[bytes]) -> list[bytes]:
+    """Make a continuation's events those of the answer that it continues."""
+    continuation = upstream.continuation
+    assert continuation is not None
+    first, tokens = continuation.first, continuation.generated_tokens
+    adapted = [adapt_event(event, first, tokens) for event in events]
+    return [event for event in adapted if not _opens_answer(event)]
+
+
+def _opens_answer(event: bytes) -> bool:
+    """Tell whether an event only says that an answer begins.
+
+    An engine opens each stream with the speaker's role; in mid answer a caller
+    would take it for a second message.
+    """
+    return b'"role"' in event and b'"content": ""' in event
--- a/libs/daemon/fireflyhitch_daemon/replies.py
+++ b/libs/daemon/fireflyhitch_daemon/replies.py
@@ -4,11 +4,21 @@
 
 from fireflyhitch_daemon.assembly import assemble_answer
 from fireflyhitch_daemon.exchange import Exchange
-from fireflyhitch_daemon.front import REQUEST_ID_HEADER, Response, render_error
+from fireflyhitch_daemon.front import (
+    JSON_TYPE,
+    REQUEST_ID_HEADER,
+    Header,
+    Response,
+    render_error,
+)
 from fireflyhitch_daemon.sse import DONE_EVENT
 from fireflyhitch_model.errors import RequestError
 from fireflyhitch_model.states import Outcome, Step
 
+REQUESTS_PREFIX = '/v1/requests/'
+# How soon a caller whose answer moved asks for the rest, in milliseconds.
+RETRY_EVENT = b'retry: 200\n\n'
+
 
 def render_stream_head(exchange: Exchange) -> bytes:
     """Return the head of a streamed answer."""
@@ -27,17 +37,24 @@
     if exchange.error is None:
         return DONE_EVENT
     answer = render_error(exchange.error)
-    return b'data: %b\n\n' % answer.body + DONE_EVENT
+    return b'data: %b\n\n%b' % (answer.body, DONE_EVENT)
 
 
 def render_whole(exchange: Exchange) -> bytes:
     """Return the answer for a caller that asked for the whole."""
     if exchange.error is not None:
-        answer = render_error(exchange.error)
-    else:
-        body = assemble_answer(exchange.endpoint, exchange.body, exchange.events)
-        answer = Response(HTTPStatus.OK, body)
-    return _render_answer(exchange, answer)
+        return _render_answer(exchange, render_error(exchange.error))
+    part = exchange.tracked.log.read_after(0)
+    body = assemble_answer(exchange.tracked.accepted, part.events)
+    kind = Header('Content-Type', JSON_TYPE)
+    return _render_answer(exchange, Response(HTTPStatus.OK, body, (kind,)))
+
+
+def render_move(exchange: Exchange) -> bytes:
+    """Send a caller that waits for the whole to where any daemon finds it."""
+    location = f'{REQUESTS_PREFIX}{exchange.call.request_id}'
+    headers = (Header('Location', location),)
+    return _render_answer(exchange, Response(HTTPStatus.SEE_OTHER, b'', headers))
 
 
 def _render_answer(exchange: Exchange, answer: Response) -> bytes:
@@ -48,10 +65,8 @@
         f'{REQUEST_ID_HEADER}: {exchange.call.request_id}',
     ]
     lines.extend(f'{header.name}: {header.value}' for header in answer.headers)
-    if not answer.headers:
-        lines.append('Content-Type: application/json')
     head = '\r\n'.join(lines)
-    return f'{head}\r\n\r\n'.encode() + answer.body
+    return b'%b\r\n\r\n%b' % (head.encode(), answer.body)
 
 
 def describe_fault(error: Exception) -> RequestError:
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/reports.py
@@ -0,0 +1,54 @@
+"""What engines report of themselves: load and cache events, polled."""
+
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+
+from loguru import logger
+
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.ids import BackendServerId
+from fireflyhitch_platform.engines import HttpEngines
+from fireflyhitch_routing.router import Router
+
+POLLERS = 8
+
+
+class EngineReports:
+    """Reads the reports of the engines that this daemon uses.
+
+    :param list_engines: the engines to ask.
+    """
+
+    def __init__(
+        self,
+        engines: HttpEngines,
+        router: Router,
+        list_engines: Callable[[], Iterable[BackendServer]],
+    ) -> None:
+        self._engines = engines
+        self._router = router
+        self._list_engines = list_engines
+        self._sequences: dict[BackendServerId, int] = {}
+        self._pollers = ThreadPoolExecutor(POLLERS, 'reports')
+
+    def poll(self) -> None:
+        """Ask all engines once; one that does not answer is left out."""
+        engines = [server.server_id for server in self._list_engines()]
+        for gone in self._sequences.keys() - set(engines):
+            self._sequences.pop(gone)
+        list(self._pollers.map(self._poll_one, engines))
+
+    def stop(self) -> None:
+        """End the threads."""
+        self._pollers.shutdown(wait=False, cancel_futures=True)
+
+    def _poll_one(self, server: BackendServerId) -> None:
+        try:
+            self._router.record_load(self._engines.read_load(server))
+            after = self._sequences.get(server, 0)
+            for event in self._engines.read_cache_events(server, after):
+                self._sequences[server] = event.sequence
+                self._router.record_cache_event(event)
+        except PlatformError as error:
+            logger.bind(step=error.step.value, peer=server).debug(error.message)
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/requests.py
@@ -0,0 +1,127 @@
+"""The rest of an answer, for callers that lost their connection or were moved."""
+
+from http import HTTPStatus
+
+from fireflyhitch_daemon.assembly import assemble_answer
+from fireflyhitch_daemon.calls import ModelCalls
+from fireflyhitch_daemon.exchange import Follower
+from fireflyhitch_daemon.forwarding import FORWARDED_HEADER, Forwarder
+from fireflyhitch_daemon.front import (
+    DETACHED,
+    JSON_TYPE,
+    CallerRequest,
+    Detached,
+    Header,
+    Response,
+)
+from fireflyhitch_daemon.replies import REQUESTS_PREFIX
+from fireflyhitch_daemon.sse import DONE_EVENT, render_part
+from fireflyhitch_model.errors import RequestError
+from fireflyhitch_model.ids import CustomerId, DaemonId, RequestId
+from fireflyhitch_model.peers import PeerMessenger
+from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_recovery.answers import AnswerEnd
+from fireflyhitch_recovery.events import EventId, check_lineage, parse_event_id
+from fireflyhitch_recovery.inflight import InFlight
+from fireflyhitch_recovery.locations import Locations
+from fireflyhitch_recovery.requests import TrackedRequest
+
+LAST_EVENT_HEADER = 'last-event-id'
+STREAM_TYPE = 'text/event-stream'
+
+
+class RequestAnswers:
+    """Answers ``GET /v1/requests/{id}`` from here, or from the daemon that has it."""
+
+    def __init__(
+        self,
+        daemon_id: DaemonId,
+        calls: ModelCalls,
+        in_flight: InFlight,
+        locations: Locations,
+        messenger: PeerMessenger,
+        forwarder: Forwarder,
+    ) -> None:
+        self._daemon_id = daemon_id
+        self._calls = calls
+        self._in_flight = in_flight
+        self._locations = locations
+        self._messenger = messenger
+        self._forwarder = forwarder
+
+    def answer(
+        self, request: CallerRequest, customer: CustomerId
+    ) -> Response | Detached:
+        """Give a caller the events behind the last one that it has.
+
+        :raises RequestError: 404 if nobody in reach has the request, or it is
+            another customer's.
+        """
+        request_id = RequestId(request.path.removeprefix(REQUESTS_PREFIX))
+        last = parse_event_id(request.headers.get(LAST_EVENT_HEADER, ''))
+        tracked = self._in_flight.find_for(request_id, customer)
+        if tracked is None:
+            return self._forward(request, request_id)
+        check_lineage(tracked.log.lineage, last)
+        streaming = _wants_stream(request, tracked)
+        exchange = self._calls.find_open(request_id)
+        if exchange is not None:
+            follower = Follower(request.detach(), streaming, position=last.number)
+            self._calls.relay.follow(exchange, follower)
+            return DETACHED
+        return _render_finished(tracked, last, streaming)
+
+    def _forward(self, request: CallerRequest, request_id: RequestId) -> Detached:
+        if FORWARDED_HEADER in request.headers:
+            raise _describe_missing(request_id)
+        location = self._locations.find(request_id)
+        if location is None or location.daemon_id == self._daemon_id:
+            raise _describe_missing(request_id)
+        for daemon in self._messenger.live():
+            if daemon.daemon_id == location.daemon_id:
+                return self._forward_to(request, request_id, daemon.entry_address)
+        raise _describe_missing(request_id)
+
+    def _forward_to(
+        self, request: CallerRequest, request_id: RequestId, address: str
+    ) -> Detached:
+        try:
+            self._forwarder.forward(request, address)
+        except OSError as error:
+            raise _describe_missing(request_id) from error
+        return DETACHED
+
+
+def _wants_stream(request: CallerRequest, tracked: TrackedRequest) -> bool:
+    if tracked.accepted.streaming or LAST_EVENT_HEADER in request.headers:
+        return True
+    return STREAM_TYPE in request.headers.get('accept', '')
+
+
+def _render_finished(
+    tracked: TrackedRequest, last: EventId, streaming: bool
+) -> Response:
+    part = tracked.log.read_after(last.number)
+    if tracked.finished is not AnswerEnd.COMPLETE:
+        raise RequestError(
+            'the answer failed and its error was given to the first caller',
+            step=Step.ANSWER,
+            status=HTTPStatus.BAD_GATEWAY,
+            code='answer_failed',
+            outcome=Outcome.UNKNOWN,
+        )
+    if streaming:
+        text = b'%b%b' % (render_part(part, tracked.log.lineage), DONE_EVENT)
+        return Response(HTTPStatus.OK, text, (Header('Content-Type', STREAM_TYPE),))
+    body = assemble_answer(tracked.accepted, tracked.log.read_after(0).events)
+    return Response(HTTPStatus.OK, body, (Header('Content-Type', JSON_TYPE),))
+
+
+def _describe_missing(request_id: RequestId) -> RequestError:
+    return RequestError(
+        f'no daemon in reach has the request {request_id}',
+        step=Step.ANSWER,
+        status=HTTPStatus.NOT_FOUND,
+        code='request_not_found',
+        outcome=Outcome.UNKNOWN,
+    )
--- a/libs/daemon/fireflyhitch_daemon/upstream.py
+++ b/libs/daemon/fireflyhitch_daemon/upstream.py
@@ -1,48 +1,70 @@
 """One attempt at a backend server, read without blocking."""
 
 import socket
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import httptools
 
 from fireflyhitch_model.ids import BackendServerId
+from fireflyhitch_recovery.answers import AttemptStream
 
 READ_SIZE = 65536
 # An error body larger than this tells no more than its first part.
 MAX_ERROR_BODY = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class Continuation:
+    """What an attempt goes on behind.
+
+    :param first: the first event of the whole answer.
+    :param generated_tokens: that the answer had before this attempt.
+    """
+
+    first: bytes
+    generated_tokens: int
+
+
 class Upstream:
     """A connection on which a request was sent and an answer is awaited.
 
-    :param attempt: the number of this attempt within its request; an answer
-        to an older attempt is never taken for the request's own.
+    :param stream: where its events go; those of an older attempt reach nobody.
+    :param continuation: ``None`` where the engine's events are the answer's own.
     """
 
     __slots__ = (
         '_parser',
-        'attempt',
         'body',
         'complete',
+        'continuation',
         'error_body',
-        'failed',
+        'refused',
         'server_id',
         'sock',
         'status',
+        'stream',
+        'tag',
     )
 
     def __init__(
-        self, sock: socket.socket, attempt: int, server_id: BackendServerId
+        self,
+        sock: socket.socket,
+        stream: AttemptStream,
+        server_id: BackendServerId,
+        continuation: Continuation | None = None,
     ) -> None:
         sock.setblocking(False)
         self.sock = sock
-        self.attempt = attempt
+        self.stream = stream
+        self.tag = f'.{stream.tag}'.encode() if stream.tag else b''
         self.server_id = server_id
+        self.continuation = continuation
         self.status = 0
+        self.refused = False
         self.body = b''
         self.error_body = b''
         self.complete = False
-        self.failed = False
         self._parser = httptools.HttpResponseParser(self)
 
     def read(self) -> bool:
@@ -55,18 +77,20 @@
         except BlockingIOError:
             return True
         except OSError:
-            self.failed = True
             return False
         if not received:
-            self.failed = not self.complete
             return False
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError:
-            self.failed = True
             return False
         return not self.complete
 
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Note a refusal before execution; called by the parser."""
+        if name.lower() == b'fireflyhitch-outcome':
+            self.refused = field == b'not-run'
+
     def on_headers_complete(self) -> None:
         """Note the status; called by the parser."""
         self.status = self._parser.get_status_code()
--- a/libs/standins/fireflyhitch_standins/etcd_server.py
+++ b/libs/standins/fireflyhitch_standins/etcd_server.py
@@ -71,11 +71,16 @@
             '/standin/calls': self._read_calls,
         }
 
+    @property
+    def address(self) -> str:
+        """Return ``host:port``; valid after ``start``."""
+        host, port = self._server.bind_addr[:2]
+        return f'{host}:{port}'
+
     @property
     def url(self) -> str:
         """Return the base URL; valid after ``start``."""
-        host, port = self._server.bind_addr[:2]
-        return f'http://{host}:{port}'
+        return f'http://{self.address}'
 
     def start(self) -> None:
         """Serve in a thread."""
