--- a/libs/rollout/fireflyhitch_rollout/evidence.py
+++ b/libs/rollout/fireflyhitch_rollout/evidence.py
@@ -1,6 +1,6 @@
 """Collects what calls met, passes it between daemons, and judges it."""
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from threading import Lock
@@ -37,8 +37,10 @@
 REMEMBERED_BATCHES = 64
 # Calls that one crash breaks off together are one piece of evidence.
 FAILURE_GAP_SECONDS = 0.4
-# A server that has just begun has a cold prefix cache, which is no fault.
-WARMUP_SECONDS = 20.0
+# A server that has just begun has a cold prefix cache, which is no fault; it
+# fills by calls, of which each daemon sees its part.
+WARMUP_CALLS = 60
+LEAST_WARMUP_CALLS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +75,8 @@
         self._domain_batches: deque[BatchNews] = deque(maxlen=SENDINGS)
         self._seen: dict[tuple[DaemonId, int], deque[int]] = {}
         self._leaving: frozenset[BackendServerId] = frozenset()
-        self._first_used: dict[BackendServerId, float] = {}
+        self._served: Counter[BackendServerId] = Counter()
+        self._warmup = WARMUP_CALLS
         self._last_failed: dict[BackendServerId, float] = {}
         self._holders: frozenset[DaemonId] = frozenset()
         messenger.handle(EvidenceNews, self._take_news)
@@ -113,7 +116,9 @@
             if tally is None:
                 tally = Tally()
                 self._fresh[key] = tally
-            _count(tally, ok, self._is_warm(server, now), first_token, between_tokens)
+            _count(
+                tally, ok, self._is_warm(server.server_id), first_token, between_tokens
+            )
 
     def watch(self, trials: Mapping[DeploymentId, Trial]) -> None:
         """Say which deployments are on trial; the others are not recorded."""
@@ -172,15 +177,17 @@
         self._last_failed[server] = now
         return False
 
-    def _is_warm(self, server: BackendServer, now: float) -> bool:
-        first = self._first_used.setdefault(server.server_id, now)
-        return now - first >= WARMUP_SECONDS
+    def _is_warm(self, server: BackendServerId) -> bool:
+        self._served[server] += 1
+        return self._served[server] > self._warmup
 
     def _send(self, own: dict[CellKey, Tally], domain: dict[CellKey, Tally]) -> None:
         if not self._trials:
             return
         self._sequence += 1
         members = self._list_members()
+        daemons = sum(len(inside) for inside in members.values())
+        self._warmup = max(WARMUP_CALLS // max(daemons, 1), LEAST_WARMUP_CALLS)
         here = self._here
         near = self._choose_near(members, here.failure_domain)
         self._own_batches.append(make_batch(self._sequence, own))
--- a/libs/rollout/fireflyhitch_rollout/schedule.py
+++ b/libs/rollout/fireflyhitch_rollout/schedule.py
@@ -25,7 +25,7 @@
     :param burst_share: most that a burst takes.
     :param steps: shares after the trial. The last leaves the old version a
         part, without which a shock to both would look like a fault.
-    :param least_calls: calls that each route needs before the trial ends.
+    :param least_calls: calls that the new version needs before the trial ends.
     :param step_calls: calls of the new version that each step needs.
     """
 
@@ -37,7 +37,7 @@
     burst_period: timedelta = timedelta(minutes=5)
     burst_share: float = 0.25
     steps: tuple[float, ...] = (0.04, 0.1, 0.25, 0.5, 0.9)
-    least_calls: int = 20
+    least_calls: int = 40
     step_calls: int = 30
 
 
--- a/libs/rollout/fireflyhitch_rollout/supplies.py
+++ b/libs/rollout/fireflyhitch_rollout/supplies.py
@@ -6,7 +6,7 @@
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.ids import VersionId
 from fireflyhitch_rollout.records import MoveRecord, MoveState
-from fireflyhitch_rollout.schedule import Pace, find_share
+from fireflyhitch_rollout.schedule import Pace
 
 DEFAULT_START_TIME = timedelta(minutes=3)
 
@@ -54,13 +54,11 @@
     """Return what a deployment needs of each version.
 
     While a move is on, the old version keeps room for all of the traffic, and
-    the new one is made ready one step ahead.
+    the new one is made ready ahead of its steps.
     """
     if record is None or record.has_ended:
         return (VersionNeed(base, 1),)
-    part = pace.steps[0]
-    if record.state is MoveState.SHIFTING:
-        ahead = record.step + 1
-        part = pace.steps[ahead] if ahead < len(pace.steps) - 1 else 1
-    part = max(part, find_share(record, 1, pace))
+    # Servers take minutes to start, as long as a step; so all are ordered when
+    # the first step begins.
+    part = 1.0 if record.state is MoveState.SHIFTING else pace.steps[1]
     return (VersionNeed(base, 1, keep=True), VersionNeed(record.to_version, part))
