--- a/libs/rollout/fireflyhitch_rollout/evidence.py
+++ b/libs/rollout/fireflyhitch_rollout/evidence.py
@@ -259,6 +259,11 @@
         tally.failures += 1
         return
     if warm and first_token is not None:
-        tally.first_token[find_bucket(first_token)] += 1
+        _count_latency(tally.first_token, first_token)
     if warm and between_tokens is not None:
-        tally.between_tokens[find_bucket(between_tokens)] += 1
+        _count_latency(tally.between_tokens, between_tokens)
+
+
+def _count_latency(counts: dict[int, int], seconds: float) -> None:
+    bucket = find_bucket(seconds)
+    counts[bucket] = counts.get(bucket, 0) + 1
--- a/libs/rollout/fireflyhitch_rollout/memories.py
+++ b/libs/rollout/fireflyhitch_rollout/memories.py
@@ -1,12 +1,12 @@
-"""What the old version's calls met lately, as the measure for the new one."""
+"""What the old version's calls met lately, as the measure for the new one.
 
-from collections import Counter
-from dataclasses import dataclass, field
+Memories fade by calls: when one holds more than its depth, it is halved. The
+long one gives the usual rate; the short one shows a shock, such as a reclaim
+wave, that hits both versions at once.
+"""
 
-from fireflyhitch_rollout.tallies import Signal, Tally
+from collections.abc import Mapping
 
-# A tally is halved when it holds more calls than its depth: the long one gives
-# rates, the short one shows a shock that hits both versions at once.
 LONG_DEPTH = 800
 SHORT_DEPTH = 40
 PRIOR_CALLS = 20.0
@@ -16,91 +16,112 @@
 LEAST_COMPARED = 30
 # What the new version may be worse by without being called worse.
 FAILURE_TOLERANCE = 0.004
-SLOW_TOLERANCE = 0.04
-
-
-@dataclass(slots=True)
-class _Fading:
-    depth: int
-    calls: float = 0
-    failures: float = 0
-    latencies: dict[Signal, Counter[int]] = field(default_factory=dict)
-
-    def add(self, tally: Tally) -> None:
-        self.calls += tally.calls
-        self.failures += tally.failures
-        for signal in (Signal.FIRST_TOKEN, Signal.BETWEEN_TOKENS):
-            kept = self.latencies.setdefault(signal, Counter())
-            kept.update(tally.find_latencies(signal))
-        while self.calls > self.depth:
-            self._halve()
-
-    def find_rate(self, prior: float) -> float:
-        """Return the part that failed, drawn towards a prior."""
-        return (self.failures + prior * PRIOR_CALLS) / (self.calls + PRIOR_CALLS)
+SLOW_TOLERANCE = 0.02
+# A version that is slower by this many buckets, 21%, is not called slow: what
+# of it lies above the limit is at most the part that the limit was set by.
+SLACK_BUCKETS = 2
 
-    def find_slow(self, signal: Signal, limit: int, prior: float) -> float:
-        """Return the part above a bucket, drawn towards a prior."""
-        kept = self.latencies.get(signal, Counter())
-        slow = sum(count for bucket, count in kept.items() if bucket > limit)
-        return (slow + prior * PRIOR_CALLS) / (kept.total() + PRIOR_CALLS)
-
-    def find_limit(self, signal: Signal) -> int | None:
-        """Return the bucket that all but the slow part stay within."""
-        kept = self.latencies.get(signal, Counter())
-        total = kept.total()
-        if total < LEAST_COMPARED:
-            return None
-        above = 0
-        for bucket in sorted(kept, reverse=True):
-            above += kept[bucket]
-            if above > SLOW_PART * total:
-                return bucket
-        return None
 
-    def _halve(self) -> None:
-        self.calls /= 2
-        self.failures /= 2
-        for kept in self.latencies.values():
-            for bucket in kept:
-                kept[bucket] /= 2  # type: ignore[assignment]
+class _Rate:
+    """Calls and those that failed, fading."""
+
+    def __init__(self, depth: int) -> None:
+        self._depth = depth
+        self._calls = 0.0
+        self._failures = 0.0
 
+    def add(self, calls: int, failures: int) -> None:
+        self._calls += calls
+        self._failures += failures
+        while self._calls > self._depth:
+            self._calls /= 2
+            self._failures /= 2
 
-class Memory:
-    """The old version's calls of one kind."""
+    def find(self, prior: float) -> float:
+        """Return the part that failed, drawn towards a prior."""
+        return (self._failures + prior * PRIOR_CALLS) / (self._calls + PRIOR_CALLS)
+
+
+class FailureMemory:
+    """How many of the old version's calls failed."""
 
     def __init__(self) -> None:
         """Make an empty memory."""
-        self._long = _Fading(LONG_DEPTH)
-        self._short = _Fading(SHORT_DEPTH)
+        self._long = _Rate(LONG_DEPTH)
+        self._short = _Rate(SHORT_DEPTH)
 
-    def add(self, tally: Tally) -> None:
+    def add(self, calls: int, failures: int) -> None:
         """Take in what the old version's calls met."""
-        self._long.add(tally)
-        self._short.add(tally)
+        self._long.add(calls, failures)
+        self._short.add(calls, failures)
+
+    def find_rate(self) -> float:
+        """Return the usual part of calls that failed."""
+        return self._long.find(PRIOR_FAILURES)
 
-    def expect_failures(self, wider: 'Memory | None' = None) -> float:
+    def expect(self, prior: float) -> float:
         """Return the part of calls that a good version may fail.
 
-        The greater of the long and the short rate counts, so that a shock to
-        the whole failure domain is not laid at the new version's door.
+        The greater of the usual and the latest rate counts, so that a shock to
+        both versions is not laid at the new version's door.
 
-        :param wider: the same kind of calls in all failure domains.
+        :param prior: the rate of like calls in all failure domains.
         """
-        prior = wider.find_long_rate() if wider else PRIOR_FAILURES
-        steady = self._long.find_rate(prior)
-        return max(steady, self._short.find_rate(steady)) + FAILURE_TOLERANCE
+        steady = self._long.find(prior)
+        return max(steady, self._short.find(steady)) + FAILURE_TOLERANCE
+
+
+class _Histogram:
+    """Latencies by bucket, fading."""
 
-    def find_long_rate(self) -> float:
-        """Return the long rate of failures."""
-        return self._long.find_rate(PRIOR_FAILURES)
+    def __init__(self, depth: int) -> None:
+        self.total = 0.0
+        self.counts: dict[int, float] = {}
+        self._depth = depth
 
-    def find_limit(self, signal: Signal) -> int | None:
+    def add(self, latencies: Mapping[int, int]) -> None:
+        for bucket, count in latencies.items():
+            self.counts[bucket] = self.counts.get(bucket, 0) + count
+            self.total += count
+        while self.total > self._depth:
+            self.total /= 2
+            for kept in self.counts:
+                self.counts[kept] /= 2
+
+    def find_above(self, limit: int, prior: float) -> float:
+        """Return the part above a bucket, drawn towards a prior."""
+        above = sum(count for bucket, count in self.counts.items() if bucket > limit)
+        return (above + prior * PRIOR_CALLS) / (self.total + PRIOR_CALLS)
+
+
+class LatencyMemory:
+    """How long the old version's calls took."""
+
+    def __init__(self) -> None:
+        """Make an empty memory."""
+        self._long = _Histogram(LONG_DEPTH)
+        self._short = _Histogram(SHORT_DEPTH)
+
+    def add(self, latencies: Mapping[int, int]) -> None:
+        """Take in what the old version's calls took."""
+        if latencies:
+            self._long.add(latencies)
+            self._short.add(latencies)
+
+    def find_limit(self) -> int | None:
         """Return the bucket above which a call is slow; ``None`` if unknown."""
-        return self._long.find_limit(signal)
+        if self._long.total < LEAST_COMPARED:
+            return None
+        above = 0.0
+        for bucket in sorted(self._long.counts, reverse=True):
+            above += self._long.counts[bucket]
+            if above > SLOW_PART * self._long.total:
+                return bucket + SLACK_BUCKETS
+        return None
 
-    def expect_slow(self, signal: Signal, limit: int) -> float:
+    def expect(self, limit: int) -> float:
         """Return the part of calls that a good version may answer slowly."""
-        steady = self._long.find_slow(signal, limit, SLOW_PART)
-        lately = self._short.find_slow(signal, limit, steady)
+        usual = limit - SLACK_BUCKETS
+        steady = self._long.find_above(usual, SLOW_PART)
+        lately = self._short.find_above(usual, steady)
         return max(steady, lately) + SLOW_TOLERANCE
--- a/libs/rollout/fireflyhitch_rollout/moves.py
+++ b/libs/rollout/fireflyhitch_rollout/moves.py
@@ -197,6 +197,7 @@
         situation = Situation(
             now=now,
             last_return=record.move_by - way_back,
+            finish_by=record.move_by - find_way_back(0, 1, supply.start_time),
             capacity=supply.find_capacity(record.to_version),
             old_servers=len(supply.list_version(record.from_version)),
             proven=judge is not None and judge.has_enough(self.pace.least_calls),
--- a/libs/rollout/fireflyhitch_rollout/schedule.py
+++ b/libs/rollout/fireflyhitch_rollout/schedule.py
@@ -46,6 +46,8 @@
     """What a move's next step depends on.
 
     :param last_return: the latest time for taking the move back.
+    :param finish_by: the last return if old servers were lost meanwhile, which
+        the move aims at.
     :param capacity: part of the traffic that the new version's ready servers
         can carry.
     :param old_servers: servers that carry the whole traffic.
@@ -55,6 +57,7 @@
 
     now: datetime
     last_return: datetime
+    finish_by: datetime
     capacity: float
     old_servers: int
     proven: bool
@@ -165,7 +168,9 @@
 
 
 def _usable(record: MoveRecord, situation: Situation, pace: Pace) -> timedelta:
-    return min(situation.last_return - record.started, pace.longest)
+    left = situation.last_return - record.started
+    aim = situation.finish_by - record.started
+    return min(max(aim, left / 2), left, pace.longest)
 
 
 def _find_trial_end(record: MoveRecord, situation: Situation, pace: Pace) -> datetime:
--- a/libs/rollout/fireflyhitch_rollout/tallies.py
+++ b/libs/rollout/fireflyhitch_rollout/tallies.py
@@ -1,7 +1,7 @@
 """Counts of calls by version, route, load and failure domain; they add up."""
 
 import math
-from collections import Counter
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from typing import ClassVar, NamedTuple
@@ -14,19 +14,22 @@
 # Latencies are counted in buckets that grow by this factor, from a
 # millisecond; coarse enough that a batch is small, and well below the slowdowns
 # that matter.
-BUCKET_GROWTH = 1.2
+BUCKET_GROWTH = 1.1
 _LOG_GROWTH = math.log(BUCKET_GROWTH)
 LEAST_SECONDS = 0.001
-HIGH_LOAD = 0.75
-SOME_LOAD = 0.35
+# Latencies grow with load, so that only near loads are compared.
+BAND_LIMITS = (0.25, 0.5, 0.75, 1.0, 1.3)
 
 
 class LoadBand(IntEnum):
     """How loaded the server was when it was given the call."""
 
-    LOW = 0
-    SOME = 1
-    HIGH = 2
+    IDLE = 0
+    LOW = 1
+    USUAL = 2
+    HIGH = 3
+    FULL = 4
+    OVERFULL = 5
 
 
 class Signal(Enum):
@@ -57,10 +60,10 @@
 
     calls: int = 0
     failures: int = 0
-    first_token: Counter[int] = field(default_factory=Counter)
-    between_tokens: Counter[int] = field(default_factory=Counter)
+    first_token: dict[int, int] = field(default_factory=dict)
+    between_tokens: dict[int, int] = field(default_factory=dict)
 
-    def find_latencies(self, signal: Signal) -> Counter[int]:
+    def find_latencies(self, signal: Signal) -> dict[int, int]:
         """Return the latencies that a signal is about."""
         if signal is Signal.FIRST_TOKEN:
             return self.first_token
@@ -70,8 +73,8 @@
         """Add another tally's counts."""
         self.calls += other.calls
         self.failures += other.failures
-        self.first_token.update(other.first_token)
-        self.between_tokens.update(other.between_tokens)
+        _add_counts(self.first_token, other.first_token)
+        _add_counts(self.between_tokens, other.between_tokens)
 
 
 class CellNews(BaseModel):
@@ -119,14 +122,17 @@
     batches: tuple[BatchNews, ...]
 
 
+def _add_counts(total: dict[int, int], part: dict[int, int]) -> None:
+    for bucket, count in part.items():
+        total[bucket] = total.get(bucket, 0) + count
+
+
 def find_band(load: float) -> LoadBand:
     """Return the band of a server's load.
 
     :param load: calls in work as a part of what it works on at once.
     """
-    if load >= HIGH_LOAD:
-        return LoadBand.HIGH
-    return LoadBand.SOME if load >= SOME_LOAD else LoadBand.LOW
+    return LoadBand(bisect_right(BAND_LIMITS, load))
 
 
 def find_bucket(seconds: float) -> int:
@@ -163,8 +169,8 @@
         ): Tally(
             cell.calls,
             cell.failures,
-            Counter(cell.first_token),
-            Counter(cell.between_tokens),
+            dict(cell.first_token),
+            dict(cell.between_tokens),
         )
         for cell in batch.cells
     }
