Measure burst, outage and ten times the size; shorten the decision

Cause: the phases alone left out limits, retries and subsets. Change: runs with admission, failing servers and subsets; the line of JSON.

--- a/libs/bench/fireflyhitch_bench/routing.py
+++ b/libs/bench/fireflyhitch_bench/routing.py
@@ -1,108 +1,137 @@
 """Measures the router against other policies, in passed time, with equal seeds."""
 
 import json
-import random
 import statistics
-from collections.abc import Callable
-
-from fireflyhitch_bench import routing_policies as policies
-from fireflyhitch_bench.routing_load import draw_arrivals
-from fireflyhitch_bench.routing_measures import Measure, add_up, measure
-from fireflyhitch_bench.routing_shapes import (
-    FLANDERS,
-    LJUBLJANA,
-    PLANS,
-    Phase,
-    Shape,
+import sys
+from dataclasses import dataclass, field
+
+from fireflyhitch_bench.routing_measures import Measure, add_up
+from fireflyhitch_bench.routing_runs import (
+    LEAST_LATENCY,
+    MAKERS,
+    ROUND_ROBIN,
+    ROUTER,
+    run_burst,
+    run_large,
+    run_outage,
+    run_phase,
 )
-from fireflyhitch_bench.routing_world import Flight, PassedClock, World
-from fireflyhitch_model.ids import DaemonId
-from fireflyhitch_routing.router import Router
+from fireflyhitch_bench.routing_shapes import FLANDERS, LJUBLJANA, Phase
 
 SEEDS = (11, 12, 13)
-SECONDS = 150.0
-WARM_UP = 30.0
-SETTLE = 20.0
-NOTICE_AT = 60.0
-GONE_AT = 70.0
-BACK_AT = 110.0
-
-Make = Callable[[PassedClock, Shape, int], policies.Policy]
-
-
-def make_router(clock: PassedClock, shape: Shape, number: int) -> Router:
-    """Return a daemon's router, as the daemon sets it up."""
-    daemon = DaemonId(f'daemon-{number}')
-    router = Router(clock, daemon, random.Random(number))  # noqa: S311
-    router.configure(shape.configuration(1000))
-    router.share_with(shape.daemons)
-    return router
-
-
-def make_simple(
-    build: Callable[[PassedClock, random.Random], policies.SimplePolicy],
-) -> Make:
-    """Return a maker of a baseline policy."""
-
-    def make(clock: PassedClock, shape: Shape, number: int) -> policies.Policy:
-        return build(clock, random.Random(number))  # noqa: S311
-
-    return make
-
-
-MAKERS: dict[str, Make] = {
-    'round robin': make_simple(policies.make_round_robin),
-    'least latency': make_simple(policies.make_least_latency),
-    'least in flight': make_simple(policies.make_least_in_flight),
-    'power of two': make_simple(policies.make_power_of_two),
-    'wardrop': make_simple(policies.make_wardrop),
-    'router': make_router,
-}
-
-
-def run_phase(
-    shape: Shape, phase: Phase, make: Make, seed: int
-) -> tuple[Measure, World]:
-    """Run one policy through one phase."""
-    plan = PLANS[phase]
-    clock = PassedClock()
-    routers = [make(clock, shape, number) for number in range(shape.daemons)]
-    world = World(shape, routers, clock, lag=plan.lag)
-    if plan.reclaim:
-        domain = shape.domains[0]
-        world.at(NOTICE_AT, lambda: world.notify_leaving(domain))
-        world.at(GONE_AT, lambda: world.take_away(domain))
-        world.at(BACK_AT, lambda: world.give_back(domain))
-    world.at(WARM_UP, world.end_warm_up)
-    world.run(draw_arrivals(shape, plan.load, SECONDS, seed), SECONDS + SETTLE)
-    return measure(world, _after_warm_up), world
-
-
-def _after_warm_up(flight: Flight) -> bool:
-    return flight.arrival.call.arrived >= WARM_UP
+FIRMS = (FLANDERS, LJUBLJANA)
+FACTOR = 10
+LARGE = f'{FACTOR} times the size'
+MICROSECONDS = 1_000_000
+
+
+@dataclass(slots=True)
+class Table:
+    """Figures by phase and policy."""
+
+    figures: dict[str, dict[str, Measure]] = field(default_factory=dict)
+    decisions: dict[str, list[float]] = field(default_factory=dict)
+
+    def add(self, phase: str, policy: str, parts: list[Measure]) -> None:
+        """Add a policy's runs in a phase and print its line."""
+        total = add_up(parts)
+        rows = self.figures.setdefault(phase, {})
+        rows[policy] = total
+        first = rows[ROUND_ROBIN]
+        print(
+            f'{phase:17} {policy:16} {total.target_met:7.4f}'
+            f' {total.refused / total.offered:8.4f}'
+            f' {total.cost:7.3f} {total.cost / first.cost:6.2f}'
+            f' {total.cost_of_slots / first.cost_of_slots:6.2f}'
+            f' {total.recomputed_per_call:8.1f}'
+            f' {total.recomputed_per_call / first.recomputed_per_call:6.2f}'
+        )
+
+    def worst_ratio(self, figure: str, baseline: str) -> float:
+        """Return the router's highest ratio to a baseline over the phases."""
+        return max(
+            float(getattr(rows[ROUTER], figure)) / getattr(rows[baseline], figure)
+            for rows in self.figures.values()
+        )
+
+    def best_baselines(self) -> dict[str, float]:
+        """Return for each phase the best baseline's share within the target."""
+        return {
+            phase: max(
+                one.target_met for policy, one in rows.items() if policy != ROUTER
+            )
+            for phase, rows in self.figures.items()
+        }
 
 
 def main() -> None:
-    """Run everything and print the table and the line of JSON."""
+    """Run everything, print the table, and a line of JSON last."""
+    seeds = tuple(map(int, sys.argv[1:])) or SEEDS
+    table = Table()
+    print(
+        f'{"phase":17} {"policy":16} {"met":>7} {"refused":>8} {"cost":>7}'
+        f' {"of rr":>6} {"slots":>6} {"recomp.":>8} {"of rr":>6}'
+    )
     for phase in Phase:
-        for name, make in MAKERS.items():
-            parts = []
-            decisions: list[float] = []
-            for shape in (FLANDERS, LJUBLJANA):
-                for seed in SEEDS:
-                    result, world = run_phase(shape, phase, make, seed)
-                    parts.append(result)
-                    decisions += world.decision_seconds
-            total = add_up(parts)
-            print(
-                f'{phase.value:18} {name:16} met {total.target_met:6.3f}'
-                f' cost {total.cost:7.3f} slots {total.cost_of_slots:7.3f}'
-                f' recomputed {total.recomputed_per_call:7.1f}'
-                f' refused {total.refused:5} of {total.offered}'
-                f' attempts {total.attempts}'
-                f' decision {statistics.median(decisions) * 1e6:5.1f} us'
-            )
-    print(json.dumps({}))
+        for name in MAKERS:
+            _run_phase(table, phase, name, seeds)
+    for name in MAKERS:
+        runs = [run_large(firm, FACTOR, MAKERS[name], seeds[0]) for firm in FIRMS]
+        table.add(LARGE, name, [run.measure for run in runs])
+        table.decisions[f'{LARGE} {name}'] = [
+            seconds for run in runs for seconds in run.world.decision_seconds
+        ]
+    _report(table, seeds)
+
+
+def _run_phase(table: Table, phase: Phase, name: str, seeds: tuple[int, ...]) -> None:
+    runs = [
+        run_phase(firm, phase, MAKERS[name], seed) for firm in FIRMS for seed in seeds
+    ]
+    table.add(phase.value, name, [run.measure for run in runs])
+    table.decisions.setdefault(name, []).extend(
+        seconds for run in runs for seconds in run.world.decision_seconds
+    )
+
+
+def _report(table: Table, seeds: tuple[int, ...]) -> None:
+    bursts = {
+        name: [run_burst(firm, MAKERS[name], seeds[0]) for firm in FIRMS]
+        for name in (ROUND_ROBIN, ROUTER)
+    }
+    for name, shares in bursts.items():
+        small = statistics.mean(one for one, _ in shares)
+        large = statistics.mean(other for _, other in shares)
+        print(f'burst of a large customer, {name}: small {small:.4f} large {large:.4f}')
+    outage = add_up(run_outage(firm, MAKERS[ROUTER], seeds[0]) for firm in FIRMS)
+    steady = table.figures[Phase.STEADY.value][ROUTER]
+    best = table.best_baselines()
+    met = {phase: rows[ROUTER].target_met for phase, rows in table.figures.items()}
+    large_decisions = table.decisions[f'{LARGE} {ROUTER}']
+    summary = {
+        'cost_vs_round_robin': table.worst_ratio('cost', ROUND_ROBIN),
+        'cost_vs_least_latency': table.worst_ratio('cost', LEAST_LATENCY),
+        'cost_by_slots_vs_round_robin': table.worst_ratio('cost_of_slots', ROUND_ROBIN),
+        'target_met': steady.target_met,
+        'target_met_best_baseline': best[Phase.STEADY.value],
+        'target_met_by_phase': met,
+        'target_met_best_baseline_by_phase': best,
+        'recomputed_vs_round_robin': table.worst_ratio(
+            'recomputed_per_call', ROUND_ROBIN
+        ),
+        'retry_amplification_in_outage': outage.attempts / outage.offered,
+        'small_customer_target_met_under_large_burst': min(
+            small for small, _ in bursts[ROUTER]
+        ),
+        'decision_us_p50': _median_us(table.decisions[ROUTER]),
+        'decision_us_p50_at_10_times': _median_us(large_decisions),
+    }
+    print('ratios are the worst of all phases; target_met is that of the steady phase')
+    print(json.dumps(summary))
+
+
+def _median_us(seconds: list[float]) -> float:
+    return statistics.median(seconds) * MICROSECONDS
 
 
 if __name__ == '__main__':
--- a/libs/bench/fireflyhitch_bench/routing_policies.py
+++ b/libs/bench/fireflyhitch_bench/routing_policies.py
@@ -53,7 +53,11 @@
         """Take in a cache event."""
 
     def choose(
-        self, call: Call, *, excluded: frozenset[BackendServerId] = ...
+        self,
+        call: Call,
+        *,
+        servers: frozenset[BackendServerId] | None = None,
+        excluded: frozenset[BackendServerId] = NONE_EXCLUDED,
     ) -> Choice:
         """Choose a server."""
 
@@ -114,11 +118,19 @@
         """Pass over the event."""
 
     def choose(
-        self, call: Call, *, excluded: frozenset[BackendServerId] = NONE_EXCLUDED
+        self,
+        call: Call,
+        *,
+        servers: frozenset[BackendServerId] | None = None,
+        excluded: frozenset[BackendServerId] = NONE_EXCLUDED,
     ) -> Choice:
         """Choose a server by the rule."""
         now = self._clock.monotonic()
-        usable = self._usable(call.deployment, excluded)
+        usable = [
+            backend
+            for backend in self._usable(call.deployment, excluded)
+            if servers is None or backend.server.server_id in servers
+        ]
         healthy = [one for one in usable if one.ejected_until <= now]
         if not usable:
             raise RequestError('no server', step=Step.ROUTE, status=503, code='none')
--- a/libs/bench/fireflyhitch_bench/routing_world.py
+++ b/libs/bench/fireflyhitch_bench/routing_world.py
@@ -86,6 +86,7 @@
     admit: Callable[[int, Arrival], bool] | None = None
     tick: Callable[[], None] | None = None
     busy_before: float = 0
+    subsets: list[frozenset[BackendServerId]] | None = None
     flights: list[Flight] = field(default_factory=list)
     decision_seconds: list[float] = field(default_factory=list)
     sites: dict[BackendServerId, _Site] = field(default_factory=dict)
@@ -183,13 +184,15 @@
         return arrive
 
     def _dispatch(self, flight: Flight) -> None:
-        policy = self.policies[flight.arrival.daemon]
+        daemon = flight.arrival.daemon
+        policy = self.policies[daemon]
+        servers = self.subsets[daemon] if self.subsets else None
         call = flight.arrival.call
         if flight.generated:
             call = replace(call, prompt_tokens=call.prompt_tokens + flight.generated)
         began = time.perf_counter()
         try:
-            choice = policy.choose(call, excluded=flight.tried)
+            choice = policy.choose(call, servers=servers, excluded=flight.tried)
         except RequestError:
             flight.refused = True
             return
--- a/libs/routing/fireflyhitch_routing/curves.py
+++ b/libs/routing/fireflyhitch_routing/curves.py
@@ -36,6 +36,7 @@
         '_updated',
         '_variance',
         'coefficients',
+        'deviation',
         'prior',
         'samples',
     )
@@ -46,6 +47,8 @@
         self.coefficients = prior
         self.samples = 0
         self._spread = spread
+        # Standard deviation of samples from the curve, in seconds.
+        self.deviation = noise
         self._variance = noise * noise
         self._updated = now
         self._covariance = [
@@ -53,11 +56,6 @@
             for row in range(size)
         ]
 
-    @property
-    def deviation(self) -> float:
-        """Return the standard deviation of samples from the curve, in seconds."""
-        return math.sqrt(self._variance)
-
     def learn(self, features: Sequence[float], measured: float, now: float) -> None:
         """Take in one sample.
 
@@ -103,6 +101,7 @@
         least = (LEAST_SPREAD * expected) ** 2
         squared = max(error * error, least)
         self._variance += DEVIATION_WEIGHT * (squared - self._variance)
+        self.deviation = math.sqrt(self._variance)
 
 
 def _dot(one: Sequence[float], other: Sequence[float]) -> float:
--- a/libs/routing/fireflyhitch_routing/prefix.py
+++ b/libs/routing/fireflyhitch_routing/prefix.py
@@ -64,16 +64,18 @@
 
         :returns: only servers with at least one block.
         """
-        mask = self._holders.get(blocks[0], 0) if blocks else 0
+        holders_of = self._holders.get
+        mask = holders_of(blocks[0], 0) if blocks else 0
         if not mask:
             return {}
         first = mask
         ends: list[tuple[int, int]] = []
         for depth, block in enumerate(blocks):
-            remaining = mask & self._holders.get(block, 0)
-            if remaining != mask:
-                ends.append((depth, mask & ~remaining))
-                mask = remaining
+            remaining = mask & holders_of(block, 0)
+            if remaining == mask:
+                continue
+            ends.append((depth, mask & ~remaining))
+            mask = remaining
             if not mask:
                 break
         return {
--- a/libs/routing/fireflyhitch_routing/records.py
+++ b/libs/routing/fireflyhitch_routing/records.py
@@ -51,7 +51,16 @@
 class ServerRecord:
     """All state of one server; the router's lock guards it."""
 
-    __slots__ = ('curves', 'health', 'leaving', 'load', 'pool', 'server', 'trust')
+    __slots__ = (
+        'calm_hazard',
+        'curves',
+        'health',
+        'leaving',
+        'load',
+        'pool',
+        'server',
+        'trust',
+    )
 
     def __init__(self, server: BackendServer, pool: Curves, now: float) -> None:
         self.server = server
@@ -63,6 +72,8 @@
             self.curves.gap.coefficients = pool.gap.coefficients
         self.curves.hold = pool.hold
         self.load = ServerLoad()
+        reclaimable = server.machine_class is MachineClass.RECLAIMABLE
+        self.calm_hazard = 1 / CALM_LIFE_SECONDS if reclaimable else 0
         self.health = ServerHealth(now)
         self.leaving = False
         # Share of the expected cached tokens that its answers really report.
@@ -73,23 +84,20 @@
     ) -> Candidate:
         """Return the immutable view that a decision is made on."""
         curves = self.curves
+        first = curves.first
+        gap = curves.gap
         server = self.server
-        if server.machine_class is MachineClass.ON_DEMAND:
-            hazard = 0
-        else:
-            hazard += 1 / CALM_LIFE_SECONDS
-        load = self.load
         return Candidate(
             server,
-            load.total(now, likeness),
-            load.prompt_work,
+            self.load.total(now, likeness),
+            self.load.prompt_work,
             int(cached_tokens * self.trust),
-            curves.first.coefficients,
-            curves.first.deviation,
-            curves.gap.coefficients,
-            curves.gap.deviation,
+            first.coefficients,
+            first.deviation,
+            gap.coefficients,
+            gap.deviation,
             curves.hold,
-            hazard,
+            self.calm_hazard + hazard if self.calm_hazard else 0,
             self.health.allowed(server.capacity, now),
         )
 
--- a/libs/routing/fireflyhitch_routing/router.py
+++ b/libs/routing/fireflyhitch_routing/router.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 from http import HTTPStatus
+from operator import itemgetter
 
 from fireflyhitch_model.backends import BackendServer, CacheEvent, LoadReport
 from fireflyhitch_model.calls import Call
@@ -32,8 +33,8 @@
 NO_SERVER_RETRY_SECONDS = 5.0
 LEAST_RETRY_SECONDS = 1.0
 NONE_EXCLUDED: frozenset[BackendServerId] = frozenset()
-# Below this share of the target nothing is refused for overload.
-CALM_MARGIN = 0.5
+# Below this share of the target nothing is refused for overload, however strict.
+CALM_MARGIN = 0.7
 # At least this share of the servers stays in use, ejected or not.
 LEAST_IN_USE = 0.5
 
@@ -151,9 +152,9 @@
                 record
                 for record in deployment.records
                 if not record.leaving
+                and record.server.server_id not in excluded
                 and (versions is None or record.server.version in versions)
                 and (servers is None or record.server.server_id in servers)
-                and record.server.server_id not in excluded
             ]
             near, far = self._see_by_health(records, call.prefix_blocks, now)
         if not near and not far:
@@ -269,7 +270,8 @@
         short break) the few left would break under all the work.
         """
         cached = self._prefixes.find(blocks)
-        seen: list[tuple[float, Candidate]] = []
+        near: list[Candidate] = []
+        shunned: list[tuple[float, Candidate]] = []
         for record in records:
             server = record.server
             candidate = record.see(
@@ -278,13 +280,16 @@
                 cached.get(server.server_id, 0) * BLOCK_TOKENS,
                 self._domains.hazard(server.failure_domain, now),
             )
-            seen.append((self._shunned_until(record, now), candidate))
-        near = [candidate for until, candidate in seen if until <= now]
-        floor = math.ceil(len(seen) * LEAST_IN_USE) - len(near)
-        shunned = sorted(
-            (entry for entry in seen if entry[0] > now), key=lambda entry: entry[0]
-        )
-        return near, [candidate for _, candidate in shunned[: max(floor, 0)]]
+            until = self._shunned_until(record, now)
+            if until <= now:
+                near.append(candidate)
+            else:
+                shunned.append((until, candidate))
+        if not shunned:
+            return near, []
+        floor = max(math.ceil(len(records) * LEAST_IN_USE) - len(near), 0)
+        shunned.sort(key=itemgetter(0))
+        return near, [candidate for _, candidate in shunned[:floor]]
 
     def _shunned_until(self, record: ServerRecord, now: float) -> float:
         if self._domains.is_cut_off(record.server.failure_domain):
