Give sparse demand its part of the limit, and bound retries by daemon

Cause: a daemon without recent demand kept a tenth of an equal share, so a small customer's calls, spread over the daemons, were refused far below its limit; saved-up credit of every customer let retries reach 1.155 attempts a call in an outage. The burst's ids also repeated those of the base load, and the engine took its calls for known attempts. Change: spare limit is split equally while demand fits; one retry budget a daemon beside the customers'; ids of their own for the burst.

--- a/libs/bench/fireflyhitch_bench/routing.py
+++ b/libs/bench/fireflyhitch_bench/routing.py
@@ -49,10 +49,11 @@
 
     def worst_ratio(self, figure: str, baseline: str) -> float:
         """Return the router's highest ratio to a baseline over the phases."""
-        return max(
-            float(getattr(rows[ROUTER], figure)) / getattr(rows[baseline], figure)
+        ratios: list[float] = [
+            getattr(rows[ROUTER], figure) / getattr(rows[baseline], figure)
             for rows in self.figures.values()
-        )
+        ]
+        return max(ratios)
 
     def best_baselines(self) -> dict[str, float]:
         """Return for each phase the best baseline's share within the target."""
--- a/libs/bench/fireflyhitch_bench/routing_load.py
+++ b/libs/bench/fireflyhitch_bench/routing_load.py
@@ -28,8 +28,9 @@
 class _Drawing:
     """Draws one run's calls."""
 
-    def __init__(self, shape: Shape, seed: int) -> None:
+    def __init__(self, shape: Shape, seed: int, prefix: str = '') -> None:
         self._shape = shape
+        self._prefix = prefix
         self._draw = random.Random(seed)  # noqa: S311
         self._numbers = count()
         self.arrivals: list[Arrival] = []
@@ -91,7 +92,7 @@
     ) -> None:
         shape = self._shape
         call = Call(
-            RequestId(str(next(self._numbers))),
+            RequestId(f'{self._prefix}{next(self._numbers)}'),
             customer,
             shape.model if route else shape.service,
             route.name if route else 'GET /plan',
@@ -124,7 +125,7 @@
     shape: Shape, load: float, begin: float, end: float, seed: int
 ) -> list[Arrival]:
     """Draw a burst of the largest customer, as a share of the capacity."""
-    drawing = _Drawing(shape, seed)
+    drawing = _Drawing(shape, seed, 'burst-')
     customer = shape.customers()[0]
     drawing.draw_sessions(shape.capacity() * load, begin, end, customer)
     return sorted(drawing.arrivals, key=_by_arrival)
--- a/libs/bench/fireflyhitch_bench/routing_world.py
+++ b/libs/bench/fireflyhitch_bench/routing_world.py
@@ -90,7 +90,7 @@
     flights: list[Flight] = field(default_factory=list)
     decision_seconds: list[float] = field(default_factory=list)
     sites: dict[BackendServerId, _Site] = field(default_factory=dict)
-    budget: RetryBudget = field(init=False)
+    budgets: list[RetryBudget] = field(init=False)
     _queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
     _numbers: 'count[int]' = field(default_factory=count)
     _open: dict[AttemptId, Flight] = field(default_factory=dict)
@@ -98,7 +98,7 @@
 
     def __post_init__(self) -> None:
         """Start the servers and tell the daemons of them."""
-        self.budget = RetryBudget(self.clock)
+        self.budgets = [RetryBudget(self.clock) for _ in self.policies]
         for server in self.shape.servers():
             self._open_site(server)
         for policy in self.policies:
@@ -178,7 +178,7 @@
             if self.admit is not None and not self.admit(arrival.daemon, arrival):
                 flight.refused = True
                 return
-            self.budget.record_call(arrival.call.customer)
+            self.budgets[arrival.daemon].record_call(arrival.call.customer)
             self._dispatch(flight)
 
         return arrive
@@ -232,7 +232,8 @@
         return refuse
 
     def _retry(self, flight: Flight, outcome: Outcome) -> None:
-        if self.budget.take(flight.arrival.call, outcome):
+        budget = self.budgets[flight.arrival.daemon]
+        if budget.take(flight.arrival.call, outcome):
             self._dispatch(flight)
         else:
             flight.refused = True
--- a/libs/routing/fireflyhitch_routing/admission.py
+++ b/libs/routing/fireflyhitch_routing/admission.py
@@ -20,7 +20,7 @@
 # How many seconds of its rate a customer may save up for a burst.
 BURST_SECONDS = 2.0
 DEMAND_WEIGHT = 0.3
-LEAST_DEMAND = 0.01
+LEAST_DEMAND = 0.0001
 LEAST_RETRY_SECONDS = 1.0
 
 
@@ -42,7 +42,8 @@
     requests: TokenBucket
     tokens: TokenBucket
     running: int = 0
-    asked: float = 0
+    asked_requests: int = 0
+    asked_tokens: int = 0
     demand: float = 0
 
 
@@ -94,7 +95,8 @@
             account = self._accounts.get(call.customer)
             if account is None:
                 raise _refuse('unknown customer', 'unknown_customer', None)
-            account.asked += reserved
+            account.asked_requests += 1
+            account.asked_tokens += reserved
             wait = max(
                 account.requests.seconds_until(1, now),
                 account.tokens.seconds_until(reserved, now),
@@ -174,8 +176,16 @@
 
 
 def _measure_demand(account: _Account, elapsed: float) -> float:
-    account.demand += DEMAND_WEIGHT * (account.asked / elapsed - account.demand)
-    account.asked = 0
+    """Return the average part of the limit asked for, by the scarcest of the three."""
+    limits = account.limits
+    asked = max(
+        account.asked_requests / elapsed / limits.requests_per_second,
+        account.asked_tokens / elapsed / limits.tokens_per_second,
+        account.running / limits.concurrent_requests,
+    )
+    account.demand += DEMAND_WEIGHT * (asked - account.demand)
+    account.asked_requests = 0
+    account.asked_tokens = 0
     return account.demand
 
 
--- a/libs/routing/fireflyhitch_routing/shares.py
+++ b/libs/routing/fireflyhitch_routing/shares.py
@@ -1,14 +1,17 @@
 """Which part of a customer's limit a daemon may use, without a coordinator.
 
-Each daemon tells the others every second what its customers ask for. A daemon's
-share follows its part of the demand that it has heard of. It lowers a share at
-once but raises it only one interval later, when the others have heard the demand
-that justifies it and lowered theirs: so with messages delivered within an
-interval the shares never sum to more than the limit. A daemon that has not been
-heard for ``SILENT_SECONDS`` is taken to be cut off: an equal part is set aside
-for it, and one that hears nobody falls back to that equal part. While a cut is
-not yet noticed, each side may use what the other has: at most one limit for each
-side more, for ``SILENT_SECONDS``.
+Each daemon tells the others every second which part of each customer's limit is
+asked for there. While all that is asked for fits, a daemon gets what it asks for
+and an equal part of the rest, so that a customer's first call at a quiet daemon is
+served. When it does not fit, the limit is split in proportion.
+
+A daemon lowers a share at once but raises it only one interval later, when the
+others have heard the demand that justifies it and lowered theirs: with messages
+delivered within an interval the shares do not sum to more than the limit. For a
+daemon not heard for ``SILENT_SECONDS`` an equal part is set aside, and one that
+hears nobody falls back to that equal part. While a cut is not yet noticed each
+side may grow into what the other has: at most one more limit for each side, for
+``SILENT_SECONDS``.
 """
 
 from collections.abc import Iterable
@@ -22,15 +25,15 @@
 SILENT_SECONDS = 3.0
 # A daemon not heard for this long is gone for good: nothing is set aside.
 GONE_SECONDS = 300.0
-# Every daemon keeps this part of an equal share even without demand, so that a
-# customer's first call there is served.
+# When demand exceeds the limit every daemon keeps this part of an equal share even
+# without demand.
 IDLE_PART = 0.1
 
 
 class DemandReport(PeerMessage):
-    """What a daemon's customers ask for, in tokens a second.
+    """What a daemon's customers ask for, as parts of their limits.
 
-    :param demands: only customers with any demand.
+    :param demands: only customers with any demand; above 1 is more than the limit.
     """
 
     kind: ClassVar[str] = 'demand-report'
@@ -97,8 +100,7 @@
 def _part_of(own: float, others: list[float]) -> float:
     """Return a part that sums to at most 1 over daemons with the same view."""
     count = len(others) + 1
-    idle = IDLE_PART / count
     total = own + sum(others)
-    if not total:
-        return 1 / count
-    return idle + (1 - IDLE_PART) * own / total
+    if total <= 1:
+        return own + (1 - total) / count
+    return IDLE_PART / count + (1 - IDLE_PART) * own / total
