--- a/libs/bench/fireflyhitch_bench/load.py
+++ b/libs/bench/fireflyhitch_bench/load.py
@@ -44,6 +44,11 @@
         pairs = zip(self.arrivals, self.arrivals[1:], strict=False)
         return [later - earlier for earlier, later in pairs]
 
+    @property
+    def finished(self) -> bool:
+        """Tell whether a streamed answer came to its last event."""
+        return DONE in self.body
+
     @property
     def answered(self) -> bool:
         """Tell whether the whole answer arrived without an error in it."""
@@ -139,14 +144,37 @@
     return CallSpec(address, 'POST', '/v1/chat/completions', body, headers)
 
 
+@dataclass(frozen=True, slots=True)
+class SeenEvent:
+    """One server-sent event as a caller saw it."""
+
+    event_id: str
+    data: bytes
+
+
+def read_events(result: CallResult) -> list[SeenEvent]:
+    """Return the whole events of a streamed answer that have an id."""
+    seen: list[SeenEvent] = []
+    for event in bytes(result.body).split(b'\n\n')[:-1]:
+        lines = dict(line.split(b': ', 1) for line in event.split(b'\n') if line)
+        event_id = lines.get(b'id')
+        if event_id is not None:
+            seen.append(SeenEvent(event_id.decode(), lines[b'data']))
+    return seen
+
+
 def read_text(result: CallResult) -> str:
-    """Return the text of a streamed chat answer."""
-    pieces: list[str] = []
-    for line in result.body.split(b'\n'):
-        if line.startswith(b'data: {'):
-            choices = json.loads(line[6:]).get('choices') or [{}]
-            pieces.append((choices[0].get('delta') or {}).get('content') or '')
-    return ''.join(pieces)
+    """Return the text of a chat answer, streamed or whole."""
+    if result.body.startswith(b'{'):
+        message: str = json.loads(result.body)['choices'][0]['message']['content']
+        return message
+    return ''.join(_read_delta(event.data) for event in read_events(result))
+
+
+def _read_delta(data: bytes) -> str:
+    choices = json.loads(data).get('choices') or [{}]
+    delta = choices[0].get('delta') or {}
+    return delta.get('content') or ''
 
 
 def _render_request(spec: CallSpec) -> bytes:
--- a/libs/daemon/fireflyhitch_daemon/directory.py
+++ b/libs/daemon/fireflyhitch_daemon/directory.py
@@ -77,8 +77,9 @@
     def list_engines(
         self, configuration: Configuration | None
     ) -> tuple[BackendServer, ...]:
-        """Return the model engines that this daemon uses; plain services report
-        nothing, and asking them would be a call.
+        """Return the model engines that this daemon uses.
+
+        Plain services report nothing, and asking them would be a call.
         """
         if configuration is None:
             return ()
--- a/libs/daemon/tests/test_front.py
+++ b/libs/daemon/tests/test_front.py
@@ -14,7 +14,7 @@
 def address():
     limits = Limits(max_body_bytes=1000)
     server = build_server(
-        Listener(), limits, lambda request: Response(200, request.body)
+        Listener(), limits, lambda request: Response(200, request.body), lambda: 'id'
     )
     thread = threading.Thread(target=server.serve)
     thread.start()
@@ -47,3 +47,4 @@
             answer = caller.makefile('rb').read()
         assert answer.startswith(b'HTTP/1.1 400 Bad Request')
         assert b'Fireflyhitch-Outcome: not-run' in answer
+        assert b'Fireflyhitch-Request-Id: id' in answer
