--- a/libs/telemetry/fireflyhitch_telemetry/burn.py
+++ b/libs/telemetry/fireflyhitch_telemetry/burn.py
@@ -1,8 +1,14 @@
 """Service-level burn: good and bad requests against the target, by window."""
 
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import datetime
+from itertools import chain
+from threading import Lock
+from typing import NamedTuple
 
+from ddsketch import LogCollapsingLowestDenseDDSketch
+from ddsketch.mapping import LogarithmicMapping
 from pydantic import BaseModel, ConfigDict
 
 from fireflyhitch_model.clock import Clock
@@ -12,6 +18,16 @@
     FailureDomainId,
     VersionId,
 )
+from fireflyhitch_telemetry.burn_windows import SlotCounts, Window
+
+ACCURACY = 0.02
+MAX_BINS = 512
+# Bounds the memory: some 6 KB a row when all of its slots are in use.
+MAX_ROWS = 2000
+# For a target of 1, which leaves no budget at all.
+LEAST_BUDGET = 1e-6
+OTHER_CUSTOMER = CustomerId('(others)')
+OTHER_ROUTE = '(others)'
 
 
 class BurnTarget(BaseModel):
@@ -27,14 +43,99 @@
     share: float = 0.95
 
 
+class WindowCounts(BaseModel):
+    """Requests in one window."""
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    good: int = 0
+    bad: int = 0
+
+    def find_burn(self, target_share: float) -> float:
+        """Return how fast the error budget burns: 1 uses it up exactly."""
+        calls = self.good + self.bad
+        if calls == 0:
+            return 0
+        return self.bad / calls / max(1 - target_share, LEAST_BUDGET)
+
+
+class BurnRow(BaseModel):
+    """The requests of one customer on one route, answered by one version.
+
+    :param latencies: first-token latencies by the sketch's bin.
+    """
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    customer: CustomerId
+    deployment: DeploymentId
+    route: str
+    version: VersionId
+    target: BurnTarget
+    windows: dict[Window, WindowCounts] = {}
+    latencies: dict[int, float] = {}
+
+    @property
+    def key(self) -> tuple[str, str, str, str]:
+        """What rows are merged by."""
+        return (self.customer, self.deployment, self.route, self.version)
+
+    def find_latency(self, quantile: float) -> float | None:
+        """Return the time to the first token at a quantile, in seconds."""
+        sketch = _make_sketch(self.latencies)
+        found = sketch.get_quantile_value(quantile)
+        return None if found is None else float(found)
+
+
+class BurnSnapshot(BaseModel):
+    """Counts of one or several daemons; JSON and CBOR carry it.
+
+    :param since: the earliest start of a daemon that is counted in; windows
+        that reach further back are not full.
+    :param daemons: how many daemons are counted in.
+    :param failure_domains: those whose daemons are counted in.
+    :param unreached: those with daemons that could not be asked.
+    """
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    taken: datetime
+    since: datetime
+    daemons: int = 1
+    failure_domains: tuple[FailureDomainId, ...] = ()
+    unreached: tuple[FailureDomainId, ...] = ()
+    rows: tuple[BurnRow, ...] = ()
+
+
+class _Key(NamedTuple):
+    customer: CustomerId
+    deployment: DeploymentId
+    route: str
+    version: VersionId
+
+
+@dataclass(slots=True)
+class _Counts:
+    slots: SlotCounts = field(default_factory=SlotCounts)
+    latencies: dict[int, float] = field(default_factory=dict)
+
+
 class BurnRecorder:
     """Counts in bounded memory; ``record`` may be called by any thread."""
 
     def __init__(self, clock: Clock, failure_domain: FailureDomainId) -> None:
         """Make an empty recorder."""
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._since = clock.now()
+        self._lock = Lock()
+        self._mapping = LogarithmicMapping(ACCURACY)
+        self._targets: dict[DeploymentId, BurnTarget] = {}
+        self._counts: dict[_Key, _Counts] = {}
 
-    def set_targets(self, targets: dict[DeploymentId, BurnTarget]) -> None:
+    def set_targets(self, targets: Mapping[DeploymentId, BurnTarget]) -> None:
         """Say what is good for each deployment; to be called when it changes."""
+        self._targets = dict(targets)
 
     def record(
         self,
@@ -52,24 +153,54 @@
         :param first_token: seconds from its arrival to the first token or byte.
         :param between_tokens: mean seconds between tokens.
         """
+        target = self._targets.get(deployment)
+        if target is None:
+            return
+        good = ok and _is_within(target, first_token, between_tokens)
+        now = self._clock.now().timestamp()
+        with self._lock:
+            counts = self._find(_Key(customer, deployment, route, version))
+            counts.slots.add(good, now)
+            if first_token is not None and first_token > 0:
+                place = self._mapping.key(first_token)
+                counts.latencies[place] = counts.latencies.get(place, 0) + 1
 
-    def snapshot(self) -> 'BurnSnapshot':
+    def snapshot(self) -> BurnSnapshot:
         """Return all counts in a form that is merged and sent."""
-        raise NotImplementedError
-
-
-class BurnSnapshot(BaseModel):
-    """Counts of one or several daemons; JSON and CBOR carry it.
+        taken = self._clock.now()
+        with self._lock:
+            rows = tuple(
+                self._make_row(key, counts, taken.timestamp())
+                for key, counts in self._counts.items()
+                if key.deployment in self._targets
+            )
+        return BurnSnapshot(
+            taken=taken,
+            since=self._since,
+            failure_domains=(self._failure_domain,),
+            rows=rows,
+        )
 
-    :param failure_domains: those whose daemons are counted in.
-    :param unreached: those that have daemons that could not be asked.
-    """
-
-    model_config = ConfigDict(frozen=True, extra='ignore')
+    def _find(self, key: _Key) -> _Counts:
+        counts = self._counts.get(key)
+        if counts is not None:
+            return counts
+        if len(self._counts) >= MAX_ROWS:
+            # The requests still count, under a row for the rest.
+            key = _Key(OTHER_CUSTOMER, key.deployment, OTHER_ROUTE, key.version)
+        return self._counts.setdefault(key, _Counts())
 
-    failure_domains: tuple[FailureDomainId, ...] = ()
-    unreached: tuple[FailureDomainId, ...] = ()
-    rows: tuple[Any, ...] = ()
+    def _make_row(self, key: _Key, counts: _Counts, now: float) -> BurnRow:
+        windows = {}
+        for window in Window:
+            good, bad = counts.slots.total(window, now)
+            windows[window] = WindowCounts(good=good, bad=bad)
+        return BurnRow(
+            **key._asdict(),
+            target=self._targets[key.deployment],
+            windows=windows,
+            latencies=dict(counts.latencies),
+        )
 
 
 def merge_snapshots(
@@ -79,5 +210,52 @@
     """Add snapshots of different daemons up.
 
     :param unreached: failure domains with daemons that did not answer.
+    :raises ValueError: if there are no snapshots.
     """
-    raise NotImplementedError
+    parts = list(snapshots)
+    rows: dict[tuple[str, str, str, str], BurnRow] = {}
+    for row in chain.from_iterable(part.rows for part in parts):
+        known = rows.get(row.key)
+        rows[row.key] = row if known is None else _add_rows(known, row)
+    reached = chain.from_iterable(part.failure_domains for part in parts)
+    missing = chain(unreached, *(part.unreached for part in parts))
+    return BurnSnapshot(
+        taken=max(part.taken for part in parts),
+        since=min(part.since for part in parts),
+        daemons=sum(part.daemons for part in parts),
+        failure_domains=tuple(sorted(set(reached))),
+        unreached=tuple(sorted(set(missing))),
+        rows=tuple(rows[key] for key in sorted(rows)),
+    )
+
+
+def _add_rows(one: BurnRow, other: BurnRow) -> BurnRow:
+    windows = {
+        window: WindowCounts(
+            good=one.windows[window].good + other.windows[window].good,
+            bad=one.windows[window].bad + other.windows[window].bad,
+        )
+        for window in Window
+    }
+    latencies = dict(one.latencies)
+    for place, count in other.latencies.items():
+        latencies[place] = latencies.get(place, 0) + count
+    return one.model_copy(update={'windows': windows, 'latencies': latencies})
+
+
+def _make_sketch(latencies: Mapping[int, float]) -> LogCollapsingLowestDenseDDSketch:
+    mapping = LogarithmicMapping(ACCURACY)
+    sketch = LogCollapsingLowestDenseDDSketch(ACCURACY, MAX_BINS)
+    for place, count in latencies.items():
+        sketch.add(mapping.value(place), count)
+    return sketch
+
+
+def _is_within(
+    target: BurnTarget, first_token: float | None, between_tokens: float | None
+) -> bool:
+    if first_token is not None and first_token > target.first_token_seconds:
+        return False
+    if between_tokens is None or target.between_tokens_seconds is None:
+        return True
+    return between_tokens <= target.between_tokens_seconds
--- a/libs/telemetry/fireflyhitch_telemetry/burn_report.py
+++ b/libs/telemetry/fireflyhitch_telemetry/burn_report.py
@@ -1,18 +1,141 @@
 """Renders service-level burn as text, JSON and an HTML page."""
 
-from fireflyhitch_telemetry.burn import BurnSnapshot
+import html
+import json
+from collections.abc import Iterator, Sequence
+
+import pygal
+from pygal.etree import etree
+
+from fireflyhitch_telemetry.burn import BurnRow, BurnSnapshot
+from fireflyhitch_telemetry.burn_windows import Window
+
+MEDIAN = 0.5
+TAIL = 0.95
+SHOWN_ROWS = 20
+HEAD_PIXELS = 120
+ROW_PIXELS = 40
+HEADS = ('customer', 'deployment', 'route', 'version', 'requests', 'bad', 'p50', 'p95')
+STYLE = 'body{font-family:sans-serif}td,th{padding:2px 8px;text-align:left}'
 
 
 def render_text(snapshot: BurnSnapshot) -> str:
     """Return a table for people."""
-    raise NotImplementedError
+    table = [_list_heads(), *(_list_cells(row) for row in snapshot.rows)]
+    widths = [max(len(cell) for cell in column) for column in zip(*table, strict=True)]
+    lines = _describe(snapshot)
+    for cells in table:
+        padded = zip(cells, widths, strict=True)
+        lines.append('  '.join(cell.ljust(width) for cell, width in padded).rstrip())
+    return '\n'.join(lines)
 
 
 def render_json(snapshot: BurnSnapshot) -> str:
     """Return one JSON object for programs."""
-    raise NotImplementedError
+    rows = []
+    for row in snapshot.rows:
+        shown = row.model_dump(mode='json', exclude={'latencies'})
+        shown['burn'] = {
+            window.value: row.windows[window].find_burn(row.target.share)
+            for window in Window
+        }
+        shown['first_token_seconds'] = {
+            'p50': row.find_latency(MEDIAN),
+            'p95': row.find_latency(TAIL),
+        }
+        rows.append(shown)
+    whole = snapshot.model_dump(mode='json', exclude={'rows'})
+    return json.dumps({**whole, 'rows': rows})
 
 
 def render_html(snapshot: BurnSnapshot) -> str:
     """Return a page that needs nothing else, with plots in it."""
-    raise NotImplementedError
+    table = [_list_heads(), *(_list_cells(row) for row in snapshot.rows)]
+    body = ''.join(f'<p>{html.escape(line)}</p>' for line in _describe(snapshot))
+    rows = ''.join(_render_cells(cells) for cells in table)
+    plots = ''.join(_plot(snapshot))
+    return (
+        '<!doctype html><html lang="en"><head><meta charset="utf-8">'
+        f'<title>Service-level burn</title><style>{STYLE}</style></head>'
+        f'<body><h1>Service-level burn</h1>{body}'
+        f'<table>{rows}</table>{plots}</body></html>'
+    )
+
+
+def _describe(snapshot: BurnSnapshot) -> list[str]:
+    domains = ', '.join(snapshot.failure_domains)
+    lines = [
+        f'Taken {snapshot.taken.isoformat()} from {snapshot.daemons} daemons '
+        f'in {domains}; counted since {snapshot.since.isoformat()}.',
+    ]
+    if snapshot.unreached:
+        missing = ', '.join(snapshot.unreached)
+        lines.append(f'Not all daemons could be asked in: {missing}.')
+    lines.append('Burn 1 uses up the error budget exactly; more is too fast.')
+    return lines
+
+
+def _list_heads() -> list[str]:
+    return [*HEADS, *(f'burn {window.value}' for window in Window)]
+
+
+def _list_cells(row: BurnRow) -> list[str]:
+    longest = row.windows[Window.DAYS_3]
+    burns = [row.windows[window].find_burn(row.target.share) for window in Window]
+    return [
+        *row.key,
+        str(longest.good + longest.bad),
+        str(longest.bad),
+        _show_seconds(row.find_latency(MEDIAN)),
+        _show_seconds(row.find_latency(TAIL)),
+        *(f'{burn:.2f}' for burn in burns),
+    ]
+
+
+def _show_seconds(seconds: float | None) -> str:
+    return '-' if seconds is None else f'{seconds:.3f} s'
+
+
+def _render_cells(cells: Sequence[str]) -> str:
+    return f'<tr>{"".join(f"<td>{html.escape(cell)}</td>" for cell in cells)}</tr>'
+
+
+def _plot(snapshot: BurnSnapshot) -> Iterator[str]:
+    rows = sorted(snapshot.rows, key=_find_worst, reverse=True)[:SHOWN_ROWS]
+    if not rows:
+        return
+    names = [' '.join(row.key) for row in rows]
+    for window in Window:
+        chart = _make_chart(f'Burn over {window.value}', names)
+        burns = [row.windows[window].find_burn(row.target.share) for row in rows]
+        chart.add('burn', burns)
+        yield _render(chart)
+    chart = _make_chart('Time to the first token, seconds', names)
+    chart.add('p50', [row.find_latency(MEDIAN) for row in rows])
+    chart.add('p95', [row.find_latency(TAIL) for row in rows])
+    yield _render(chart)
+
+
+def _make_chart(title: str, names: list[str]) -> pygal.HorizontalBar:
+    chart = pygal.HorizontalBar(
+        title=title,
+        js=(),
+        disable_xml_declaration=True,
+        height=HEAD_PIXELS + ROW_PIXELS * len(names),
+    )
+    chart.x_labels = names
+    return chart
+
+
+def _render(chart: pygal.HorizontalBar) -> str:
+    # Without scripts, so that a page policy which forbids them lets it through.
+    tree = chart.render_tree()
+    for parent in tree.iter():
+        for child in list(parent):
+            if str(child.tag).endswith('script'):
+                parent.remove(child)
+    return str(etree.tostring(tree, encoding='unicode'))
+
+
+def _find_worst(row: BurnRow) -> float:
+    return max(row.windows[window].find_burn(row.target.share) for window in Window)
