--- a/libs/routing/fireflyhitch_routing/pressure.py
+++ b/libs/routing/fireflyhitch_routing/pressure.py
@@ -21,7 +21,10 @@
 # How much of the target a call may be expected to take, by priority.
 PATIENT = {Priority.URGENT: 4.0, Priority.NORMAL: 3.0, Priority.BATCH: 1.0}
 STRICT = {Priority.URGENT: 1.5, Priority.NORMAL: 1.0, Priority.BATCH: 0.7}
-GREEDY = 0.8
+# A customer above its fair part gets this part of the limit. It multiplies, so that
+# an urgent call still goes before a normal one of another customer.
+GREEDY_STRICT = 0.8
+GREEDY_PATIENT = 0.35
 # A server that misses its target even when idle is not overloaded by that: it
 # may be this much worse than idle.
 IDLE_RATIO = 1.3
@@ -74,7 +77,7 @@
         strict = now < self.strict_until
         limit = STRICT[call.priority] if strict else PATIENT[call.priority]
         if self._is_greedy(call.customer, now):
-            limit = min(limit, GREEDY if strict else 1.0)
+            limit *= GREEDY_STRICT if strict else GREEDY_PATIENT
         load = chosen.margin if strict else chosen.expected
         idle_load = idle.margin if strict else idle.expected
         return load > max(limit, IDLE_RATIO * idle_load)
