Test answers, choices and hand-overs, and mend a second take-back

It found that a daemon to which a request came back set a second answer beside the one under way once the peer it had it from died: check_peers now passes over requests that are here.

--- a/libs/recovery/fireflyhitch_recovery/handover.py
+++ b/libs/recovery/fireflyhitch_recovery/handover.py
@@ -133,7 +133,12 @@
             rest = [tracked for tracked in batch.requests if tracked not in done]
             waiting.extendleft(reversed(list(filter(_is_open, rest))))
             self._wait_for_pace(batch.size)
-        return HandOverReport(tuple(moved), tuple(map(_read_id, waiting)))
+        left = tuple(map(_read_id, waiting))
+        if left:
+            logger.bind(step=Step.HAND_OVER.value).warning(
+                '{} requests moved, {} left here', len(moved), len(left)
+            )
+        return HandOverReport(tuple(moved), left)
 
     def protect(self, request_ids: Iterable[RequestId]) -> tuple[RequestId, ...]:
         """Leave copies of requests with a peer while they finish here.
@@ -169,7 +174,7 @@
             suspects = [
                 request_id
                 for request_id, move in self._moved.items()
-                if move.peer not in live
+                if move.peer not in live and self._in_flight.find(request_id) is None
             ]
         answered = {found.request_id for found in self._find_answered(suspects)}
         lost = [one for one in suspects if one not in answered]
@@ -322,10 +327,10 @@
         with self._lock:
             move = self._moved.pop(request_id)
         held = move.tracked
+        known = self.locations.find_here(request_id)
+        newest = max(known.generation if known else 0, held.generation + 1)
         # Above what the lost peer had, so that its copy loses if it comes back.
-        tracked = self._in_flight.register(
-            held.accepted, held.log.hold(), held.generation + 2
-        )
+        tracked = self._in_flight.register(held.accepted, held.log.hold(), newest + 1)
         tracked.placement = held.placement
 
     def _note_protected(self, peer: DaemonId, kept: Iterable[RequestId]) -> None:
@@ -346,7 +351,7 @@
         try:
             return self._messenger.ask(peer, message, self._settings.ask_patience)
         except PeerError as error:
-            logger.bind(step=Step.HAND_OVER.value, peer=error.peer).warning(
+            logger.bind(step=Step.HAND_OVER.value, peer=error.peer).debug(
                 'no answer to {}', message.kind
             )
             self._failed.add(peer)
--- /dev/null
+++ b/libs/recovery/tests/test_choices.py
@@ -0,0 +1,167 @@
+"""Tests of the pure choices: how to resume, what to move, how to continue."""
+
+import json
+from datetime import timedelta
+
+import pytest
+
+from fireflyhitch_model.clock import ManualClock
+from fireflyhitch_model.ids import RequestId
+from fireflyhitch_model.states import Priority
+from fireflyhitch_recovery.continuation import (
+    adapt_event,
+    build_continuation,
+    count_remaining,
+    is_continuable,
+    read_generated,
+)
+from fireflyhitch_recovery.drain import Drain, DrainState
+from fireflyhitch_recovery.reclaim import RequestProgress, plan_reclaim
+from fireflyhitch_recovery.requests import CompletionKind
+from fireflyhitch_recovery.resume import (
+    ResumeCosts,
+    ResumeFacts,
+    ResumeKind,
+    plan_resume,
+)
+
+
+class TestPlanResume:
+    """The way that costs least."""
+
+    def test_engine_stream_computes_nothing_again(self):
+        facts = ResumeFacts(1000, 50, stream_reachable=True, kv_tokens=1050)
+        plan = plan_resume(facts)
+        assert (plan.kind, plan.recomputed_tokens) == (ResumeKind.ENGINE_STREAM, 0)
+
+    def test_kv_import_beats_a_long_prefix(self):
+        plan = plan_resume(ResumeFacts(4000, 50, kv_tokens=4000))
+        assert (plan.kind, plan.recomputed_tokens) == (ResumeKind.KV_IMPORT, 50)
+
+    def test_cached_prefix_beats_an_import(self):
+        facts = ResumeFacts(4000, 50, kv_tokens=4050, cached_tokens=4000)
+        plan = plan_resume(facts)
+        assert plan.kind is ResumeKind.GENERATED_PREFIX
+        assert plan.recomputed_tokens == 50
+
+    def test_slow_link_makes_the_import_dear(self):
+        slow = ResumeCosts(kv_bytes_per_second=1e6)
+        plan = plan_resume(ResumeFacts(1000, 50, kv_tokens=1050), slow)
+        assert plan.kind is ResumeKind.GENERATED_PREFIX
+
+    def test_answer_that_cannot_be_continued_ends(self):
+        facts = ResumeFacts(1000, 50, kv_tokens=1050, continuable=False)
+        assert plan_resume(facts).kind is ResumeKind.IMPOSSIBLE
+
+    def test_answer_without_events_starts_anew_even_so(self):
+        plan = plan_resume(ResumeFacts(1000, 0, continuable=False))
+        assert plan.kind is ResumeKind.GENERATED_PREFIX
+
+
+class TestPlanReclaim:
+    """What stays and what moves."""
+
+    def test_moves_what_cannot_finish_urgent_and_longest_first(self):
+        def progress(name, priority, tokens):
+            return RequestProgress(
+                RequestId(name), priority, tokens, timedelta(milliseconds=50)
+            )
+
+        plan = plan_reclaim(
+            timedelta(seconds=5),
+            [
+                progress('short', Priority.URGENT, 10),
+                progress('long', Priority.NORMAL, 200),
+                progress('longer', Priority.NORMAL, 300),
+                progress('urgent', Priority.URGENT, 100),
+            ],
+        )
+        assert plan.finish == ('short',)
+        assert plan.move == ('urgent', 'longer', 'long')
+
+    def test_no_time_left_moves_all(self):
+        request = RequestProgress(RequestId('a'), Priority.NORMAL, 1, timedelta(1))
+        assert plan_reclaim(timedelta(), [request]).move == ('a',)
+
+
+def chunk(**choice):
+    return json.dumps({'id': 'x', 'choices': [choice]}).encode()
+
+
+class TestContinuation:
+    """The request that goes on, and its events."""
+
+    def test_chat_goes_on_with_its_last_message(self):
+        body = json.dumps(
+            {'messages': [{'role': 'user', 'content': 'hi'}], 'max_tokens': 10}
+        ).encode()
+        events = [
+            chunk(delta={'role': 'assistant', 'content': ''}),
+            chunk(delta={'content': 'a'}),
+            chunk(delta={'content': ' b'}),
+        ]
+        generated = read_generated(events)
+        request = json.loads(build_continuation(CompletionKind.CHAT, body, generated))
+        assert request['messages'][-1] == {'role': 'assistant', 'content': 'a b'}
+        assert (
+            request['continue_final_message'] and not request['add_generation_prompt']
+        )
+        assert request['max_tokens'] == 8
+
+    def test_continuation_of_a_continuation_has_one_last_message(self):
+        messages = [{'role': 'assistant', 'content': 'a'}]
+        body = json.dumps(
+            {'messages': messages, 'continue_final_message': True}
+        ).encode()
+        generated = read_generated([chunk(delta={'content': ' b'})])
+        request = json.loads(build_continuation(CompletionKind.CHAT, body, generated))
+        assert request['messages'] == [{'role': 'assistant', 'content': 'a b'}]
+
+    def test_completion_goes_on_behind_its_prompt(self):
+        body = json.dumps({'prompt': 'x', 'max_tokens': 3}).encode()
+        generated = read_generated([chunk(text=' y')])
+        request = json.loads(build_continuation(CompletionKind.TEXT, body, generated))
+        assert request == {'prompt': 'x y', 'max_tokens': 2}
+
+    @pytest.mark.parametrize('extra', [{'n': 2}, {'tools': [1]}])
+    def test_answers_that_are_more_than_text_are_not_continued(self, extra):
+        assert not is_continuable(json.dumps({'prompt': 'x', **extra}).encode())
+
+    def test_remaining_tokens_follow_the_request_or_the_default(self):
+        assert count_remaining(b'{"max_tokens": 10}', 4, 99) == 6
+        assert count_remaining(b'{}', 4, 99) == 95
+
+    def test_continued_events_are_of_the_whole_answer(self):
+        event = json.dumps(
+            {
+                'id': 'new',
+                'choices': [],
+                'usage': {'prompt_tokens': 12, 'completion_tokens': 3},
+            }
+        ).encode()
+        adapted = json.loads(adapt_event(event, chunk(text='a'), 2))
+        assert adapted['id'] == 'x'
+        assert adapted['usage'] == {'prompt_tokens': 10, 'completion_tokens': 5}
+
+    def test_finish_is_noticed(self):
+        assert read_generated([chunk(text='', finish_reason='stop')]).finished
+
+
+class TestDrain:
+    """A daemon's way out."""
+
+    def test_graceful_stop_waits_for_the_last_request(self):
+        drain = Drain(ManualClock())
+        assert drain.ready and drain.start()
+        assert not drain.ready and not drain.stop_if_done(1)
+        assert drain.read_time_left() is None
+        assert drain.stop_if_done(0) and drain.state is DrainState.STOPPED
+
+    def test_sooner_end_counts(self):
+        clock = ManualClock()
+        drain = Drain(clock)
+        drain.start(timedelta(seconds=30))
+        assert not drain.start(timedelta(seconds=60))
+        assert drain.start(timedelta(seconds=3))
+        clock.advance(timedelta(seconds=1))
+        assert drain.read_time_left() == timedelta(seconds=2)
--- /dev/null
+++ b/libs/recovery/tests/test_handover.py
@@ -0,0 +1,268 @@
+"""Tests of hand-overs between daemons and of what goes wrong in them."""
+
+import cbor2
+import pytest
+
+from fireflyhitch_model.errors import InvariantError
+from fireflyhitch_model.ids import CustomerId
+from fireflyhitch_recovery.answers import AnswerEnd, LogState
+from fireflyhitch_recovery.messages import Confirm, Transfer, WireRequest
+
+
+class Killed(Exception):
+    """Ends a daemon in the middle of its work."""
+
+
+def ids(*tracked):
+    return tuple(one.accepted.call.request_id for one in tracked)
+
+
+class TestHandOver:
+    """A hand-over without faults."""
+
+    def test_request_moves_to_another_failure_domain_with_its_answer(self, cluster):
+        tracked = cluster.accept()
+        report = cluster.nodes['a1'].move(tracked)
+        assert report.moved == ids(tracked)
+        holder = cluster.holder(tracked)
+        assert holder in ('b1', 'c1')
+        taken = cluster.nodes[holder].taken[-1]
+        assert taken.log.read_after(0).events == (b'1', b'2')
+        assert taken.placement == tracked.placement
+        assert tracked.log.state is LogState.MOVED
+
+    def test_caller_reads_nothing_that_the_peer_was_not_given(self, cluster):
+        tracked = cluster.accept()
+        real_ask = cluster.network.messengers['a1'].ask
+        relayed = []
+
+        def generate_meanwhile(peer, message, timeout):
+            if isinstance(message, (Transfer, Confirm)):
+                relayed.append(tracked.log.current().append(b'3'))
+            return real_ask(peer, message, timeout)
+
+        cluster.network.messengers['a1'].ask = generate_meanwhile
+        cluster.nodes['a1'].move(tracked)
+        assert relayed == [False, False]
+        assert tracked.log.read_after(0).events == (b'1', b'2')
+
+    def test_any_daemon_finds_a_request_before_and_after_its_move(self, cluster):
+        tracked = cluster.accept()
+        for node in cluster.nodes.values():
+            assert node.locate(tracked) == 'a1'
+        cluster.nodes['a1'].move(tracked)
+        holder = cluster.holder(tracked)
+        cluster.kill('a1')
+        for node in cluster.nodes.values():
+            assert node.locate(tracked) == holder
+
+    def test_other_customers_do_not_find_it(self, cluster):
+        tracked = cluster.accept()
+        find = cluster.nodes['a1'].in_flight.find_for
+        assert find(*ids(tracked), CustomerId('customer')) is tracked
+        assert find(*ids(tracked), CustomerId('other')) is None
+
+    def test_requests_spread_over_the_peers_with_room(self, make_cluster):
+        cluster = make_cluster(batch_requests=2)
+        for name in ('b1', 'c1'):
+            cluster.nodes[name].room = 5
+        tracked = [cluster.accept() for _ in range(8)]
+        assert len(cluster.nodes['a1'].move(*tracked).moved) == 8
+        assert len(cluster.nodes['b1'].taken) in (3, 4, 5)
+
+    def test_peers_memory_is_bounded(self, make_cluster):
+        cluster = make_cluster(max_kept_bytes=3000, batch_requests=2)
+        tracked = [cluster.accept(body=bytes(1000)) for _ in range(8)]
+        report = cluster.nodes['a1'].move(*tracked)
+        assert len(report.moved) == 4
+        for name in ('b1', 'c1'):
+            assert cluster.nodes[name].hand_over.reception.measure() <= 3000
+        left = [one for one in tracked if ids(one)[0] in report.left]
+        assert {one.log.state for one in left} == {LogState.OPEN}
+        for taken in cluster.nodes['b1'].taken:
+            cluster.nodes['b1'].in_flight.finish(taken, AnswerEnd.COMPLETE)
+        assert cluster.nodes['b1'].hand_over.reception.measure() == 0
+        assert len(cluster.nodes['a1'].move(*left).moved) == 2
+
+    def test_second_notice_moves_a_request_on(self, cluster):
+        tracked = cluster.accept()
+        cluster.nodes['a1'].move(tracked)
+        holder = cluster.holder(tracked)
+        cluster.nodes[holder].move(tracked)
+        second = cluster.holder(tracked)
+        assert second != holder
+        assert cluster.nodes['a2'].locate(tracked) == second
+
+    def test_messages_survive_the_wire(self, cluster):
+        tracked = cluster.accept(events=(b'\xff',))
+        wire = WireRequest.pack(tracked, tracked.log.copy(), 3, 5.0)
+        message = Transfer(requests=(wire,))
+        decoded = cbor2.loads(cbor2.dumps(message.model_dump()))
+        assert Transfer.model_validate(decoded) == message
+
+    def test_clock_of_the_receiver_is_used(self, cluster):
+        tracked = cluster.accept()
+        wire = WireRequest.pack(tracked, tracked.log.copy(), 1, 10.0)
+        call = wire.unpack_accepted(1000.0).call
+        assert (call.arrived, call.deadline) == (990.0, 1050.0)
+
+    def test_second_registration_breaks_the_invariant(self, cluster):
+        tracked = cluster.accept()
+        with pytest.raises(InvariantError):
+            cluster.nodes['a1'].in_flight.register(tracked.accepted)
+
+
+class TestFaults:
+    """Hand-overs in which somebody dies or is cut off."""
+
+    def test_peer_that_does_not_answer_is_passed_over(self, cluster):
+        tracked = cluster.accept()
+        cluster.network.separate('a1', 'b1')
+        cluster.nodes['a1'].move(tracked)
+        assert cluster.holders(tracked) == ['c1']
+
+    def test_nobody_in_reach_leaves_the_request_here(self, cluster):
+        """All peers are cut off until the time is over.
+
+        The answer goes on here, with the events that came while it was held.
+        """
+        tracked = cluster.accept()
+        for peer in ('b1', 'c1'):
+            cluster.network.separate('a1', peer)
+        report = cluster.nodes['a1'].move(tracked)
+        assert report.left == ids(tracked)
+        assert tracked.log.current().append(b'3')
+
+    def test_lost_confirmation_leaves_one_answer(self, cluster):
+        """A peer takes a request over, and its answers are lost.
+
+        The sender goes on and gives the request to another peer. The first
+        learns that it was passed over, and gives its copy up.
+        """
+        tracked = cluster.accept()
+        real_ask = cluster.network.messengers['a1'].ask
+        confirms = []
+
+        def lose_first_confirmation(peer, message, timeout):
+            if isinstance(message, Confirm) and not confirms:
+                confirms.append(peer)
+            if confirms and peer == confirms[0]:
+                cluster.lose_answers('a1', peer)
+            return real_ask(peer, message, timeout)
+
+        cluster.network.messengers['a1'].ask = lose_first_confirmation
+        cluster.nodes['a1'].move(tracked)
+        holder = cluster.holder(tracked)
+        assert holder != confirms[0]
+        dropped = cluster.nodes[confirms[0]].taken[-1]
+        assert dropped.log.state is LogState.MOVED
+
+    def test_sender_that_dies_after_its_transfer_is_made_up_for(self, cluster):
+        """The sender is killed between transfer and confirmation.
+
+        The peer waits for the confirmation, finds the sender gone, and goes on
+        by itself from what the caller can have read.
+        """
+        tracked = cluster.accept()
+        real_ask = cluster.network.messengers['a1'].ask
+
+        def die_before_confirming(peer, message, timeout):
+            if isinstance(message, Confirm):
+                raise Killed
+            return real_ask(peer, message, timeout)
+
+        cluster.network.messengers['a1'].ask = die_before_confirming
+        with pytest.raises(Killed):
+            cluster.nodes['a1'].move(tracked)
+        cluster.kill('a1')
+        assert not cluster.holders(tracked)
+        cluster.advance(3)
+        for node in cluster.nodes.values():
+            node.check()
+        holder = cluster.holder(tracked)
+        assert cluster.nodes['a2'].locate(tracked) == holder
+
+    def test_peer_that_dies_after_taking_over_is_made_up_for(self, cluster):
+        """The peer is killed while the sender is still there.
+
+        The sender notices, and hands the request to a second peer.
+        """
+        tracked = cluster.accept()
+        cluster.nodes['a1'].move(tracked)
+        first = cluster.holder(tracked)
+        cluster.kill(first)
+        cluster.nodes['a1'].check()
+        second = cluster.holder(tracked)
+        assert second not in ('a1', first)
+        assert cluster.nodes[second].taken[0].log.read_after(0).events == (b'1', b'2')
+
+    def test_request_that_came_back_is_not_taken_back_again(self, cluster):
+        """A peer hands a request back to the daemon that it had it from.
+
+        When that peer dies later, the daemon has the request itself and must
+        not set a second answer beside the one under way.
+        """
+        tracked = cluster.accept()
+        cluster.nodes['c1'].room = 0
+        cluster.nodes['a2'].room = 0
+        cluster.nodes['a1'].move(tracked)
+        cluster.nodes['b1'].move(tracked)
+        assert cluster.holder(tracked) == 'a1'
+        cluster.kill('b1')
+        cluster.nodes['a1'].check()
+        assert cluster.holder(tracked) == 'a1'
+        assert len(cluster.nodes['a1'].taken) == 1
+
+    def test_request_is_answered_here_if_no_second_peer_is_left(self, cluster):
+        tracked = cluster.accept()
+        cluster.nodes['a1'].move(tracked)
+        for name in ('b1', 'c1'):
+            cluster.kill(name)
+        cluster.nodes['a1'].check()
+        assert cluster.holders(tracked) == ['a1']
+        assert cluster.nodes['a1'].taken
+
+    def test_protected_request_survives_an_early_death(self, cluster):
+        """A request could finish in time, but its daemon dies sooner.
+
+        A peer has a copy, notices that the daemon is gone, and goes on.
+        """
+        tracked = cluster.accept()
+        assert cluster.nodes['a1'].hand_over.protect(ids(tracked)) == ids(tracked)
+        tracked.log.current().append(b'3')
+        cluster.advance(3)
+        for node in cluster.nodes.values():
+            node.check()
+        assert cluster.holders(tracked) == ['a1']
+        cluster.kill('a1')
+        cluster.advance(3)
+        for survivor in cluster.nodes.values():
+            survivor.check()
+        assert len(cluster.holders(tracked)) == 1
+
+    def test_protecting_copy_goes_when_the_request_ends(self, cluster):
+        tracked = cluster.accept()
+        cluster.nodes['a1'].hand_over.protect(ids(tracked))
+        cluster.nodes['a1'].in_flight.finish(tracked, AnswerEnd.COMPLETE)
+        kept = [
+            node.hand_over.reception.count_kept() for node in cluster.nodes.values()
+        ]
+        assert sum(kept) == 0
+
+    def test_request_lost_with_its_daemon_is_not_found(self, cluster):
+        tracked = cluster.accept()
+        cluster.kill('a1')
+        assert not any(node.locate(tracked) for node in cluster.nodes.values())
+
+
+class TestRetention:
+    """Finished answers for callers who come back."""
+
+    def test_finished_answer_is_kept_for_a_while(self, cluster):
+        tracked = cluster.accept()
+        node = cluster.nodes['a1']
+        node.in_flight.finish(tracked, AnswerEnd.COMPLETE)
+        assert node.find(tracked).log.end is AnswerEnd.COMPLETE
+        assert not node.in_flight.list()
+        cluster.advance(121)
+        assert node.find(tracked) is None
