--- a/libs/rollout/tests/test_moves.py
+++ b/libs/rollout/tests/test_moves.py
@@ -303,6 +303,7 @@
         it can carry; the record's share is not changed by it.
         """
         site.move(minutes=20)
+        site.run(60)
         while site.nodes[0].share < 0.5 and site.states() != DONE:
             site.run(4, step=4)
         assert site.nodes[0].share >= 0.5
