Judge shocks over all calls, load the trial's servers as peaks do

False verdicts came in shocks, which one group of calls shows too late; faults under load were met only in the shift, since a burst of a quarter of the traffic did not load one server of three.

--- a/libs/bench/fireflyhitch_bench/moves_policies.py
+++ b/libs/bench/fireflyhitch_bench/moves_policies.py
@@ -102,6 +102,7 @@
         self._nodes = [
             _Node(number, self._store, network, clock) for number in range(DAEMONS)
         ]
+        self._ready: tuple[BackendServer, ...] = ()
         self._ending: Ending | None = None
         move = VersionMove(to_version=NEW, move_by=clock.now() + case.window)
         deployment = ModelDeployment(
@@ -135,19 +136,23 @@
         self._store.faults.lift()
         if begins <= now < ends:
             self._store.faults.stand('*', Fault.LOST_REQUEST)
-        supply = Supply(
-            backends.list_ready(),
-            self._case.needed,
-            timedelta(seconds=self._case.start_seconds),
-        )
+        ready = backends.list_ready()
+        if ready != self._ready:
+            self._observe(ready)
         leaving = backends.list_leaving()
         for node in self._nodes:
-            node.keeper.observe({DEPLOYMENT: supply})
             node.book.mark_leaving(leaving)
             node.duties.step()
             node.keeper.step()
         self._note_ending(now)
 
+    def _observe(self, ready: tuple[BackendServer, ...]) -> None:
+        self._ready = ready
+        start_time = timedelta(seconds=self._case.start_seconds)
+        supply = Supply(ready, self._case.needed, start_time)
+        for node in self._nodes:
+            node.keeper.observe({DEPLOYMENT: supply})
+
     def list_needs(self) -> Sequence[VersionNeed]:
         """Return what the keeper asks of the fleet."""
         return self._nodes[0].keeper.list_needs(DEPLOYMENT)
@@ -159,6 +164,9 @@
     def _note_ending(self, now: float) -> None:
         if self._ending is not None:
             return
+        shares = [node.picker.find(DEPLOYMENT) for node in self._nodes]
+        if all(share is not None and share.new for share in shares):
+            return
         reports = [report for node in self._nodes for report in node.keeper.moves()]
         ended = [
             report
--- a/libs/rollout/fireflyhitch_rollout/evidence.py
+++ b/libs/rollout/fireflyhitch_rollout/evidence.py
@@ -190,8 +190,10 @@
         self._warmup = max(WARMUP_CALLS // max(daemons, 1), LEAST_WARMUP_CALLS)
         here = self._here
         near = self._choose_near(members, here.failure_domain)
-        self._own_batches.append(make_batch(self._sequence, own))
-        self._tell(near - {here.daemon_id}, Level.DAEMON, self._own_batches)
+        others = near - {here.daemon_id}
+        if others:
+            self._own_batches.append(make_batch(self._sequence, own))
+            self._tell(others, Level.DAEMON, self._own_batches)
         carriers = _choose_carriers(here.failure_domain, members)
         if not carriers or carriers[0] != here.daemon_id:
             return
--- a/libs/rollout/fireflyhitch_rollout/memories.py
+++ b/libs/rollout/fireflyhitch_rollout/memories.py
@@ -1,15 +1,14 @@
 """What the old version's calls met lately, as the measure for the new one.
 
-Memories fade by calls: when one holds more than its depth, it is halved. The
-long one gives the usual rate; the short one shows a shock, such as a reclaim
-wave, that hits both versions at once.
+Memories fade by calls: when one holds more than its depth, it is halved.
 """
 
 from collections.abc import Mapping
 
 LONG_DEPTH = 800
-SHORT_DEPTH = 40
+SHORT_DEPTH = 30
 PRIOR_CALLS = 20.0
+SHORT_PRIOR_CALLS = 8.0
 PRIOR_FAILURES = 0.003
 SLOW_PART = 0.1
 # The least latencies of the old version before slowness is judged.
@@ -37,9 +36,9 @@
             self._calls /= 2
             self._failures /= 2
 
-    def find(self, prior: float) -> float:
+    def find(self, prior: float, weight: float = PRIOR_CALLS) -> float:
         """Return the part that failed, drawn towards a prior."""
-        return (self._failures + prior * PRIOR_CALLS) / (self._calls + PRIOR_CALLS)
+        return (self._failures + prior * weight) / (self._calls + weight)
 
 
 class FailureMemory:
@@ -48,27 +47,42 @@
     def __init__(self) -> None:
         """Make an empty memory."""
         self._long = _Rate(LONG_DEPTH)
-        self._short = _Rate(SHORT_DEPTH)
 
     def add(self, calls: int, failures: int) -> None:
         """Take in what the old version's calls met."""
         self._long.add(calls, failures)
-        self._short.add(calls, failures)
 
     def find_rate(self) -> float:
         """Return the usual part of calls that failed."""
         return self._long.find(PRIOR_FAILURES)
 
     def expect(self, prior: float) -> float:
-        """Return the part of calls that a good version may fail.
-
-        The greater of the usual and the latest rate counts, so that a shock to
-        both versions is not laid at the new version's door.
+        """Return the part of calls that a good version usually may fail.
 
         :param prior: the rate of like calls in all failure domains.
         """
-        steady = self._long.find(prior)
-        return max(steady, self._short.find(steady)) + FAILURE_TOLERANCE
+        return self._long.find(prior) + FAILURE_TOLERANCE
+
+
+class ShockMeter:
+    """What part of the old version's latest calls were bad, of all kinds.
+
+    A reclaim wave or a shock to the network makes both versions fail or be
+    slow. Only the calls of the last seconds show it, and in one group of calls
+    there are too few of these; so all groups count together.
+    """
+
+    def __init__(self) -> None:
+        """Make a meter that has seen nothing."""
+        self._short = _Rate(SHORT_DEPTH)
+
+    def add(self, calls: int, bad: int) -> None:
+        """Take in the old version's calls."""
+        self._short.add(calls, bad)
+
+    def expect(self, usual: float) -> float:
+        """Return the part that is bad now, or the usual one if that is more."""
+        return max(usual, self._short.find(usual, SHORT_PRIOR_CALLS))
 
 
 class _Histogram:
@@ -100,13 +114,11 @@
     def __init__(self) -> None:
         """Make an empty memory."""
         self._long = _Histogram(LONG_DEPTH)
-        self._short = _Histogram(SHORT_DEPTH)
 
     def add(self, latencies: Mapping[int, int]) -> None:
         """Take in what the old version's calls took."""
         if latencies:
             self._long.add(latencies)
-            self._short.add(latencies)
 
     def find_limit(self) -> int | None:
         """Return the bucket above which a call is slow; ``None`` if unknown."""
@@ -121,7 +133,4 @@
 
     def expect(self, limit: int) -> float:
         """Return the part of calls that a good version may answer slowly."""
-        usual = limit - SLACK_BUCKETS
-        steady = self._long.find_above(usual, SLOW_PART)
-        lately = self._short.find_above(usual, steady)
-        return max(steady, lately) + SLOW_TOLERANCE
+        return self._long.find_above(limit - SLACK_BUCKETS, SLOW_PART) + SLOW_TOLERANCE
--- a/libs/rollout/fireflyhitch_rollout/moves.py
+++ b/libs/rollout/fireflyhitch_rollout/moves.py
@@ -10,7 +10,6 @@
 from fireflyhitch_fleet.duties import DutyKeeper
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.ids import (
-    BackendServerId,
     DaemonId,
     DeploymentId,
     DutyId,
@@ -364,9 +363,7 @@
         if self._phases.is_overdue(record, find_burst_length(old_count, self.pace)):
             share = self.pace.base_share
         share = min(share, supply.find_capacity(record.to_version))
-        servers: tuple[BackendServerId, ...] = ()
-        if record.state is MoveState.TRIAL:
-            servers = choose_servers(new, old_count, share)
+        servers = choose_servers(new, old_count, share)
         return VersionShares(base, record.to_version, share, servers)
 
     def _report(self, name: DeploymentId) -> MoveReport | None:
--- a/libs/rollout/fireflyhitch_rollout/schedule.py
+++ b/libs/rollout/fireflyhitch_rollout/schedule.py
@@ -7,6 +7,8 @@
 
 # From a withdrawal until every daemon that can be reached follows it.
 SPREAD_TIME = timedelta(seconds=10)
+# How far a burst goes above the usual load, as the traffic's peaks do.
+PEAK = 1.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,8 +25,8 @@
     :param base_share: share of the traffic during the trial.
     :param burst_part: part of the traffic that bursts take over their period.
     :param burst_share: most that a burst takes.
-    :param steps: shares after the trial. The last leaves the old version a
-        part, without which a shock to both would look like a fault.
+    :param steps: shares after the trial. The last leaves the old version half,
+        without which a shock to both would look like a fault.
     :param least_calls: calls that the new version needs before the trial ends.
     :param step_calls: calls of the new version that each step needs.
     """
@@ -34,9 +36,9 @@
     longest: timedelta = timedelta(hours=6)
     base_share: float = 0.006
     burst_part: float = 0.01
-    burst_period: timedelta = timedelta(minutes=5)
-    burst_share: float = 0.25
-    steps: tuple[float, ...] = (0.04, 0.1, 0.25, 0.5, 0.9)
+    burst_period: timedelta = timedelta(minutes=7)
+    burst_share: float = 0.5
+    steps: tuple[float, ...] = (0.04, 0.1, 0.25, 0.5)
     least_calls: int = 40
     step_calls: int = 30
 
@@ -111,7 +113,7 @@
 
 def find_burst_share(old_servers: int, pace: Pace) -> float:
     """Return the share that loads one new server as the old ones are loaded."""
-    usual = min(pace.burst_share, 1 / max(old_servers, 1))
+    usual = min(pace.burst_share, PEAK / max(old_servers, 1))
     return max(usual, pace.base_share)
 
 
--- a/libs/rollout/fireflyhitch_rollout/shares.py
+++ b/libs/rollout/fireflyhitch_rollout/shares.py
@@ -35,7 +35,8 @@
 class VersionPick:
     """Where a request goes.
 
-    :param servers: only these of the version's servers; empty for all.
+    :param servers: these of the version's servers before its others, which are
+        for when none of these can take it; empty for all alike.
     """
 
     version: VersionId
