Keep a busy fleet from opening links over and over

Cause: 36 daemons in one process on a machine with load 15 to 21 opened some 400 links, each gave up after a second half way through its handshake, and each lost probe closed a good link: 427 openings in the first two seconds, then 75 to 95 a second of which nearly all were given up; the daemons never found each other. Change: four seconds for a handshake, four at once, links are closed only when silent for three seconds, two direct probes before indirect ones, suspects are probed each second with the suspicion in the probe, and the status is no part of the digests. Also the writer ends for certain when cancelled (wait_for may swallow that).

--- a/libs/membership/fireflyhitch_membership/links.py
+++ b/libs/membership/fireflyhitch_membership/links.py
@@ -19,8 +19,16 @@
 from fireflyhitch_model.ids import DaemonId
 from fireflyhitch_model.states import Step
 
-OPEN_SECONDS = 1.0
+# Long enough for a busy daemon: a link given up half way is work done in vain,
+# and its repetition makes a busy daemon busier.
+OPEN_SECONDS = 4.0
+# A daemon that meets many at once opens its links one after the other.
+OPEN_AT_ONCE = 4
+# Heartbeats cross a link in use more often than this.
+SILENT_SECONDS = 3.0
 SEND_SECONDS = 2.0
+# More than the closing handshake of one link may take.
+CLOSE_SECONDS = 2.0
 IDLE_SECONDS = 120.0
 BACKOFF_SECONDS = 0.3
 # At 12 KB/s it would take a peer minutes to empty more.
@@ -91,6 +99,8 @@
         self._server: Server | None = None
         self._sockets: dict[DaemonId, Any] = {}
         self._queues: dict[DaemonId, asyncio.Queue[bytes]] = {}
+        self._heard: dict[DaemonId, float] = {}
+        self._opening = asyncio.Semaphore(OPEN_AT_ONCE)
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self) -> int:
@@ -113,12 +123,13 @@
 
     async def close(self) -> None:
         """Close all links."""
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._server is not None:
             self._server.close()
-            await self._server.wait_closed()
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
 
     def send(self, peer: DaemonId, kind: str, frame: bytes) -> bool:
         """Queue a frame.
@@ -147,7 +158,7 @@
         :raises PeerError: if nobody there proves the key in time.
         """
         try:
-            async with asyncio.timeout(OPEN_SECONDS):
+            async with self._opening, asyncio.timeout(OPEN_SECONDS):
                 return await self._open(address)
         except LINK_ERRORS as error:
             raise PeerError('no link', step=Step.CONNECT, peer=address) from error
@@ -160,13 +171,23 @@
         network has healed. A new connection gets through at once.
         """
         socket = self._sockets.pop(peer, None)
+        self._heard.pop(peer, None)
         if socket is not None:
             self._start(socket.close())
 
+    async def drop_if_silent(self, peer: DaemonId) -> None:
+        """Close the link to a peer from which nothing came for a while."""
+        now = asyncio.get_running_loop().time()
+        if now - self._heard.get(peer, now) > SILENT_SECONDS:
+            await self.drop(peer)
+
     async def _write(self, peer: DaemonId, queue: 'asyncio.Queue[bytes]') -> None:
         try:
             while True:
-                frame = await asyncio.wait_for(queue.get(), IDLE_SECONDS)
+                # Not wait_for, which in Python 3.11 may swallow a cancellation
+                # that comes together with a frame; the thread would not end.
+                async with asyncio.timeout(IDLE_SECONDS):
+                    frame = await queue.get()
                 await self._write_one(peer, queue, frame)
         except TimeoutError:
             await self.drop(peer)
@@ -197,8 +218,11 @@
         record = self._hooks.find(peer)
         if record is None:
             raise PeerError('unknown peer', step=Step.CONNECT, peer=peer)
-        async with asyncio.timeout(OPEN_SECONDS):
-            found = await self._open(record.peer)
+        async with self._opening:
+            if peer in self._sockets:
+                return
+            async with asyncio.timeout(OPEN_SECONDS):
+                found = await self._open(record.peer)
         if found.daemon_id != peer:
             raise PeerError('another daemon answers', step=Step.CONNECT, peer=peer)
 
@@ -247,11 +271,13 @@
 
     def _adopt(self, peer: MemberRecord, socket: Any) -> None:
         self._sockets[peer.daemon_id] = socket
+        self._heard[peer.daemon_id] = asyncio.get_running_loop().time()
         self._hooks.greeted(peer)
 
     async def _read(self, peer: DaemonId, socket: Any) -> None:
         try:
             async for content in socket:
+                self._heard[peer] = asyncio.get_running_loop().time()
                 self.counts.frames_in += 1
                 self.counts.bytes_in += len(content) + FRAME_OVERHEAD_BYTES
                 self._hooks.received(peer, decode(content, peer))
--- a/libs/membership/fireflyhitch_membership/members.py
+++ b/libs/membership/fireflyhitch_membership/members.py
@@ -137,6 +137,15 @@
         with self._lock:
             return frozenset(one.record.domain for one in self._entries.values())
 
+    def suspects(self) -> tuple[DaemonId, ...]:
+        """Return the daemons under suspicion."""
+        with self._lock:
+            return tuple(
+                daemon_id
+                for daemon_id, entry in self._entries.items()
+                if entry.record.status is MemberStatus.SUSPECT
+            )
+
     def gone_addresses(self) -> frozenset[str]:
         """Return the addresses of daemons that were declared dead."""
         with self._lock:
@@ -242,4 +251,6 @@
 
 
 def _hash(record: MemberRecord) -> int:
-    return hash_text(f'{record.daemon_id}/{record.incarnation}/{int(record.status)}')
+    # Without the status: a suspicion ends within seconds one way or the other,
+    # and comparing it would have all members exchange their lists meanwhile.
+    return hash_text(f'{record.daemon_id}/{record.incarnation}')
--- a/libs/membership/fireflyhitch_membership/network.py
+++ b/libs/membership/fireflyhitch_membership/network.py
@@ -106,9 +106,11 @@
 
     def stop(self) -> None:
         """Close all links and end the thread."""
-        self._call(self._close(), STOP_SECONDS)
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(STOP_SECONDS)
+        try:
+            self._call(self._close(), STOP_SECONDS)
+        finally:
+            self._loop.call_soon_threadsafe(self._loop.stop)
+            self._thread.join(STOP_SECONDS)
 
     def live(self) -> tuple[Daemon, ...]:
         """Return the daemons thought alive and not leaving, this one included."""
--- a/libs/membership/fireflyhitch_membership/probing.py
+++ b/libs/membership/fireflyhitch_membership/probing.py
@@ -40,6 +40,9 @@
 JITTER = (0.8, 1.2)
 PROBE_TIMEOUT = timedelta(seconds=0.5)
 INDIRECT_TIMEOUT = timedelta(seconds=1)
+# One lost frame is no sign; with one try in ten lost, a suspicion would arise
+# each second and cost more than all heartbeats.
+DIRECT_PROBES = 2
 SYNC_TIMEOUT = timedelta(seconds=1)
 INDIRECT_HELPERS = 2
 # A round that took longer than this was not held up by its peers' timeouts.
@@ -115,6 +118,10 @@
         while True:
             began = self._clock.monotonic()
             self._start(self._probe_near(links))
+            for suspect in self._members.suspects():
+                # The probe carries the suspicion, so that it is contradicted at
+                # once even if the news of it were lost.
+                self._start(self._probe_quietly(suspect))
             self._start(self._probe_far(links))
             if rounds % SEARCH_ROUNDS == 0 or len(self._members.live()) < 2:
                 self._start(self._search(links))
@@ -148,9 +155,10 @@
 
     async def _probe_or_suspect(self, target: DaemonId, links: Links) -> None:
         began = self._clock.monotonic()
-        if await self._probe(target):
-            return
-        await links.drop(target)
+        for _ in range(DIRECT_PROBES):
+            if await self._probe(target):
+                return
+        await links.drop_if_silent(target)
         if await self._probe_indirectly(target):
             return
         if self._clock.monotonic() - began > PAUSE_SECONDS:
@@ -158,6 +166,9 @@
             return
         self.note(self._members.suspect(target))
 
+    async def _probe_quietly(self, target: DaemonId) -> None:
+        await self._probe(target)
+
     async def _probe(self, target: DaemonId) -> bool:
         known = self._members.get(target)
         if known is None:
