--- a/libs/bench/fireflyhitch_bench/routing_world.py
+++ b/libs/bench/fireflyhitch_bench/routing_world.py
@@ -86,10 +86,11 @@
     admit: Callable[[int, Arrival], bool] | None = None
     tick: Callable[[], None] | None = None
     busy_before: float = 0
+    subsets: list[frozenset[BackendServerId]] | None = None
     flights: list[Flight] = field(default_factory=list)
     decision_seconds: list[float] = field(default_factory=list)
     sites: dict[BackendServerId, _Site] = field(default_factory=dict)
-    budget: RetryBudget = field(init=False)
+    budgets: list[RetryBudget] = field(init=False)
     _queue: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
     _numbers: 'count[int]' = field(default_factory=count)
     _open: dict[AttemptId, Flight] = field(default_factory=dict)
@@ -97,7 +98,7 @@
 
     def __post_init__(self) -> None:
         """Start the servers and tell the daemons of them."""
-        self.budget = RetryBudget(self.clock)
+        self.budgets = [RetryBudget(self.clock) for _ in self.policies]
         for server in self.shape.servers():
             self._open_site(server)
         for policy in self.policies:
@@ -177,19 +178,21 @@
             if self.admit is not None and not self.admit(arrival.daemon, arrival):
                 flight.refused = True
                 return
-            self.budget.record_call(arrival.call.customer)
+            self.budgets[arrival.daemon].record_call(arrival.call.customer)
             self._dispatch(flight)
 
         return arrive
 
     def _dispatch(self, flight: Flight) -> None:
-        policy = self.policies[flight.arrival.daemon]
+        daemon = flight.arrival.daemon
+        policy = self.policies[daemon]
+        servers = self.subsets[daemon] if self.subsets else None
         call = flight.arrival.call
         if flight.generated:
             call = replace(call, prompt_tokens=call.prompt_tokens + flight.generated)
         began = time.perf_counter()
         try:
-            choice = policy.choose(call, excluded=flight.tried)
+            choice = policy.choose(call, servers=servers, excluded=flight.tried)
         except RequestError:
             flight.refused = True
             return
@@ -229,7 +232,8 @@
         return refuse
 
     def _retry(self, flight: Flight, outcome: Outcome) -> None:
-        if self.budget.take(flight.arrival.call, outcome):
+        budget = self.budgets[flight.arrival.daemon]
+        if budget.take(flight.arrival.call, outcome):
             self._dispatch(flight)
         else:
             flight.refused = True
--- a/libs/rollout/fireflyhitch_rollout/schedule.py
+++ b/libs/rollout/fireflyhitch_rollout/schedule.py
@@ -7,6 +7,8 @@
 
 # From a withdrawal until every daemon that can be reached follows it.
 SPREAD_TIME = timedelta(seconds=10)
+# How far a burst goes above the usual load, as the traffic's peaks do.
+PEAK = 1.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,9 +25,9 @@
     :param base_share: share of the traffic during the trial.
     :param burst_part: part of the traffic that bursts take over their period.
     :param burst_share: most that a burst takes.
-    :param steps: shares after the trial. The last leaves the old version a
-        part, without which a shock to both would look like a fault.
-    :param least_calls: calls that each route needs before the trial ends.
+    :param steps: shares after the trial. The last leaves the old version half,
+        without which a shock to both would look like a fault.
+    :param least_calls: calls that the new version needs before the trial ends.
     :param step_calls: calls of the new version that each step needs.
     """
 
@@ -34,10 +36,10 @@
     longest: timedelta = timedelta(hours=6)
     base_share: float = 0.006
     burst_part: float = 0.01
-    burst_period: timedelta = timedelta(minutes=5)
-    burst_share: float = 0.25
-    steps: tuple[float, ...] = (0.04, 0.1, 0.25, 0.5, 0.9)
-    least_calls: int = 20
+    burst_period: timedelta = timedelta(minutes=7)
+    burst_share: float = 0.5
+    steps: tuple[float, ...] = (0.04, 0.1, 0.25, 0.5)
+    least_calls: int = 40
     step_calls: int = 30
 
 
@@ -46,6 +48,8 @@
     """What a move's next step depends on.
 
     :param last_return: the latest time for taking the move back.
+    :param finish_by: the last return if old servers were lost meanwhile, which
+        the move aims at.
     :param capacity: part of the traffic that the new version's ready servers
         can carry.
     :param old_servers: servers that carry the whole traffic.
@@ -55,6 +59,7 @@
 
     now: datetime
     last_return: datetime
+    finish_by: datetime
     capacity: float
     old_servers: int
     proven: bool
@@ -108,7 +113,7 @@
 
 def find_burst_share(old_servers: int, pace: Pace) -> float:
     """Return the share that loads one new server as the old ones are loaded."""
-    usual = min(pace.burst_share, 1 / max(old_servers, 1))
+    usual = min(pace.burst_share, PEAK / max(old_servers, 1))
     return max(usual, pace.base_share)
 
 
@@ -165,7 +170,9 @@
 
 
 def _usable(record: MoveRecord, situation: Situation, pace: Pace) -> timedelta:
-    return min(situation.last_return - record.started, pace.longest)
+    left = situation.last_return - record.started
+    aim = situation.finish_by - record.started
+    return min(max(aim, left / 2), left, pace.longest)
 
 
 def _find_trial_end(record: MoveRecord, situation: Situation, pace: Pace) -> datetime:
