--- a/libs/bench/fireflyhitch_bench/recovery_world.py
+++ b/libs/bench/fireflyhitch_bench/recovery_world.py
@@ -47,7 +47,7 @@
         self._attempts = 0
         self._steps = 0
         self._prompt_tokens = 0
-        self._leaving: list[tuple[float, FailureDomainId]] = []
+        self._leaving_nodes: list[tuple[float, Node]] = []
         for domain in DOMAINS:
             for number in range(daemons):
                 self.add_node(DaemonId(f'{domain}-{number}'), domain)
@@ -75,7 +75,7 @@
     def step(self) -> None:
         """Let one step of time pass for everybody."""
         self.clock.advance(STEP)
-        self._end_domains()
+        self._end_what_leaves()
         for node in self.list_alive():
             node.step()
         for caller in self.callers:
@@ -99,7 +99,6 @@
     def reclaim_domain(self, domain: FailureDomainId, notice: timedelta) -> None:
         """Give all daemons and engines of a failure domain one notice."""
         leaves_at = self.clock.monotonic() + notice.total_seconds()
-        self._leaving.append((leaves_at, domain))
         leaving_engines = [one for one in self.engines if one.domain == domain]
         for engine in leaving_engines:
             engine.leaves_at = leaves_at
@@ -108,12 +107,19 @@
         ]
         for node in nodes:
             node.drain.start(notice)
+            self._leaving_nodes.append((leaves_at, node))
         for leaving in nodes:
             left = leaves_at - self.clock.monotonic()
             leaving.leave(timedelta(seconds=left))
         for engine in leaving_engines:
             self._move_streams(engine)
 
+    def reclaim_daemon(self, node: Node, notice: timedelta) -> None:
+        """Give one daemon a notice."""
+        leaves_at = self.clock.monotonic() + notice.total_seconds()
+        self._leaving_nodes.append((leaves_at, node))
+        node.leave(notice)
+
     def reclaim_engine(self, engine: FakeEngine, notice: timedelta) -> None:
         """Give one engine a notice."""
         engine.leaves_at = self.clock.monotonic() + notice.total_seconds()
@@ -165,21 +171,16 @@
         for node in self.list_alive():
             node.move_streams(engine, left)
 
-    def _end_domains(self) -> None:
+    def _end_what_leaves(self) -> None:
         now = self.clock.monotonic()
-        for leaves_at, domain in tuple(self._leaving):
+        for leaves_at, node in tuple(self._leaving_nodes):
             if leaves_at <= now:
-                self._leaving.remove((leaves_at, domain))
-                self._end_daemons(domain)
+                self._leaving_nodes.remove((leaves_at, node))
+                node.die()
         for engine in self.engines:
             if engine.leaves_at is not None and engine.leaves_at <= now:
                 engine.alive = False
 
-    def _end_daemons(self, domain: FailureDomainId) -> None:
-        for node in self.list_alive():
-            if node.daemon.failure_domain == domain:
-                node.die()
-
     def _check_peers(self) -> None:
         for node in self.list_alive():
             node.hand_over.reception.check_senders()
--- a/libs/ledger/fireflyhitch_ledger/settings.py
+++ b/libs/ledger/fireflyhitch_ledger/settings.py
@@ -6,8 +6,6 @@
 CLAIM_BYTES = 524288
 RECORD_BYTES = 983040
 ANSWER_BYTES = 8192
-OWNER_PATIENCE_MILLISECONDS = 250
-OWNER_PATIENCE = timedelta(milliseconds=OWNER_PATIENCE_MILLISECONDS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +28,7 @@
     :param claim_patience: how long the store may take in all.
     """
 
-    shards: int = 64
+    shards: int = 16
     writes_per_second: float = 300
     write_burst: int = 16
     retention: timedelta = timedelta(hours=24)
@@ -40,7 +38,7 @@
     answer_bytes: int = ANSWER_BYTES
     send_within: timedelta = timedelta(seconds=5)
     record_margin: timedelta = timedelta(seconds=10)
-    owner_patience: timedelta = OWNER_PATIENCE
+    owner_patience: timedelta = timedelta(seconds=1)
     owner_distrust: timedelta = timedelta(seconds=5)
     claim_patience: timedelta = timedelta(seconds=2)
     settle_interval: timedelta = timedelta(seconds=1)
