--- a/libs/rollout/tests/conftest.py
+++ b/libs/rollout/tests/conftest.py
@@ -1,7 +1,6 @@
 """Daemons with a store, a network and a clock of their own, for move tests."""
 
 import math
-from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -159,5 +158,5 @@
 
 
 @pytest.fixture
-def moved_server():
-    return replace(make_server(0, 'v2'), failure_domain='gent')
+def site_type():
+    return Site
