Buy and give back instances under the duty's lease

Order ids make a repeated start harmless; a refused placement is left alone for a while and made up for elsewhere; a move's way back is never stopped.

--- a/libs/bench/fireflyhitch_bench/moves.py
+++ b/libs/bench/fireflyhitch_bench/moves.py
@@ -33,11 +33,11 @@
     Policy,
     SteppedPolicy,
 )
+from fireflyhitch_fleet.needs import VersionNeed
 from fireflyhitch_fleet.planner import Bounds, Market, Need, Placement, plan_version
 from fireflyhitch_model.clock import ManualClock
 from fireflyhitch_model.ids import VersionId
 from fireflyhitch_model.states import MachineClass
-from fireflyhitch_rollout.supplies import VersionNeed
 
 MOVES = 210
 GOOD_PART = 0.5
--- a/libs/bench/fireflyhitch_bench/moves_policies.py
+++ b/libs/bench/fireflyhitch_bench/moves_policies.py
@@ -17,6 +17,7 @@
     Ended,
 )
 from fireflyhitch_fleet.duties import DutyKeeper
+from fireflyhitch_fleet.needs import VersionNeed
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.clock import ManualClock
@@ -27,7 +28,7 @@
 from fireflyhitch_rollout.moves import MoveKeeper
 from fireflyhitch_rollout.records import MoveState, Reason
 from fireflyhitch_rollout.shares import HASH_RANGE, VersionPicker
-from fireflyhitch_rollout.supplies import Supply, VersionNeed
+from fireflyhitch_rollout.supplies import Supply
 from fireflyhitch_settings.schema import (
     Configuration,
     ModelDeployment,
--- /dev/null
+++ b/libs/fleet/fireflyhitch_fleet/capacity.py
@@ -0,0 +1,205 @@
+"""Buys and gives back instances, for the deployments whose duty is held here."""
+
+import math
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+from loguru import logger
+
+from fireflyhitch_fleet.duties import DutyKeeper
+from fireflyhitch_fleet.needs import DeploymentNeed, VersionNeed
+from fireflyhitch_fleet.offers import Offers
+from fireflyhitch_fleet.planner import Bounds, Need, Placement, Plan, plan_version
+from fireflyhitch_fleet.purchases import Purchases
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.ids import DeploymentId, DutyId, InstanceId
+from fireflyhitch_model.instances import Instance
+from fireflyhitch_model.invariants import Invariant, invariant
+from fireflyhitch_model.states import InstanceRole, InstanceState, Step
+from fireflyhitch_platform.services import (
+    Cloud,
+    InstanceList,
+    InstanceOrder,
+    WeightStore,
+)
+
+DUTY_PREFIX = 'capacity/'
+SECONDS_PER_HOUR = 3600.0
+# A plan with less has to stand for so long before anything is stopped, so that
+# a dip in the load does not cost loads of weights.
+SETTLE_SECONDS = 300.0
+
+
+class CapacityKeeper:
+    """Plans and buys under the lease; ``step`` is called every ten seconds or so.
+
+    Without the store or the cloud nothing is started or stopped: what serves
+    goes on serving.
+    """
+
+    def __init__(
+        self,
+        duties: DutyKeeper,
+        cloud: Cloud,
+        instances: InstanceList,
+        weights: WeightStore,
+        clock: Clock,
+    ) -> None:
+        """Make a keeper that has bought nothing."""
+        self._duties = duties
+        self._cloud = cloud
+        self._instances = instances
+        self._weights = weights
+        self._clock = clock
+        self._offers = Offers(clock)
+        self._purchases = Purchases(clock)
+        self._surplus: dict[tuple[DeploymentId, str], float] = {}
+
+    def list_duties(self, deployments: Iterable[DeploymentId]) -> tuple[DutyId, ...]:
+        """Return the duties for the duty keeper."""
+        return tuple(find_duty(deployment) for deployment in deployments)
+
+    def find_start_time(self, deployment: DeploymentId) -> timedelta:
+        """Return how long a start takes, as measured, with the wait for weights."""
+        return timedelta(seconds=self._purchases.find_start_seconds(deployment))
+
+    def step(self, needs: Iterable[DeploymentNeed]) -> dict[DeploymentId, list[Plan]]:
+        """Plan and act for the deployments whose duty is held.
+
+        :returns: the plans, for the status page.
+        """
+        held = [need for need in needs if self._holds(need.deployment.name)]
+        if not held:
+            return {}
+        try:
+            listing = self._instances.read().instances
+            notices = {notice.instance_id for notice in self._cloud.read_notices()}
+            self._offers.set_prices(self._cloud.read_prices())
+        except PlatformError as error:
+            logger.bind(step=error.step.value).warning('capacity not planned')
+            return {}
+        instances = [one for one in listing if one.role is InstanceRole.BACKEND]
+        self._purchases.see(instances)
+        staying = [one for one in instances if _stays(one, notices)]
+        return {need.deployment.name: self._tend(need, staying) for need in held}
+
+    def _holds(self, deployment: DeploymentId) -> bool:
+        return self._duties.holds(find_duty(deployment)) is not None
+
+    def _tend(self, need: DeploymentNeed, instances: list[Instance]) -> list[Plan]:
+        plans = []
+        for version in need.versions:
+            plan = self._plan(need, version, instances)
+            plans.append(plan)
+            try:
+                self._start(need, plan)
+                self._stop(need, version, plan, instances)
+            except PlatformError as error:
+                logger.bind(step=error.step.value).warning('plan not carried out')
+        return plans
+
+    def _plan(
+        self, need: DeploymentNeed, version: VersionNeed, instances: list[Instance]
+    ) -> Plan:
+        deployment = need.deployment
+        running = self._purchases.count_pending(deployment.name, version.version)
+        for one in instances:
+            if _runs(one, deployment.name, version):
+                place = Placement(one.failure_domain, one.machine_class)
+                running[place] = running.get(place, 0) + 1
+        ahead = self._purchases.find_start_seconds(deployment.name)
+        wanted = need.count_servers(version, ahead)
+        capacity = deployment.capacity
+        bounds = Bounds(
+            survive=capacity.survive_domain_loss,
+            least=capacity.min_servers if version.part >= 1 else 1,
+            most=capacity.max_servers,
+            most_on_demand=capacity.max_on_demand,
+        )
+        markets = self._offers.list_markets(deployment, running)
+        order = Need(version.version, wanted, running, version.keep)
+        return plan_version(order, markets, bounds, ahead / SECONDS_PER_HOUR)
+
+    def _start(self, need: DeploymentNeed, plan: Plan) -> None:
+        name = need.deployment.name
+        for place, count in plan.starts.items():
+            for _ in range(count):
+                # Each start may take long; the lease can have run out since.
+                fencing = self._duties.holds(find_duty(name))
+                if fencing is None:
+                    return
+                order_id = self._purchases.find_order_id(
+                    name, plan.version, place, fencing
+                )
+                wait = self._weights.reserve(name, plan.version)
+                order = InstanceOrder(order_id, name, plan.version, *place)
+                started = self._cloud.start(order)
+                if started is None:
+                    self._offers.note_refusal(place)
+                    break
+                self._purchases.note_start(order, started, wait.total_seconds())
+
+    def _stop(
+        self,
+        need: DeploymentNeed,
+        version: VersionNeed,
+        plan: Plan,
+        instances: list[Instance],
+    ) -> None:
+        key = (need.deployment.name, plan.version)
+        if not plan.stops:
+            self._surplus.pop(key, None)
+            return
+        now = self._clock.monotonic()
+        if now - self._surplus.setdefault(key, now) < SETTLE_SECONDS:
+            return
+        invariant(
+            not version.keep,
+            Invariant.MOVE_ENDS,
+            f"{plan.version} is a move's way back",
+            step=Step.PLAN,
+        )
+        for chosen in _choose_stops(plan.stops, need, version, instances):
+            if not self._holds(need.deployment.name):
+                return
+            self._cloud.stop(chosen)
+
+
+def find_duty(deployment: DeploymentId) -> DutyId:
+    """Return the duty whose holder buys a deployment's instances."""
+    return DutyId(f'{DUTY_PREFIX}{deployment}')
+
+
+def _stays(instance: Instance, notices: set[InstanceId]) -> bool:
+    if instance.state is not InstanceState.LIVE:
+        return False
+    return instance.instance_id not in notices
+
+
+def _runs(instance: Instance, deployment: DeploymentId, version: VersionNeed) -> bool:
+    server = instance.server
+    if server is None:
+        return False
+    return (server.deployment, server.version) == (deployment, version.version)
+
+
+def _choose_stops(
+    stops: Mapping[Placement, int],
+    need: DeploymentNeed,
+    version: VersionNeed,
+    instances: list[Instance],
+) -> list[InstanceId]:
+    chosen = []
+    left = dict(stops)
+    for one in sorted(instances, key=_order_by_age):
+        place = Placement(one.failure_domain, one.machine_class)
+        if _runs(one, need.deployment.name, version) and left.get(place, 0) > 0:
+            left[place] -= 1
+            chosen.append(one.instance_id)
+    return chosen
+
+
+def _order_by_age(instance: Instance) -> tuple[float, str]:
+    price = instance.server.price if instance.server else math.inf
+    return (-price, instance.instance_id)
--- a/libs/rollout/fireflyhitch_rollout/moves.py
+++ b/libs/rollout/fireflyhitch_rollout/moves.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from fireflyhitch_fleet.duties import DutyKeeper
+from fireflyhitch_fleet.needs import VersionNeed
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.ids import (
     DaemonId,
@@ -41,7 +42,7 @@
     find_way_back,
 )
 from fireflyhitch_rollout.shares import VersionPicker, VersionShares, choose_servers
-from fireflyhitch_rollout.supplies import Supply, VersionNeed, find_needs
+from fireflyhitch_rollout.supplies import Supply, find_needs
 from fireflyhitch_rollout.walltime import SteadyTime
 from fireflyhitch_rollout.wishes import find_base, follow
 from fireflyhitch_settings.schema import Configuration, Deployment
--- a/libs/rollout/fireflyhitch_rollout/supplies.py
+++ b/libs/rollout/fireflyhitch_rollout/supplies.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from fireflyhitch_fleet.needs import VersionNeed
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.ids import VersionId
 from fireflyhitch_rollout.records import MoveRecord, MoveState
@@ -34,20 +35,6 @@
         return len(self.list_version(version)) / max(self.needed, 1)
 
 
-@dataclass(frozen=True, slots=True)
-class VersionNeed:
-    """What the fleet has to hold ready of one version.
-
-    :param part: part of the deployment's traffic that it must be able to carry.
-    :param keep: whether none of its servers may be stopped, since the way back
-        of a move rests on them.
-    """
-
-    version: VersionId
-    part: float
-    keep: bool = False
-
-
 def find_needs(
     record: MoveRecord | None, base: VersionId, pace: Pace
 ) -> tuple[VersionNeed, ...]:
