Test the daemon over a small site in one process

Cause: the daemon's promises were shown by the demo only; the tests found that urllib3's connection error is no OSError, so that a killed engine ended the call with an internal error rather than going on elsewhere. Conclusion: each fault found has its test.

--- a/libs/bench/fireflyhitch_bench/site.py
+++ b/libs/bench/fireflyhitch_bench/site.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from time import monotonic, sleep
@@ -11,7 +12,9 @@
 from pydantic import TypeAdapter
 
 from fireflyhitch_bench.processes import Process, ProcessGroup
+from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.ids import (
+    BackendServerId,
     CustomerId,
     DeploymentId,
     FailureDomainId,
@@ -41,6 +44,8 @@
 VERSION = VersionId('v1')
 NEW_VERSION = VersionId('v2')
 TIMEOUT = 20.0
+# Of an engine that is a process of its own, for runs with many streams.
+ENGINE_CAPACITY = 160
 
 _INSTANCE = TypeAdapter(Instance)
 
@@ -129,6 +134,34 @@
             'PUT', '/standin/instances', _INSTANCE.dump_python(entry, mode='json')
         )
 
+    def list_engine(self, engine: Process, number: int, capacity: int) -> None:
+        """Have the instance list name an engine that runs as its own process."""
+        instance = InstanceId(engine.name)
+        domain = self.plan.place(number)
+        server = BackendServer(
+            BackendServerId(engine.name),
+            instance,
+            self.plan.model,
+            VERSION,
+            domain,
+            engine.ready['address'],
+            MachineClass.RECLAIMABLE,
+            1.0,
+            capacity,
+        )
+        listed = Instance(
+            instance,
+            InstanceRole.BACKEND,
+            InstanceState.LIVE,
+            domain,
+            server.address,
+            server.machine_class,
+            server=server,
+        )
+        self.call_platform(
+            'PUT', '/standin/instances', _INSTANCE.dump_python(listed, mode='json')
+        )
+
     def call_platform(self, method: str, path: str, body: Any = None) -> Any:
         """Call the platform's stand-in."""
         return self._call(self.platform.ready['address'], method, path, body)
@@ -173,13 +206,20 @@
         }
 
 
-def start_site(group: ProcessGroup, plan: SitePlan) -> Site:
-    """Start all processes of a site and return when callers can be served."""
+def start_site(
+    group: ProcessGroup, plan: SitePlan, engines: Sequence[Process] = ()
+) -> Site:
+    """Start all processes of a site and return when callers can be served.
+
+    :param engines: started already, one process each; used beside the plan's.
+    """
     world = group.write('world.json', _make_world(plan).model_dump(mode='json'))
     module = 'fireflyhitch_standins.platform_server'
     platform = group.start('platform', module, ['--world', str(world)])
     store = group.start('store', 'fireflyhitch_standins.etcd_main')
     site = Site(plan, group, platform, store)
+    for number, engine in enumerate(engines):
+        site.list_engine(engine, number, ENGINE_CAPACITY)
     site.daemons = [site.start_daemon(number) for number in range(plan.daemons)]
     for number, daemon in enumerate(site.daemons):
         site.list_daemon(daemon, number)
--- a/libs/daemon/fireflyhitch_daemon/dispatch.py
+++ b/libs/daemon/fireflyhitch_daemon/dispatch.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 
 from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
 
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.ids import AttemptId, RequestId
@@ -35,7 +36,12 @@
     connection = HTTPConnection(
         host, int(port), timeout=CONNECT_SECONDS, socket_options=NO_DELAY
     )
-    connection.connect()
+    try:
+        connection.connect()
+    except HTTPError as error:
+        # urllib3's errors are no OSErrors; taken for a fault of our own, they
+        # would end a call that another server can take.
+        raise ConnectionError(str(error)) from error
     return connection
 
 
--- a/libs/daemon/fireflyhitch_daemon/process.py
+++ b/libs/daemon/fireflyhitch_daemon/process.py
@@ -32,6 +32,7 @@
 
     def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
         self.stop_requested = threading.Event()
+        self._stopped = False
         self._clock = clock
         self._parts: Components = compose(settings, clock, self.stop_requested.set)
         observe_violations(self._parts.serving.metrics.record_violation)
@@ -68,7 +69,13 @@
         }
 
     def stop(self) -> None:
-        """Take no new calls, finish those in progress, then stop."""
+        """Take no new calls, finish those in progress, then stop.
+
+        Stopping again does nothing.
+        """
+        if self._stopped:
+            return
+        self._stopped = True
         self._parts.departure.start()
         self._wait_for_calls()
         control, serving = self._parts.control, self._parts.serving
--- /dev/null
+++ b/libs/daemon/tests/test_departure.py
@@ -0,0 +1,116 @@
+"""Tests of servers and daemons that go while answers are under way."""
+
+import json
+import threading
+
+from small_site import wait_until
+
+from fireflyhitch_standins.answers import join_messages, write_answer
+
+
+def read_text(body):
+
+    pieces = []
+    for line in body.split(b'\n'):
+        if line.startswith(b'data: {'):
+            choices = json.loads(line[6:]).get('choices') or [{}]
+            pieces.append((choices[0].get('delta') or {}).get('content') or '')
+    return ''.join(pieces)
+
+
+def expect(prompt, count):
+    return write_answer(join_messages([{'role': 'user', 'content': prompt}]), count)
+
+
+def find_server(site):
+    """Return the instance whose engine has a stream running."""
+    for instance, server in site.platform.world.servers.items():
+        if getattr(server, 'generations', None) is not None and server.running:
+            return instance
+    raise AssertionError('no engine is running')
+
+
+class TestLostServer:
+    """A backend server goes in mid answer."""
+
+    def test_answer_goes_on_without_a_gap_or_a_repeat(self, fresh_site):
+        """The engine is killed after the first tokens, without notice.
+
+        The daemon sees the connection end, sends prompt and text so far to
+        another engine, and the caller's stream goes on at the next token.
+        """
+        stream = fresh_site.open_stream(0, 'killed', 60)
+        head = stream.read(600)
+        fresh_site.platform.world.cloud.kill(find_server(fresh_site))
+        body = head + stream.read()
+        assert read_text(body) == expect('killed', 60)
+        assert body.count(b'data: [DONE]') == 1
+
+    def test_notice_moves_the_answer_before_the_server_goes(self, fresh_site):
+        """The cloud gives an engine two seconds; its answer takes longer.
+
+        The daemon reads the notice, gives the engine no new work, and has the
+        answer go on at another one; the caller sees one whole answer.
+        """
+        stream = fresh_site.open_stream(0, 'notice', 400)
+        head = stream.read(600)
+        instance = find_server(fresh_site)
+        wish = {'notice_seconds': 2, 'instances': [instance]}
+        url = f'http://{fresh_site.platform.address}/standin/reclaims'
+        fresh_site.http.request('POST', url, json=wish)
+        body = head + stream.read()
+        assert read_text(body) == expect('notice', 400)
+        leaving = fresh_site.admin(1, 'GET', '/admin/status').json()['leaving']
+        assert leaving == [instance]
+
+
+class TestLeavingDaemon:
+    """A daemon's own way out."""
+
+    def test_graceful_stop_cuts_off_no_answer(self, fresh_site):
+        """The daemon is told to stop while an answer is half way.
+
+        It is not ready at once, finishes the answer, and only then stops.
+        """
+        stream = fresh_site.open_stream(0, 'stop', 60)
+        head = stream.read(300)
+        stopping = threading.Thread(target=fresh_site.daemons[0].stop)
+        stopping.start()
+        wait_until(lambda: fresh_site.call(0, 'GET', '/readyz').status == 503)
+        body = head + stream.read()
+        stopping.join()
+        assert read_text(body) == expect('stop', 60)
+
+    def test_notice_hands_the_answer_over_to_another_failure_domain(self, fresh_site):
+        """The cloud gives the daemon's own instance three seconds' notice.
+
+        The answer cannot finish in that time. It is handed over with its tokens
+        so far; the caller's stream ends early, and its next request, to the
+        other daemon, brings the rest without a gap or a repeat.
+        """
+        stream = fresh_site.open_stream(0, 'moved', 500)
+        request_id = stream.headers['Fireflyhitch-Request-Id']
+        wish = {'notice_seconds': 3, 'instances': ['instance-0']}
+        url = f'http://{fresh_site.platform.address}/standin/instances'
+        fresh_site.http.request('PUT', url, json=list_entry(fresh_site))
+        url = f'http://{fresh_site.platform.address}/standin/reclaims'
+        fresh_site.http.request('POST', url, json=wish)
+        first = stream.read()
+        assert b'data: [DONE]' not in first
+        ids = [line for line in first.split(b'\n') if line.startswith(b'id: ')]
+        headers = {'Last-Event-ID': ids[-1].removeprefix(b'id: ').decode()}
+        path = f'/v1/requests/{request_id}'
+        rest = fresh_site.call(1, 'GET', path, headers=headers.items())
+        assert rest.status == 200
+        assert read_text(first) + read_text(rest.data) == expect('moved', 500)
+
+
+def list_entry(site):
+    return {
+        'instance_id': 'instance-0',
+        'role': 'entry',
+        'state': 'live',
+        'failure_domain': 'north',
+        'address': site.daemons[0].describe()['peers'],
+        'machine_class': 'reclaimable',
+    }
