Check the form of each of a daemon's settings, and hide its keys

A URL without scheme, a seed without port, a token hash that is none or a peer key that can be guessed was found only when it was used. The peer key and token hash no longer show in the settings' repr.

--- a/libs/settings/fireflyhitch_settings/bootstrap.py
+++ b/libs/settings/fireflyhitch_settings/bootstrap.py
@@ -1,11 +1,11 @@
 """A daemon's own settings, read once from its file at start."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import Field
 
 from fireflyhitch_model.ids import DaemonId, FailureDomainId, InstanceId
-from fireflyhitch_settings.schema import Checked, Positive
+from fireflyhitch_settings.schema import Checked, Positive, Sha256
 
 # Measured by `make bench NAME=capacity`; see docs/CAPACITY.md.
 DEFAULT_MAX_STREAMS = 400
@@ -13,6 +13,11 @@
 KIBIBYTE = 1024
 MEBIBYTE = KIBIBYTE * KIBIBYTE
 MAX_HEADER_BYTES = 32768
+# Shorter keys can be guessed by trying.
+MIN_PEER_KEY = 16
+
+Url = Annotated[str, Field(pattern='^https?://[^/]+')]
+Address = Annotated[str, Field(pattern=r'^\S+:\d+$')]
 
 
 class Listener(Checked):
@@ -33,10 +38,10 @@
 class PlatformAddresses(Checked):
     """Base URLs of the platform's services."""
 
-    key_value: str
-    instance_list: str
-    cloud: str
-    weight_store: str | None = None
+    key_value: Url
+    instance_list: Url
+    cloud: Url
+    weight_store: Url | None = None
 
 
 class Limits(Checked):
@@ -50,7 +55,13 @@
 
 
 class DaemonSettings(Checked):
-    """Everything that a daemon is told rather than finds out."""
+    """Everything that a daemon is told rather than finds out.
+
+    :param admin_token_sha256: hash of the operators' token.
+    :param peer_key: shared by all daemons.
+    :param seeds: peers' addresses to start from, while the instance list or
+        the links know of no others.
+    """
 
     daemon_id: DaemonId
     instance_id: InstanceId
@@ -58,10 +69,10 @@
     callers: Listener = Listener()
     admin: Listener = Listener()
     peers: Listener = Listener()
-    admin_token_sha256: str
-    peer_key: str
-    seeds: tuple[str, ...] = ()
+    admin_token_sha256: Annotated[Sha256, Field(repr=False)]
+    peer_key: Annotated[str, Field(min_length=MIN_PEER_KEY, repr=False)]
+    seeds: tuple[Address, ...] = ()
     platform: PlatformAddresses
     limits: Limits = Limits()
     tls: TlsFiles | None = None
-    log_level: str = 'INFO'
+    log_level: Literal['TRACE', 'DEBUG', 'INFO', 'WARNING', 'ERROR'] = 'INFO'
--- a/libs/settings/fireflyhitch_settings/schema.py
+++ b/libs/settings/fireflyhitch_settings/schema.py
@@ -16,6 +16,8 @@
 Share = Annotated[float, Field(ge=0, le=1)]
 Positive = Annotated[float, Field(gt=0)]
 Count = Annotated[int, Field(ge=0)]
+# Lower-case hex.
+Sha256 = Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
 
 
 class Checked(BaseModel):
@@ -127,7 +129,7 @@
     """
 
     customer_id: CustomerId
-    api_key_sha256: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+    api_key_sha256: Sha256
     priority: Priority = Priority.NORMAL
     limits: CustomerLimits = CustomerLimits()
 
--- a/libs/settings/tests/test_loader.py
+++ b/libs/settings/tests/test_loader.py
@@ -187,3 +187,24 @@
         error = caught.value.exceptions[0]
         assert error.key == 'seed'
         assert error.place.line == 13
+
+    def test_every_value_of_a_daemon_is_checked(self, tmp_path):
+        path = tmp_path / 'daemon.json'
+        text = (EXAMPLES / 'daemon.json').read_text()
+        for right, wrong in (
+            ('http://127.0.0.1:2379', '127.0.0.1:2379'),
+            ('replace-this-by-32-random-bytes-of-hex', 'short'),
+            ('127.0.0.1:8092', '127.0.0.1'),
+            ('8081', '81081'),
+        ):
+            text = text.replace(right, wrong)
+        path.write_text(text)
+        caught = pytest.raises(SettingsErrors, load_daemon_settings, path)
+        keys = [error.key for error in caught.value.exceptions]
+        assert keys == ['admin.port', 'peer_key', 'seeds[0]', 'platform.key_value']
+        assert 'short' not in str(caught.value.exceptions[1])
+
+    def test_keys_are_not_shown(self):
+        settings = load_daemon_settings(EXAMPLES / 'daemon.json')
+        assert settings.peer_key not in repr(settings)
+        assert settings.admin_token_sha256 not in repr(settings)
