--- a/libs/cli/tests/conftest.py
+++ b/libs/cli/tests/conftest.py
@@ -1,11 +1,13 @@
 """A small admin interface that keeps a configuration in memory."""
 
 import json
+import ssl
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 
 import pytest
+import trustme
 
 from fireflyhitch_cli.main import main
 from fireflyhitch_cli.options import ADMIN_VARIABLE, TOKEN_VARIABLE
@@ -75,6 +77,7 @@
     fake = FakeAdmin()
     server = ThreadingHTTPServer(('127.0.0.1', 0), Handler)
     server.admin = fake
+    fake.server = server
     thread = threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True)
     thread.start()
     monkeypatch.setenv(ADMIN_VARIABLE, f'http://127.0.0.1:{server.server_port}')
@@ -86,6 +89,19 @@
     thread.join()
 
 
+@pytest.fixture
+def authority(admin, monkeypatch, tmp_path):
+    """Put the admin interface behind TLS; return the file of its authority."""
+    issuer = trustme.CA()
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    issuer.issue_cert('127.0.0.1').configure_cert(context)
+    server = admin.server
+    server.socket = context.wrap_socket(server.socket, server_side=True)
+    monkeypatch.setenv(ADMIN_VARIABLE, f'https://127.0.0.1:{server.server_port}')
+    issuer.cert_pem.write_to_path(tmp_path / 'authority.pem')
+    return tmp_path / 'authority.pem'
+
+
 @pytest.fixture
 def run(capsys):
     def run_command(*arguments):
--- a/libs/cli/tests/test_commands.py
+++ b/libs/cli/tests/test_commands.py
@@ -173,6 +173,12 @@
         assert code == ExitCode.NOT_DONE
         assert 'cannot connect' in err
 
+    def test_certificate_needs_a_known_authority(self, run, authority):
+        assert run('--authority', authority, 'show')[0] == ExitCode.DONE
+        code, _, err = run('show')
+        assert code == ExitCode.NOT_DONE
+        assert 'certificate verify failed' in err
+
     def test_missing_address_is_a_usage_error(self, monkeypatch):
         monkeypatch.delenv(ADMIN_VARIABLE, raising=False)
         with pytest.raises(SystemExit) as caught:
