--- a/libs/bench/fireflyhitch_bench/ledger_world.py
+++ b/libs/bench/fireflyhitch_bench/ledger_world.py
@@ -96,6 +96,9 @@
 
     def __init__(self, seed: int, settings: LedgerSettings = DEFAULT_SETTINGS) -> None:
         self.random = random.Random(seed)
+        # The retries' jitter is drawn from the module's own generator; a seed
+        # that failed would else not fail again.
+        random.seed(seed)
         self.clock = ManualClock()
         self.store = MemoryKeyValueStore(self.clock)
         self.network = MemoryPeerNetwork()
--- a/libs/bench/fireflyhitch_bench/recovery_nodes.py
+++ b/libs/bench/fireflyhitch_bench/recovery_nodes.py
@@ -27,7 +27,7 @@
 )
 from fireflyhitch_recovery.drain import Drain
 from fireflyhitch_recovery.handover import HandOver
-from fireflyhitch_recovery.inflight import InFlight, make_request_id
+from fireflyhitch_recovery.inflight import InFlight
 from fireflyhitch_recovery.reclaim import RequestProgress, plan_reclaim
 from fireflyhitch_recovery.requests import (
     AcceptedRequest,
@@ -115,7 +115,7 @@
         """Accept a request and start its stream."""
         clock = self._world.clock
         now = clock.monotonic()
-        request_id = make_request_id(self.daemon_id)
+        request_id = self._world.name_request(self.daemon_id)
         call = Call(
             request_id,
             CUSTOMER,
--- a/libs/bench/fireflyhitch_bench/recovery_world.py
+++ b/libs/bench/fireflyhitch_bench/recovery_world.py
@@ -13,8 +13,10 @@
     BackendServerId,
     DaemonId,
     FailureDomainId,
+    RequestId,
 )
 from fireflyhitch_model.peers import Daemon
+from fireflyhitch_recovery.inflight import make_daemon_tag
 from fireflyhitch_recovery.requests import Placement, TrackedRequest
 from fireflyhitch_recovery.resume import ResumePlan
 from fireflyhitch_standins.answers import write_token
@@ -156,6 +158,10 @@
         self._attempts += 1
         return AttemptId(f'attempt-{self._attempts}')
 
+    def name_request(self, daemon_id: DaemonId) -> RequestId:
+        """Return a request id that is the same in each run of a seed."""
+        return RequestId(f'{make_daemon_tag(daemon_id)}-{len(self.callers)}')
+
     def note_loss(self, tracked: TrackedRequest, generated: int) -> None:
         """Count what starting this answer anew would compute."""
         self.restart_tokens += tracked.accepted.call.prompt_tokens + generated
