--- /dev/null
+++ b/libs/rollout/fireflyhitch_rollout/tallies.py
@@ -0,0 +1,182 @@
+"""Counts of calls by version, route, load and failure domain; they add up."""
+
+import math
+from bisect import bisect_right
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+from typing import ClassVar, NamedTuple
+
+from pydantic import BaseModel, ConfigDict
+
+from fireflyhitch_model.ids import DeploymentId, FailureDomainId, VersionId
+from fireflyhitch_model.peers import PeerMessage
+
+# Latencies are counted in buckets that grow by this factor, from a
+# millisecond; coarse enough that a batch is small, and well below the slowdowns
+# that matter.
+BUCKET_GROWTH = 1.1
+_LOG_GROWTH = math.log(BUCKET_GROWTH)
+LEAST_SECONDS = 0.001
+# Latencies grow with load, so that only near loads are compared.
+BAND_LIMITS = (0.25, 0.5, 0.75, 1.0, 1.3)
+
+
+class LoadBand(IntEnum):
+    """How loaded the server was when it was given the call."""
+
+    IDLE = 0
+    LOW = 1
+    USUAL = 2
+    HIGH = 3
+    FULL = 4
+    OVERFULL = 5
+
+
+class Signal(Enum):
+    """In what way a version can be worse."""
+
+    FAILURE = 'failing'
+    FIRST_TOKEN = 'slow to the first token'
+    BETWEEN_TOKENS = 'slow between tokens'
+
+
+class CellKey(NamedTuple):
+    """What calls have in common that are compared with each other."""
+
+    deployment: DeploymentId
+    version: VersionId
+    route: str
+    band: LoadBand
+    failure_domain: FailureDomainId
+
+
+@dataclass(slots=True)
+class Tally:
+    """Calls of one cell.
+
+    :param first_token: calls by bucket of the time to the first token.
+    :param between_tokens: calls by bucket of the mean time between tokens.
+    """
+
+    calls: int = 0
+    failures: int = 0
+    first_token: dict[int, int] = field(default_factory=dict)
+    between_tokens: dict[int, int] = field(default_factory=dict)
+
+    def find_latencies(self, signal: Signal) -> dict[int, int]:
+        """Return the latencies that a signal is about."""
+        if signal is Signal.FIRST_TOKEN:
+            return self.first_token
+        return self.between_tokens
+
+    def add(self, other: 'Tally') -> None:
+        """Add another tally's counts."""
+        self.calls += other.calls
+        self.failures += other.failures
+        _add_counts(self.first_token, other.first_token)
+        _add_counts(self.between_tokens, other.between_tokens)
+
+
+class CellNews(BaseModel):
+    """One cell of a batch, on the wire."""
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    deployment: DeploymentId
+    version: VersionId
+    route: str
+    band: int
+    failure_domain: FailureDomainId
+    calls: int
+    failures: int
+    first_token: dict[int, int] = {}
+    between_tokens: dict[int, int] = {}
+
+
+class BatchNews(BaseModel):
+    """What a sender counted between two of its steps.
+
+    Old and new version of one period are in one batch, so that they stay
+    paired however late it arrives.
+    """
+
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+    sequence: int
+    cells: tuple[CellNews, ...]
+
+
+class Level(IntEnum):
+    """Whose calls a batch counts."""
+
+    DAEMON = 0
+    FAILURE_DOMAIN = 1
+
+
+class EvidenceNews(PeerMessage):
+    """The sender's latest batches; each is sent several times."""
+
+    kind: ClassVar[str] = 'evidence-news'
+
+    level: int
+    batches: tuple[BatchNews, ...]
+
+
+def _add_counts(total: dict[int, int], part: dict[int, int]) -> None:
+    for bucket, count in part.items():
+        total[bucket] = total.get(bucket, 0) + count
+
+
+def find_band(load: float) -> LoadBand:
+    """Return the band of a server's load.
+
+    :param load: calls in work as a part of what it works on at once.
+    """
+    return LoadBand(bisect_right(BAND_LIMITS, load))
+
+
+def find_bucket(seconds: float) -> int:
+    """Return the bucket of a latency."""
+    return round(math.log(max(seconds, LEAST_SECONDS) / LEAST_SECONDS) / _LOG_GROWTH)
+
+
+def make_batch(sequence: int, cells: dict[CellKey, Tally]) -> BatchNews:
+    """Put counts into their form on the wire."""
+    return BatchNews(
+        sequence=sequence,
+        cells=tuple(
+            CellNews(
+                **key._asdict(),
+                calls=tally.calls,
+                failures=tally.failures,
+                first_token=dict(tally.first_token),
+                between_tokens=dict(tally.between_tokens),
+            )
+            for key, tally in cells.items()
+        ),
+    )
+
+
+def read_batch(batch: BatchNews) -> dict[CellKey, Tally]:
+    """Take counts from their form on the wire."""
+    return {
+        CellKey(
+            cell.deployment,
+            cell.version,
+            cell.route,
+            LoadBand(cell.band),
+            cell.failure_domain,
+        ): Tally(
+            cell.calls,
+            cell.failures,
+            dict(cell.first_token),
+            dict(cell.between_tokens),
+        )
+        for cell in batch.cells
+    }
+
+
+def add_cells(total: dict[CellKey, Tally], part: dict[CellKey, Tally]) -> None:
+    """Add one set of counts to another."""
+    for key, tally in part.items():
+        total.setdefault(key, Tally()).add(tally)
