Bound a transfer by its real size, and let nothing answer twice

An answer that ended here while its peer confirmed stayed findable at both; it is now the peer's alone. A transfer counts answers as well as bodies, since a peer link takes messages of 1.25 MB; a larger request stays and is reported. A peer of the own failure domain is taken if there is none elsewhere.

--- a/libs/recovery/fireflyhitch_recovery/handover.py
+++ b/libs/recovery/fireflyhitch_recovery/handover.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from datetime import timedelta
 from threading import Event, Lock
 
@@ -15,7 +14,15 @@
 from fireflyhitch_model.peers import Daemon, PeerMessage, PeerMessenger
 from fireflyhitch_model.states import Step
 from fireflyhitch_recovery.answers import AnswerCopy, LogState
-from fireflyhitch_recovery.inflight import InFlight
+from fireflyhitch_recovery.batches import (
+    HandOverReport,
+    MovedRequest,
+    is_done,
+    is_open,
+    read_id,
+    take_batch,
+)
+from fireflyhitch_recovery.inflight import InFlight, measure_request
 from fireflyhitch_recovery.locations import Locations
 from fireflyhitch_recovery.messages import (
     Confirm,
@@ -36,32 +43,6 @@
 CONFIRM_TRIES = 2
 
 
-@dataclass(frozen=True, slots=True)
-class HandOverReport:
-    """What became of the requests that were to be handed over.
-
-    :param moved: taken by a peer.
-    :param left: nobody took them in time; they are still answered here.
-    """
-
-    moved: tuple[RequestId, ...]
-    left: tuple[RequestId, ...]
-
-
-@dataclass(slots=True)
-class _Moved:
-    tracked: TrackedRequest
-    peer: DaemonId
-
-
-@dataclass(slots=True)
-class _Batch:
-    """What one transfer carries, and the copies that it was made of."""
-
-    requests: list[TrackedRequest] = field(default_factory=list)
-    size: int = 0
-
-
 class HandOver:
     """Moves requests to peers in other failure domains, and takes theirs.
 
@@ -103,7 +84,7 @@
             settings,
         )
         self._lock = Lock()
-        self._moved: dict[RequestId, _Moved] = {}
+        self._moved: dict[RequestId, MovedRequest] = {}
         self._protected: dict[RequestId, DaemonId] = {}
         self._failed: set[DaemonId] = set()
         in_flight.observe(self._withdraw_copy)
@@ -119,7 +100,8 @@
         :param time_left: after which it is given up.
         """
         ends = self._clock.monotonic() + time_left.total_seconds()
-        waiting = deque(self._find_all(request_ids))
+        wanted = tuple(request_ids)
+        waiting = deque(self._find_all(wanted))
         moved: list[RequestId] = []
         while waiting and self._clock.monotonic() < ends:
             peer = self._choose_peer(waiting)
@@ -127,13 +109,13 @@
                 self._failed.clear()
                 self._clock.wait(Event(), self._settings.pause)
                 continue
-            batch = self._take_batch(waiting)
+            batch = take_batch(waiting, self._settings)
             done = self._move_batch(peer, batch.requests)
-            moved.extend(_read_id(tracked) for tracked in done)
+            moved.extend(read_id(tracked) for tracked in done)
             rest = [tracked for tracked in batch.requests if tracked not in done]
-            waiting.extendleft(reversed(list(filter(_is_open, rest))))
+            waiting.extendleft(reversed(list(filter(is_open, rest))))
             self._wait_for_pace(batch.size)
-        left = tuple(map(_read_id, waiting))
+        left = tuple(one for one in wanted if one not in moved and self._has(one))
         if left:
             logger.bind(step=Step.HAND_OVER.value).warning(
                 '{} requests moved, {} left here', len(moved), len(left)
@@ -154,7 +136,7 @@
             peer = self._choose_peer(waiting)
             if peer is None:
                 break
-            batch = self._take_batch(waiting).requests
+            batch = take_batch(waiting, self._settings).requests
             copies = [(tracked, tracked.log.copy()) for tracked in batch]
             kept = self._transfer(peer, copies)
             self._note_protected(peer, kept)
@@ -183,8 +165,9 @@
         for request_id in lost:
             self._take_back(request_id)
         report = self.hand_over(lost, self._settings.confirm_patience)
-        for left in self._find_all(report.left):
-            self._take_over(left)
+        for left in map(self._in_flight.find, report.left):
+            if left is not None:
+                self._take_over(left)
         return report
 
     def find_moved(self, request_id: RequestId) -> DaemonId | None:
@@ -194,24 +177,41 @@
         return move.peer if move else None
 
     def _find_all(self, request_ids: Iterable[RequestId]) -> list[TrackedRequest]:
-        found = [self._in_flight.find(request_id) for request_id in request_ids]
-        return [tracked for tracked in found if tracked and not tracked.finished]
+        found = map(self._in_flight.find, request_ids)
+        return [tracked for tracked in found if tracked and self._is_movable(tracked)]
+
+    def _has(self, request_id: RequestId) -> bool:
+        tracked = self._in_flight.find(request_id)
+        return tracked is not None and is_open(tracked)
+
+    def _is_movable(self, tracked: TrackedRequest) -> bool:
+        # A message that is too large for a peer link would break the link.
+        fits = measure_request(tracked) <= self._settings.max_request_bytes
+        return fits and tracked.finished is None
 
     def _choose_peer(self, waiting: Iterable[TrackedRequest]) -> DaemonId | None:
-        """Return the peer with the most room of a few that are asked.
+        """Return the peer with the most room, in another failure domain if any."""
+        peers = [
+            daemon
+            for daemon in self._messenger.live()
+            if daemon.daemon_id not in self._failed
+            and daemon.daemon_id != self._daemon.daemon_id
+        ]
+        ours = self._daemon.failure_domain
+        far = [peer.daemon_id for peer in peers if peer.failure_domain != ours]
+        near = [peer.daemon_id for peer in peers if peer.failure_domain == ours]
+        return self._compare_room(far, waiting) or self._compare_room(near, waiting)
+
+    def _compare_room(
+        self, candidates: list[DaemonId], waiting: Iterable[TrackedRequest]
+    ) -> DaemonId | None:
+        """Ask peers for their room, until a few have some.
 
         Each daemon starts at another place of the list. With a failure domain
         leaving at once, all would else fill the same peer first.
         """
-        candidates = [
-            daemon.daemon_id
-            for daemon in self._messenger.live()
-            if daemon.failure_domain != self._daemon.failure_domain
-            and daemon.daemon_id not in self._failed
-        ]
-        offered = list(waiting)
-        size = sum(len(tracked.accepted.body) for tracked in offered)
-        offer = Offer(requests=len(offered), size=size)
+        sizes = [len(tracked.accepted.body) for tracked in waiting]
+        offer = Offer(requests=len(sizes), size=sum(sizes))
         best: DaemonId | None = None
         most = 0
         asked = 0
@@ -230,23 +230,13 @@
             return 0
         return reply.requests
 
-    def _take_batch(self, waiting: deque[TrackedRequest]) -> _Batch:
-        batch = _Batch()
-        while waiting and len(batch.requests) < self._settings.batch_requests:
-            size = len(waiting[0].accepted.body)
-            if batch.requests and batch.size + size > self._settings.batch_bytes:
-                break
-            batch.requests.append(waiting.popleft())
-            batch.size += size
-        return batch
-
     def _move_batch(
         self, peer: DaemonId, batch: list[TrackedRequest]
     ) -> list[TrackedRequest]:
         copies = [(tracked, tracked.log.hold()) for tracked in batch]
         kept = self._transfer(peer, copies)
         taken = self._confirm(peer, kept) if kept else ()
-        done = [tracked for tracked in batch if _is_done(tracked, taken)]
+        done = [tracked for tracked in batch if is_done(tracked, taken)]
         for moved in done:
             self._let_go(moved, peer)
         rest = [tracked for tracked in batch if tracked not in done]
@@ -264,11 +254,11 @@
         for tracked in rest:
             tracked.generation += 2
             tracked.log.lift()
-        request_ids = tuple(map(_read_id, rest))
+        request_ids = tuple(map(read_id, rest))
         self._messenger.tell(peer, Withdraw(requests=request_ids))
         locations = tuple(
             Location(
-                request_id=_read_id(kept),
+                request_id=read_id(kept),
                 daemon_id=self._daemon.daemon_id,
                 generation=kept.generation,
             )
@@ -297,9 +287,9 @@
         return ()
 
     def _let_go(self, tracked: TrackedRequest, peer: DaemonId) -> None:
-        request_id = _read_id(tracked)
+        request_id = read_id(tracked)
         with self._lock:
-            self._moved[request_id] = _Moved(tracked, peer)
+            self._moved[request_id] = MovedRequest(tracked, peer)
             self._protected.pop(request_id, None)
         self._in_flight.leave(tracked)
         self.locations.publish(
@@ -374,17 +364,3 @@
             )
             self._failed.add(peer)
             return None
-
-
-def _is_open(tracked: TrackedRequest) -> bool:
-    return tracked.finished is None
-
-
-def _is_done(tracked: TrackedRequest, taken: Iterable[RequestId]) -> bool:
-    # The peer's word that it has the request may also come before its answer
-    # to the confirmation, or in place of it.
-    return _read_id(tracked) in taken or tracked.log.state is LogState.MOVED
-
-
-def _read_id(tracked: TrackedRequest) -> RequestId:
-    return tracked.accepted.call.request_id
--- a/libs/recovery/fireflyhitch_recovery/inflight.py
+++ b/libs/recovery/fireflyhitch_recovery/inflight.py
@@ -133,9 +133,10 @@
         request_id = tracked.accepted.call.request_id
         tracked.log.move()
         with self._lock:
-            if self._active.get(request_id) is not tracked:
-                return
-            self._active.pop(request_id)
+            # It may have ended here while it was being handed over.
+            for kept in (self._active, self._finished):
+                if kept.get(request_id) is tracked:
+                    kept.pop(request_id)
         self._tell(request_id)
 
     def list(self) -> tuple[TrackedRequest, ...]:
--- a/libs/recovery/fireflyhitch_recovery/locations.py
+++ b/libs/recovery/fireflyhitch_recovery/locations.py
@@ -10,6 +10,7 @@
 from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import DaemonId, RequestId
 from fireflyhitch_model.peers import PeerMessenger
+from fireflyhitch_recovery.answers import LogState
 from fireflyhitch_recovery.inflight import InFlight, make_daemon_tag
 from fireflyhitch_recovery.messages import Locate, Located, LocateReply, Location
 from fireflyhitch_recovery.settings import HandOverSettings
@@ -73,7 +74,7 @@
     def find_here(self, request_id: RequestId) -> Location | None:
         """Return who answers a request, as far as this daemon knows."""
         tracked = self._in_flight.find(request_id)
-        if tracked is not None:
+        if tracked is not None and tracked.log.state is not LogState.MOVED:
             return Location(
                 request_id=request_id,
                 daemon_id=self._daemon_id,
--- a/libs/recovery/fireflyhitch_recovery/requests.py
+++ b/libs/recovery/fireflyhitch_recovery/requests.py
@@ -44,7 +44,7 @@
     offset: int = 0
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class TrackedRequest:
     """A request in progress.
 
--- a/libs/recovery/fireflyhitch_recovery/settings.py
+++ b/libs/recovery/fireflyhitch_recovery/settings.py
@@ -5,6 +5,7 @@
 
 MAX_KEPT_BYTES = 33554432
 BATCH_BYTES = 262144
+MAX_REQUEST_BYTES = 1048576
 BYTES_PER_SECOND = 16777216.0
 BATCH_REQUESTS = 16
 MAX_REQUESTS = 200
@@ -20,6 +21,8 @@
 
     :param max_requests: how many taken-over requests a daemon holds at once.
     :param max_kept_bytes: how much memory those may take in all.
+    :param max_request_bytes: a request with its answer that is larger than this
+        stays; a message on a peer link may have 1.25 MB.
     :param batch_requests: requests in one transfer; they are held meanwhile.
     :param bytes_per_second: at which one daemon sends.
     :param ask_patience: how long a peer may take to answer.
@@ -32,6 +35,7 @@
 
     max_requests: int = MAX_REQUESTS
     max_kept_bytes: int = MAX_KEPT_BYTES
+    max_request_bytes: int = MAX_REQUEST_BYTES
     batch_requests: int = BATCH_REQUESTS
     batch_bytes: int = BATCH_BYTES
     bytes_per_second: float = BYTES_PER_SECOND
