--- a/libs/fleet/fireflyhitch_fleet/capacity.py
+++ b/libs/fleet/fireflyhitch_fleet/capacity.py
@@ -97,8 +97,20 @@
                 self._stop(need, version, plan, instances)
             except PlatformError as error:
                 logger.bind(step=error.step.value).warning('plan not carried out')
+        self._retire(need, instances)
         return plans
 
+    def _retire(self, need: DeploymentNeed, instances: list[Instance]) -> None:
+        """Give back what runs in versions that nobody needs any more."""
+        name = need.deployment.name
+        needed = {version.version for version in need.versions}
+        for one in instances:
+            server = one.server
+            if server is None or server.deployment != name or server.version in needed:
+                self._surplus.pop((name, one.instance_id), None)
+            elif self._has_settled(name, one.instance_id) and self._holds(name):
+                self._give_back(one.instance_id)
+
     def _plan(
         self, need: DeploymentNeed, version: VersionNeed, instances: list[Instance]
     ) -> Plan:
@@ -151,8 +163,7 @@
         if not plan.stops:
             self._surplus.pop(key, None)
             return
-        now = self._clock.monotonic()
-        if now - self._surplus.setdefault(key, now) < SETTLE_SECONDS:
+        if not self._has_settled(*key):
             return
         invariant(
             not version.keep,
@@ -163,7 +174,18 @@
         for chosen in _choose_stops(plan.stops, need, version, instances):
             if not self._holds(need.deployment.name):
                 return
-            self._cloud.stop(chosen)
+            self._give_back(chosen)
+
+    def _has_settled(self, deployment: DeploymentId, name: str) -> bool:
+        now = self._clock.monotonic()
+        since = self._surplus.setdefault((deployment, name), now)
+        return now - since >= SETTLE_SECONDS
+
+    def _give_back(self, instance: InstanceId) -> None:
+        try:
+            self._cloud.stop(instance)
+        except PlatformError as error:
+            logger.bind(step=error.step.value, peer=instance).warning('not stopped')
 
 
 def find_duty(deployment: DeploymentId) -> DutyId:
--- a/libs/fleet/tests/test_capacity.py
+++ b/libs/fleet/tests/test_capacity.py
@@ -193,6 +193,20 @@
         assert seen[200] == bought
         assert seen[-1] < bought
 
+    def test_version_that_nobody_needs_is_retired(self, keeper, cloud, clock):
+        """The move is done and the old version is no longer asked for.
+
+        Its instances are kept for the time that any surplus is, then given back.
+        """
+        keeper.step([make_need()])
+        need = make_need(versions=(VersionNeed('v2', 1),))
+        for _ in range(310):
+            clock.advance(timedelta(seconds=1))
+            keeper._duties.step()
+            keeper.step([need])
+        versions = {one.server.version for one in cloud.instances.values()}
+        assert versions == {'v2'}
+
     def test_way_back_of_a_move_is_kept(self, keeper, cloud, clock):
         """The new version has most of the traffic and the old one idles.
 
--- a/libs/rollout/fireflyhitch_rollout/judge.py
+++ b/libs/rollout/fireflyhitch_rollout/judge.py
@@ -187,6 +187,10 @@
             expected = self._expect(Signal.FAILURE, domain, expected)
         ratios = _weigh_counts(tally.failures, tally.calls, expected)
         _add_logs(logs, Signal.FAILURE, key, ratios)
+        if key.band is LoadBand.OVERFULL:
+            # This band has no upper limit: how long calls wait there says how
+            # overloaded the server was, not how good its version is.
+            return
         for signal in LATENCIES:
             memory = self._latencies.get((signal, kind), LatencyMemory())
             limit = memory.find_limit()
