--- a/libs/rollout/fireflyhitch_rollout/evidence.py
+++ b/libs/rollout/fireflyhitch_rollout/evidence.py
@@ -32,7 +32,8 @@
 )
 
 # Each batch goes out this often, so that it is lost only with as many messages.
-SENDINGS = 4
+SENDINGS = 3
+SEND_SECONDS = 1.0
 CARRIERS = 2
 REMEMBERED_BATCHES = 64
 # Calls that one crash breaks off together are one piece of evidence.
@@ -70,6 +71,8 @@
         self._fresh: dict[CellKey, Tally] = {}
         self._received: dict[CellKey, Tally] = {}
         self._domain: dict[CellKey, Tally] = {}
+        self._unsent: dict[CellKey, Tally] = {}
+        self._send_after = 0.0
         self._sequence = 0
         self._own_batches: deque[BatchNews] = deque(maxlen=SENDINGS)
         self._domain_batches: deque[BatchNews] = deque(maxlen=SENDINGS)
@@ -143,12 +146,11 @@
         with self._lock:
             own = self._fresh
             received = self._received
-            domain = self._domain
             self._fresh = {}
             self._received = {}
-            self._domain = {}
             judges = dict(self._judges)
-        self._send(own, domain)
+        add_cells(self._unsent, own)
+        self._send_when_due()
         add_cells(received, own)
         verdicts: dict[DeploymentId, Verdict] = {}
         for deployment, judge in judges.items():
@@ -181,6 +183,18 @@
         self._served[server] += 1
         return self._served[server] > self._warmup
 
+    def _send_when_due(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._send_after:
+            return
+        self._send_after = now + SEND_SECONDS
+        own = self._unsent
+        self._unsent = {}
+        with self._lock:
+            domain = self._domain
+            self._domain = {}
+        self._send(own, domain)
+
     def _send(self, own: dict[CellKey, Tally], domain: dict[CellKey, Tally]) -> None:
         if not self._trials:
             return
