End a network's thread cleanly on a busy machine

Cause: stop() no longer waited for the acceptor's handlers, so that they were destroyed with the loop (GeneratorExit, closed loop) and 3 of 62 tests failed under load 13. Change: all tasks are waited for, with a bound, then cancelled, and asynchronous generators are shut down.

--- a/libs/membership/fireflyhitch_membership/links.py
+++ b/libs/membership/fireflyhitch_membership/links.py
@@ -27,8 +27,10 @@
 # Heartbeats cross a link in use more often than this.
 SILENT_SECONDS = 3.0
 SEND_SECONDS = 2.0
-# More than the closing handshake of one link may take.
-CLOSE_SECONDS = 2.0
+# For the closing handshake of a link; a peer that is gone does not answer it.
+CLOSE_SECONDS = 1.0
+# For all links together at the end.
+STOP_SECONDS = 3.0
 IDLE_SECONDS = 120.0
 BACKOFF_SECONDS = 0.3
 # At 12 KB/s it would take a peer minutes to empty more.
@@ -116,7 +118,7 @@
             compression=None,
             ping_interval=None,
             max_size=MAX_FRAME_BYTES,
-            close_timeout=OPEN_SECONDS,
+            close_timeout=CLOSE_SECONDS,
         )
         port: int = next(iter(self._server.sockets)).getsockname()[1]
         return port
@@ -125,11 +127,17 @@
         """Close all links."""
         if self._server is not None:
             self._server.close()
-        tasks = tuple(self._tasks)
-        for task in tasks:
+        for task in tuple(self._tasks):
             task.cancel()
-        if tasks:
-            await asyncio.wait(tasks, timeout=CLOSE_SECONDS)
+        # The acceptor's handlers are tasks of the server. Left pending they would
+        # be destroyed with the loop, in the middle of a closing handshake.
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        if rest:
+            _done, rest = await asyncio.wait(rest, timeout=STOP_SECONDS)
+        for task in rest:
+            task.cancel()
+        if rest:
+            await asyncio.wait(rest, timeout=CLOSE_SECONDS)
 
     def send(self, peer: DaemonId, kind: str, frame: bytes) -> bool:
         """Queue a frame.
@@ -236,7 +244,7 @@
             ping_interval=None,
             max_size=MAX_FRAME_BYTES,
             open_timeout=OPEN_SECONDS,
-            close_timeout=OPEN_SECONDS,
+            close_timeout=CLOSE_SECONDS,
         )
         try:
             peer = await open_handshake(
--- a/libs/membership/fireflyhitch_membership/network.py
+++ b/libs/membership/fireflyhitch_membership/network.py
@@ -38,7 +38,7 @@
 from fireflyhitch_model.states import InstanceRole, InstanceState, Step
 
 START_SECONDS = 5
-STOP_SECONDS = 5
+STOP_SECONDS = 10
 # For the loop to notice its own timeout first.
 ASK_GRACE_SECONDS = 1
 # Room for the messages of one life of the process.
@@ -240,6 +240,7 @@
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
+        self._loop.run_until_complete(self._loop.shutdown_asyncgens())
         self._loop.close()
 
     async def _close(self) -> None:
