--- a/libs/bench/fireflyhitch_bench/config_nodes.py
+++ b/libs/bench/fireflyhitch_bench/config_nodes.py
@@ -116,10 +116,11 @@
     def propose(
         self, configuration: Configuration, expected: Revision, change: str
     ) -> tuple[Revision, float]:
+        began = time.monotonic()
         result = self._keeper.propose(configuration, expected, ChangeId(change))
         if not isinstance(result, Accepted):
             raise RuntimeError(f'a lone operator was rejected: {result}')
-        return result.revision, time.monotonic()
+        return result.revision, began
 
     def mark(self, instance: str) -> float:
         at = time.monotonic()
@@ -170,7 +171,7 @@
     def propose(
         self, configuration: Configuration, expected: Revision, change: str
     ) -> tuple[Revision, float]:
-        """Propose and return the revision and the time of its acceptance."""
+        """Propose and return the revision and when the call began."""
         accepted: tuple[Revision, float] = self._process.call(
             'propose', configuration, expected, change
         )
--- a/libs/bench/fireflyhitch_bench/config_run.py
+++ b/libs/bench/fireflyhitch_bench/config_run.py
@@ -38,7 +38,8 @@
 class RunResult:
     """What a run of one size showed.
 
-    :param delays: seconds from acceptance until in force, by change and daemon.
+    :param delays: seconds from the proposal's call until in force, by change and
+        daemon; so the write to the store is counted, too.
     :param leaving: seconds until every daemon knew of a leaving mark.
     :param unfinished: changes and marks that some daemon had not got at the end.
     """
@@ -100,7 +101,7 @@
 ) -> tuple[dict[Revision, float], dict[str, float]]:
     """Change and mark in turn.
 
-    :returns: when each revision was accepted and each mark was made.
+    :returns: when each revision was proposed and each mark was made.
     """
     accepted: dict[Revision, float] = {}
     marked: dict[str, float] = {}
--- a/libs/bench/fireflyhitch_bench/config_walk.py
+++ b/libs/bench/fireflyhitch_bench/config_walk.py
@@ -139,7 +139,8 @@
         tally.bytes[watcher] += store_bytes
         tally.parts['store to watchers'] += store_bytes
     reads = 2 * len(watchers) / WATCH_TIMEOUT.total_seconds()
-    polls = (len(daemons) - len(watchers)) / POLL_SECONDS
+    # The others poll; a watcher sweeps with two reads as often.
+    polls = (len(daemons) + len(watchers)) / POLL_SECONDS
     text = len(_next_record().text)
     return Walk(
         hops=_count_hops(daemons, entries_dark=False),
--- a/libs/membership/fireflyhitch_membership/configuration.py
+++ b/libs/membership/fireflyhitch_membership/configuration.py
@@ -87,6 +87,7 @@
         )
         self._next_poll = clock.monotonic() + self._jitter(FIRST_POLL_SECONDS)
         self._next_exchange = clock.monotonic()
+        self._next_sweep = clock.monotonic() + self._jitter(POLL_SECONDS)
         self._threads: list[threading.Thread] = []
 
     def start(self) -> None:
@@ -160,6 +161,7 @@
             at = self._stored.read()
             self._note_success()
             if watches:
+                self._sweep()
                 self._stored.watch(at)
         except PlatformError as error:
             return self._note_failure(error)
@@ -181,6 +183,12 @@
         rest = self._next_exchange - self._clock.monotonic()
         return timedelta(seconds=max(rest, 0))
 
+    def _sweep(self) -> None:
+        now = self._clock.monotonic()
+        if now >= self._next_sweep:
+            self._next_sweep = now + self._jitter(POLL_SECONDS)
+            self._stored.sweep()
+
     def _announce(self) -> None:
         self._spreader.announce(is_entry=True)
 
--- a/libs/membership/fireflyhitch_membership/heads.py
+++ b/libs/membership/fireflyhitch_membership/heads.py
@@ -68,6 +68,12 @@
     return f'{BODY_PREFIX}{revision}-{hash_text(base64.b64encode(content).decode()):x}'
 
 
+def revision_of_body(key: str) -> Revision:
+    """Return the revision that a body's key names, or 0 if it names none."""
+    number = key.removeprefix(BODY_PREFIX).split('-')[0]
+    return Revision(int(number) if number.isdecimal() else 0)
+
+
 def make_head(
     base: ConfigurationRecord,
     record: ConfigurationRecord,
--- a/libs/membership/fireflyhitch_membership/storing.py
+++ b/libs/membership/fireflyhitch_membership/storing.py
@@ -10,11 +10,13 @@
 from loguru import logger
 
 from fireflyhitch_membership.heads import (
+    BODY_PREFIX,
     Body,
     Head,
     make_head,
     name_body,
     pack_head,
+    revision_of_body,
     unpack_head,
 )
 from fireflyhitch_membership.records import (
@@ -135,6 +137,23 @@
             # What was missed shows in the read with which the next round begins.
             logger.bind(step=Step.STORE_WATCH.value).info('watch compacted')
 
+    def sweep(self) -> None:
+        """Delete bodies that lost proposals or dead proposers left behind.
+
+        A body of a later revision than the head may belong to a change that is
+        just being written, and stays.
+
+        :raises PlatformError: if the store goes away.
+        """
+        stored = self._store.get(CONFIGURATION_KEY)
+        if stored is None:
+            return
+        head = unpack_head(stored.value, CONFIGURATION_KEY)
+        kept = frozenset(body.key for body in head.bodies)
+        for item in self._store.get_prefix(BODY_PREFIX).items:
+            if item.key not in kept and revision_of_body(item.key) <= head.revision:
+                self._store.delete_if(item.key, item.revision)
+
     def propose(self, proposal: Proposal) -> ProposalResult:
         """Write a change if nothing came since the revision it starts from.
 
--- a/libs/membership/tests/test_configuration.py
+++ b/libs/membership/tests/test_configuration.py
@@ -131,6 +131,22 @@
         keeper.propose(make_configuration('late'), 3, 'late')
         assert len(site.store.get_prefix(BODY_PREFIX).items) == KEPT_BODIES
 
+    def test_bodies_left_behind_are_swept(self, site, keeper):
+        """A proposer that dies between body and head leaves nothing for long.
+
+        One body lost its race, another belongs to a change that is being
+        written; the watcher's sweep deletes the first one alone.
+        """
+        lost, under_way = f'{BODY_PREFIX}3-x', f'{BODY_PREFIX}4-x'
+        for key in (lost, under_way):
+            site.store.put_if(key, b'', ABSENT)
+        site.clock.advance(timedelta(minutes=10))
+        keeper.follow_store_once()
+        kept = [item.key for item in site.store.get_prefix(BODY_PREFIX).items]
+        assert under_way in kept
+        assert lost not in kept
+        assert len(kept) == KEPT_BODIES + 1
+
     def test_doubt_outlasts_a_later_refusal(self, site, keeper):
         """The operator hears "unknown", since the first write may yet land.
 
