--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/composition.py
@@ -0,0 +1,327 @@
+"""How a daemon is put together from its settings."""
+
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from fireflyhitch_daemon.accounts import Accounts
+from fireflyhitch_daemon.admin import Admin, AdminParts
+from fireflyhitch_daemon.callers import CallerParts, Callers
+from fireflyhitch_daemon.calls import CallParts, ModelCalls
+from fireflyhitch_daemon.departure import Departure, DepartureParts
+from fireflyhitch_daemon.directory import Directory
+from fireflyhitch_daemon.forwarding import Forwarder
+from fireflyhitch_daemon.front import (
+    CallerRequest,
+    Detached,
+    FrontServer,
+    Response,
+    build_server,
+)
+from fireflyhitch_daemon.health import Health
+from fireflyhitch_daemon.reports import EngineReports
+from fireflyhitch_daemon.requests import RequestAnswers
+from fireflyhitch_daemon.selection import Selection
+from fireflyhitch_daemon.services import ServiceCalls, ServiceParts
+from fireflyhitch_fleet.duties import DutyKeeper
+from fireflyhitch_ledger.ledger import Ledger
+from fireflyhitch_membership.configuration import ConfigurationKeeper
+from fireflyhitch_membership.links import LinkOptions
+from fireflyhitch_membership.network import PeerNetwork
+from fireflyhitch_membership.snapshots import SnapshotExchange
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.ids import Incarnation
+from fireflyhitch_model.peers import Daemon
+from fireflyhitch_platform.cloud import HttpCloud
+from fireflyhitch_platform.engines import HttpEngines
+from fireflyhitch_platform.etcd import EtcdKeyValueStore
+from fireflyhitch_platform.instance_list import HttpInstanceList
+from fireflyhitch_platform.rates import CallBudget
+from fireflyhitch_recovery.drain import Drain
+from fireflyhitch_recovery.handover import HandOver
+from fireflyhitch_recovery.inflight import InFlight, make_request_id
+from fireflyhitch_rollout.evidence import EvidenceBook
+from fireflyhitch_rollout.moves import MoveKeeper
+from fireflyhitch_rollout.shares import VersionPicker
+from fireflyhitch_routing.admission import Admission
+from fireflyhitch_routing.retries import RetryBudget
+from fireflyhitch_routing.router import Router
+from fireflyhitch_settings.bootstrap import DaemonSettings
+from fireflyhitch_settings.schema import Configuration
+from fireflyhitch_settings.tls import TlsContexts
+from fireflyhitch_telemetry.burn import BurnRecorder
+from fireflyhitch_telemetry.metrics import Metrics
+
+MILLISECONDS = 1000
+
+Handle = Callable[[CallerRequest], Response | Detached]
+
+
+class Listeners:
+    """The two HTTP listeners, bound before there is anything to serve.
+
+    A daemon tells its peers the port on which callers reach it, and the kernel
+    may choose that; so the listeners come first and their handlers later.
+    """
+
+    def __init__(
+        self, settings: DaemonSettings, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._handle_caller: Handle | None = None
+        self._handle_admin: Handle | None = None
+        limits = settings.limits
+        make_id = partial(make_request_id, settings.daemon_id)
+        self.callers = build_server(
+            settings.callers, limits, self._serve_caller, make_id, tls
+        )
+        self.admin = build_server(
+            settings.admin, limits, self._serve_admin, make_id, tls
+        )
+
+    def use(self, callers: Callers, admin: Admin) -> None:
+        """Set what answers."""
+        self._handle_caller = callers.handle
+        self._handle_admin = admin.handle
+
+    def _serve_caller(self, request: CallerRequest) -> Response | Detached:
+        assert self._handle_caller is not None
+        return self._handle_caller(request)
+
+    def _serve_admin(self, request: CallerRequest) -> Response | Detached:
+        assert self._handle_admin is not None
+        return self._handle_admin(request)
+
+
+class Platform:
+    """The clients of the platform's services."""
+
+    def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
+        addresses = settings.platform
+        self.budget = CallBudget(clock)
+        self.store = EtcdKeyValueStore(addresses.key_value, clock, self.budget)
+        self.instance_list = HttpInstanceList(addresses.instance_list)
+        self.cloud = HttpCloud(addresses.cloud)
+
+
+class Control:
+    """What the daemons do together: membership, configuration, version moves."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        platform: Platform,
+        entry_address: str,
+        tls: TlsContexts | None,
+    ) -> None:
+        # Restarts within a millisecond do not occur; a clock that was set back
+        # between them shows as a daemon that peers take for dead, and it then
+        # raises its incarnation itself.
+        incarnation = Incarnation(int(clock.now().timestamp() * MILLISECONDS))
+        here = Daemon(
+            settings.daemon_id,
+            settings.failure_domain,
+            f'{settings.peers.host}:{settings.peers.port}',
+            entry_address,
+            incarnation,
+        )
+        options = LinkOptions(
+            seeds=settings.seeds,
+            peer_key=settings.peer_key,
+            host=settings.peers.host,
+            port=settings.peers.port,
+            server_tls=tls.peers_server if tls else None,
+            client_tls=tls.peers_client if tls else None,
+        )
+        self.network = PeerNetwork(here, options, clock)
+        self.keeper = ConfigurationKeeper(platform.store, self.network, here, clock)
+        self.snapshots = SnapshotExchange(self.network, here)
+        self.snapshots.add(self.keeper.snapshot_section())
+        self.snapshots.add(self.network.snapshot_section())
+        self.duties = DutyKeeper(
+            platform.store, clock, settings.daemon_id, self.network.live
+        )
+        self.evidence = EvidenceBook(here, self.network, clock)
+        self.picker = VersionPicker()
+        self.moves = MoveKeeper(
+            here,
+            platform.store,
+            self.network,
+            self.duties,
+            self.evidence,
+            self.picker,
+            clock,
+        )
+
+    def read_configuration(self) -> Configuration | None:
+        """Return the configuration in force at this daemon."""
+        in_force = self.keeper.in_force()
+        return in_force.configuration if in_force else None
+
+
+class Serving:
+    """What answers callers."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        clock: Clock,
+        platform: Platform,
+        control: Control,
+    ) -> None:
+        daemon_id = settings.daemon_id
+        network = control.network
+        self.metrics = Metrics()
+        self.burn = BurnRecorder(clock, settings.failure_domain)
+        self.router = Router(clock, daemon_id)
+        self.admission = Admission(clock, daemon_id, network)
+        self.ledger = Ledger(daemon_id, platform.store, network, clock)
+        self.directory = Directory(daemon_id, self.router, network)
+        self.drain = Drain(clock)
+        self.in_flight = InFlight(daemon_id, clock)
+        self.forwarder = Forwarder()
+        engines = HttpEngines(self.directory.find_address, clock=clock)
+        self.reports = EngineReports(
+            engines,
+            self.router,
+            lambda: self.directory.list_engines(control.read_configuration()),
+        )
+        accounts = Accounts(self.metrics, self.burn, control.evidence)
+        selection = Selection(
+            self.router,
+            control.picker,
+            self.directory.list_versions,
+            self.directory.read_subset,
+        )
+        retries = RetryBudget(clock)
+        self.calls = ModelCalls(
+            CallParts(
+                clock, selection, self.admission, retries, self.in_flight, accounts
+            ),
+            settings.limits.max_streams,
+        )
+        self.services = ServiceCalls(
+            ServiceParts(
+                clock, selection, self.admission, retries, self.ledger, accounts
+            )
+        )
+        self.hand_over = HandOver(
+            network.daemon,
+            network,
+            clock,
+            self.in_flight,
+            self.calls.take_over,
+            self.calls.read_room,
+        )
+        self.health = Health(
+            self.drain,
+            lambda: control.keeper.in_force() is not None,
+            self.calls.count_open,
+            settings.limits.max_streams,
+        )
+
+    def count_in_progress(self) -> int:
+        """Return how many calls of either kind are in progress."""
+        return self.calls.count_open() + self.services.count_running()
+
+
+@dataclass(frozen=True, slots=True)
+class Components:
+    """All parts of one daemon."""
+
+    settings: DaemonSettings
+    clock: Clock
+    tls: TlsContexts | None
+    listeners: Listeners
+    platform: Platform
+    control: Control
+    serving: Serving
+    departure: Departure
+
+
+def compose(
+    settings: DaemonSettings, clock: Clock, request_stop: Callable[[], None]
+) -> Components:
+    """Build all parts of a daemon; nothing runs yet.
+
+    :param request_stop: has the process stop gracefully.
+    :raises SettingsErrors: if the TLS files cannot be used.
+    :raises OSError: if an address cannot be listened at.
+    """
+    tls = TlsContexts(settings.tls) if settings.tls else None
+    listeners = Listeners(settings, tls.callers if tls else None)
+    platform = Platform(settings, clock)
+    entry_address = find_address(listeners.callers)
+    control = Control(settings, clock, platform, entry_address, tls)
+    serving = Serving(settings, clock, platform, control)
+    departure = _make_departure(settings, clock, platform, control, serving)
+    listeners.use(
+        Callers(_gather_caller_parts(settings, clock, control, serving)),
+        Admin(
+            AdminParts(
+                settings.admin_token_sha256,
+                control.network,
+                control.keeper,
+                control.moves,
+                serving.burn,
+                serving.calls,
+                serving.directory,
+                serving.health,
+                platform.budget,
+                request_stop,
+            )
+        ),
+    )
+    return Components(
+        settings, clock, tls, listeners, platform, control, serving, departure
+    )
+
+
+def find_address(server: FrontServer) -> str:
+    """Return ``host:port`` that a server is bound to."""
+    host, port = server.bind_addr[:2]
+    return f'{host}:{port}'
+
+
+def _make_departure(
+    settings: DaemonSettings,
+    clock: Clock,
+    platform: Platform,
+    control: Control,
+    serving: Serving,
+) -> Departure:
+    parts = DepartureParts(
+        clock,
+        serving.drain,
+        control.network,
+        serving.hand_over,
+        serving.calls,
+        serving.directory,
+        platform.cloud,
+        control.evidence,
+    )
+    return Departure(settings.instance_id, parts)
+
+
+def _gather_caller_parts(
+    settings: DaemonSettings, clock: Clock, control: Control, serving: Serving
+) -> CallerParts:
+    requests = RequestAnswers(
+        settings.daemon_id,
+        serving.calls,
+        serving.in_flight,
+        serving.hand_over.locations,
+        control.network,
+        serving.forwarder,
+    )
+    return CallerParts(
+        settings.daemon_id,
+        clock,
+        serving.calls,
+        serving.services,
+        requests,
+        serving.health,
+        serving.metrics,
+        control.read_configuration,
+    )
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/relay.py
@@ -0,0 +1,354 @@
+"""One thread that carries all streams between backend servers and callers.
+
+A thread a stream costs some 200 microseconds a chunk, mostly in the hand-over
+of the interpreter lock; one loop over epoll costs a fraction of it. The path of
+a chunk therefore decodes nothing: it is cut into events, given ids, and sent.
+"""
+
+import os
+import select
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from loguru import logger
+
+from fireflyhitch_daemon.exchange import Exchange, ExchangeState, Follower
+from fireflyhitch_daemon.followers import Followers
+from fireflyhitch_daemon.replies import describe_fault, describe_timeout
+from fireflyhitch_daemon.sse import DONE, render_chunk, render_events, split_events
+from fireflyhitch_daemon.upstream import Upstream
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.errors import RequestError
+from fireflyhitch_model.invariants import Invariant, invariant
+from fireflyhitch_model.states import Step
+from fireflyhitch_recovery.answers import AnswerEnd, LogState
+from fireflyhitch_recovery.continuation import adapt_event
+
+SWEEP_SECONDS = 0.1
+# A backend server that is silent this long in mid answer is taken for lost:
+# engines that still work send a token at least every few seconds.
+STALL_SECONDS = 5.0
+# One that has not begun by then is taken for lost too; a healthy engine that is
+# this far behind is refused by routing before the call is sent.
+START_SECONDS = 20.0
+# A caller that lost its connection may come back for the rest this long; after
+# that nobody waits for the answer and the engine's stream is cancelled.
+RECONNECT_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class RelayEvents:
+    """Whom the relay tells; each function must return at once."""
+
+    lost: Callable[[Exchange, Upstream, str], None]
+    first_event: Callable[[Exchange], None]
+    ended: Callable[[Exchange], None]
+    orphaned: Callable[[Exchange], None]
+
+
+Command = Callable[[], None]
+
+
+class Relay:
+    """The event loop; its public methods may be called from any thread."""
+
+    def __init__(self, clock: Clock, events: RelayEvents) -> None:
+        self._clock = clock
+        self._events = events
+        self._poll = select.epoll()
+        self._wake = os.eventfd(0, os.EFD_NONBLOCK)
+        self._commands: deque[Command] = deque()
+        self._upstreams: dict[int, tuple[Exchange, Upstream]] = {}
+        self._followers = Followers(self._poll, self._note_left)
+        self._exchanges: set[Exchange] = set()
+        self._parked: list[Upstream] = []
+        self._stopping = False
+        self._next_sweep = 0.0
+        self._thread = threading.Thread(target=self._run, name='relay', daemon=True)
+
+    def start(self) -> None:
+        """Start the loop's thread."""
+        self._poll.register(self._wake, select.EPOLLIN)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the loop; streams still open are cut off."""
+        self._stopping = True
+        self._notify()
+        self._thread.join()
+
+    def attach(self, exchange: Exchange, upstream: Upstream) -> None:
+        """Read an exchange's answer from a new attempt."""
+        self.run(partial(self._attach, exchange, upstream))
+
+    def follow(self, exchange: Exchange, follower: Follower) -> None:
+        """Send an exchange's answer to one more caller's connection."""
+        self.run(partial(self._follow, exchange, follower))
+
+    def fail(self, exchange: Exchange, error: RequestError) -> None:
+        """End an exchange with an error."""
+        self.run(partial(self._fail, exchange, error))
+
+    def complete(self, exchange: Exchange) -> None:
+        """End an exchange whose answer turned out to be whole."""
+        self.run(partial(self._end, exchange, ExchangeState.DONE))
+
+    def drop(self, exchange: Exchange, reason: str) -> None:
+        """Leave an exchange's backend server and have the answer go on elsewhere."""
+        self.run(partial(self._drop_upstream, exchange, reason))
+
+    def run(self, command: Command) -> None:
+        """Run a short function on the loop's thread."""
+        self._commands.append(command)
+        self._notify()
+
+    def _notify(self) -> None:
+        os.eventfd_write(self._wake, 1)
+
+    def _run(self) -> None:
+        while not self._stopping:
+            for descriptor, flags in self._poll.poll(SWEEP_SECONDS):
+                self._serve(descriptor, flags)
+            if self._clock.monotonic() >= self._next_sweep:
+                self._sweep()
+
+    def _serve(self, descriptor: int, flags: int) -> None:
+        reading = self._upstreams.get(descriptor)
+        if reading is not None:
+            self._guard(reading[0], self._read, *reading)
+            return
+        if descriptor == self._wake:
+            self._run_commands()
+            return
+        following = self._followers.find(descriptor)
+        if following is not None:
+            self._guard(following[0], self._followers.serve, *following, flags)
+
+    def _run_commands(self) -> None:
+        os.eventfd_read(self._wake)
+        while self._commands:
+            command = self._commands.popleft()
+            try:
+                command()
+            except Exception:
+                # One request's fault must not end the loop, which would cut
+                # off every other stream of the process.
+                logger.exception('relay command failed')
+
+    def _guard(
+        self, exchange: Exchange, step: Callable[..., None], *arguments: object
+    ) -> None:
+        try:
+            step(*arguments)
+        except Exception as error:
+            # As above: only this exchange ends.
+            logger.bind(request_id=exchange.call.request_id).exception('relay failed')
+            self._fail(exchange, describe_fault(error))
+
+    def _attach(self, exchange: Exchange, upstream: Upstream) -> None:
+        if not exchange.open:
+            # It ended while its next attempt was being sent.
+            upstream.close()
+            self._events.orphaned(exchange)
+            return
+        exchange.upstream = upstream
+        exchange.timing.last_event = self._clock.monotonic()
+        self._exchanges.add(exchange)
+        descriptor = upstream.sock.fileno()
+        self._upstreams[descriptor] = (exchange, upstream)
+        self._poll.register(descriptor, select.EPOLLIN)
+
+    def _forget(self, upstream: Upstream) -> None:
+        descriptor = upstream.sock.fileno()
+        if self._upstreams.pop(descriptor, None) is not None:
+            self._poll.unregister(descriptor)
+
+    def _follow(self, exchange: Exchange, follower: Follower) -> None:
+        self._followers.add(exchange, follower)
+        exchange.left_until = None
+        if exchange.open:
+            self._exchanges.add(exchange)
+            self._followers.catch_up(exchange, follower)
+            return
+        self._followers.finish(exchange, follower)
+
+    def _read(self, exchange: Exchange, upstream: Upstream) -> None:
+        more = upstream.read()
+        if upstream.body:
+            self._take_body(exchange, upstream)
+        if more or exchange.upstream is not upstream:
+            return
+        self._forget(upstream)
+        upstream.close()
+        self._lose(exchange, upstream, 'connection ended in mid answer')
+
+    def _take_body(self, exchange: Exchange, upstream: Upstream) -> None:
+        invariant(
+            exchange.upstream is upstream,
+            Invariant.ANSWER_OWNER,
+            exchange.call.request_id,
+            step=Step.RELAY,
+            peer=upstream.server_id,
+        )
+        events, upstream.body = split_events(upstream.body)  # noqa: WPS414
+        if not events:
+            return
+        done = events[-1] == DONE
+        if done:
+            events.pop()
+        if upstream.continuation is not None:
+            events = _adapt(upstream, events)
+        self._note_progress(exchange)
+        if events and upstream.stream.extend(events):
+            self._relay(exchange, upstream, events)
+        if done:
+            self._take_end(exchange, upstream)
+
+    def _relay(
+        self, exchange: Exchange, upstream: Upstream, events: list[bytes]
+    ) -> None:
+        """Send new events to all callers; those up to date share one rendering."""
+        before = exchange.relayed
+        exchange.relayed = before + len(events)
+        chunk = b''
+        for follower in tuple(exchange.followers):
+            if not follower.streaming:
+                continue
+            if follower.position != before:
+                self._followers.catch_up(exchange, follower)
+                continue
+            if not chunk:
+                chunk = render_chunk(render_events(events, before + 1, upstream.tag))
+            follower.position = exchange.relayed
+            self._followers.send(exchange, follower, chunk)
+
+    def _note_progress(self, exchange: Exchange) -> None:
+        now = self._clock.monotonic()
+        timing = exchange.timing
+        if timing.first_event is None:
+            timing.first_event = now
+            exchange.state = ExchangeState.STREAMING
+            self._events.first_event(exchange)
+        else:
+            timing.longest_gap = max(timing.longest_gap, now - timing.last_event)
+        timing.last_event = now
+
+    def _take_end(self, exchange: Exchange, upstream: Upstream) -> None:
+        upstream.stream.finish(AnswerEnd.COMPLETE)
+        self._forget(upstream)
+        upstream.close()
+        exchange.upstream = None
+        # While the answer is held for a peer, whether it ends here is open; the
+        # sweep sees what became of it.
+        if exchange.tracked.log.state is LogState.OPEN:
+            self._end(exchange, ExchangeState.DONE)
+
+    def _lose(self, exchange: Exchange, upstream: Upstream, reason: str) -> None:
+        exchange.upstream = None
+        if upstream.error_body:
+            detail = upstream.error_body.decode(errors='replace')
+            reason = f'status {upstream.status}: {detail}'
+        self._events.lost(exchange, upstream, reason)
+
+    def _drop_upstream(self, exchange: Exchange, reason: str) -> None:
+        upstream = exchange.upstream
+        if upstream is None:
+            return
+        self._forget(upstream)
+        upstream.close()
+        self._lose(exchange, upstream, reason)
+
+    def _fail(self, exchange: Exchange, error: RequestError) -> None:
+        if exchange.open:
+            exchange.error = error
+            self._end(exchange, ExchangeState.FAILED)
+
+    def _end(self, exchange: Exchange, state: ExchangeState) -> None:
+        if not exchange.open:
+            return
+        exchange.state = state
+        upstream = exchange.upstream
+        exchange.upstream = None
+        if upstream is not None:
+            self._forget(upstream)
+            self._let_go(upstream, state)
+        self._exchanges.discard(exchange)
+        for follower in tuple(exchange.followers):
+            self._followers.finish(exchange, follower)
+        self._events.ended(exchange)
+
+    def _let_go(self, upstream: Upstream, state: ExchangeState) -> None:
+        if state is ExchangeState.MOVED:
+            # Engines cancel a stream whose connection closes, and the peer may
+            # not have taken it up yet: it stays open until this process ends.
+            self._parked.append(upstream)
+            return
+        upstream.close()
+
+    def _note_left(self, exchange: Exchange) -> None:
+        if exchange.open:
+            exchange.left_until = self._clock.monotonic() + RECONNECT_SECONDS
+
+    def _sweep(self) -> None:
+        now = self._clock.monotonic()
+        self._next_sweep = now + SWEEP_SECONDS
+        for exchange in tuple(self._exchanges):
+            self._guard(exchange, self._check, exchange, now)
+
+    def _check(self, exchange: Exchange, now: float) -> None:
+        log = exchange.tracked.log
+        if log.state is LogState.HELD:
+            return
+        if log.state is LogState.MOVED:
+            self._end(exchange, ExchangeState.MOVED)
+            return
+        self._catch_up(exchange)
+        if log.end is not None:
+            self._end(exchange, ExchangeState.DONE)
+            return
+        self._check_times(exchange, now)
+
+    def _check_times(self, exchange: Exchange, now: float) -> None:
+        if exchange.left_until is not None and now > exchange.left_until:
+            self._end(exchange, ExchangeState.ABANDONED)
+            return
+        if now > exchange.call.deadline:
+            self._fail(exchange, describe_timeout(exchange))
+            return
+        self._check_pace(exchange, now)
+
+    def _catch_up(self, exchange: Exchange) -> None:
+        """Send what came in while the answer was held, if it was."""
+        upstream = exchange.upstream
+        if upstream is None or exchange.relayed == len(upstream.stream.events):
+            return
+        for follower in tuple(exchange.followers):
+            self._followers.catch_up(exchange, follower)
+        exchange.relayed = exchange.tracked.log.count()
+
+    def _check_pace(self, exchange: Exchange, now: float) -> None:
+        started = exchange.timing.first_event is not None
+        patience = STALL_SECONDS if started else START_SECONDS
+        if now - exchange.timing.last_event > patience:
+            self._drop_upstream(exchange, 'silent for too long')
+
+
+def _adapt(upstream: Upstream, events: list[bytes]) -> list[bytes]:
+    """Make a continuation's events those of the answer that it continues."""
+    continuation = upstream.continuation
+    assert continuation is not None
+    first, tokens = continuation.first, continuation.generated_tokens
+    adapted = [adapt_event(event, first, tokens) for event in events]
+    return [event for event in adapted if not _opens_answer(event)]
+
+
+def _opens_answer(event: bytes) -> bool:
+    """Tell whether an event only says that an answer begins.
+
+    An engine opens each stream with the speaker's role; in mid answer a caller
+    would take it for a second message.
+    """
+    return b'"role"' in event and b'"content": ""' in event
