--- a/libs/bench/fireflyhitch_bench/capacity_slopes.py
+++ b/libs/bench/fireflyhitch_bench/capacity_slopes.py
@@ -4,13 +4,20 @@
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Any
 
 import cbor2
 
 from fireflyhitch_bench.capacity_fit import Line, Point, fit_line
+from fireflyhitch_fleet.planner import (
+    Bounds,
+    Market,
+    Need,
+    Placement,
+    plan_version,
+)
 from fireflyhitch_ledger.keys import CallKey, digest_body
 from fireflyhitch_ledger.ledger import Ledger
 from fireflyhitch_ledger.operations import Answer
@@ -37,8 +44,11 @@
 from fireflyhitch_model.peers import Daemon
 from fireflyhitch_model.states import MachineClass, Priority
 from fireflyhitch_recovery.answers import AnswerLog
+from fireflyhitch_rollout.evidence import EvidenceBook, Trial
+from fireflyhitch_rollout.tallies import EvidenceNews
 from fireflyhitch_routing.choices import CallResult, ResultStatus
 from fireflyhitch_routing.router import Router
+from fireflyhitch_routing.shares import DemandReport
 from fireflyhitch_settings.schema import (
     Configuration,
     Customer,
@@ -46,12 +56,14 @@
 )
 from fireflyhitch_standins.keyvalue import MemoryKeyValueStore
 from fireflyhitch_standins.peers import MemoryPeerNetwork
+from fireflyhitch_telemetry.burn import BurnRecorder, BurnTarget
 
 MODEL = DeploymentId('model')
 VERSION = VersionId('v1')
 DOMAIN = FailureDomainId('domain')
 HERE = Daemon(DaemonId('daemon-0'), DOMAIN, '127.0.0.1:1', '127.0.0.1:2')
 MICROSECONDS = 1e6
+MILLISECOND_US = 1000
 EVENT = b'{"id":"chatcmpl-0123456789abcdef","object":"chat.completion.chunk",' * 3
 
 
@@ -76,6 +88,11 @@
         _slope('event_bytes_per_token', 'bytes', (500, 2000, 8000), _weigh_answer),
         _slope('stored_bytes_per_key', 'bytes', (200, 800, 2400), _size_keys),
         _slope('claim_us_per_call', 'us', (200, 800, 2400), _time_claims),
+        _slope('demand_bytes_per_customer', 'bytes', (5, 50, 400), _size_demand),
+        _slope('demand_us_per_customer', 'us', (5, 50, 400), _time_demand),
+        _slope('evidence_bytes_per_cell', 'bytes', (1, 8, 32), _size_evidence),
+        _slope('burn_bytes_per_row', 'bytes', (5, 50, 200), _weigh_burn),
+        _slope('plan_ms_per_place', 'ms', (8, 19, 38), _time_plan),
         _slope('change_bytes_per_deployment', 'bytes', (2, 20, 100), _size_change),
         _slope('change_us_per_deployment', 'us', (2, 20, 100), _time_change),
     ]
@@ -171,6 +188,85 @@
     return store, time.process_time() - started
 
 
+def _make_demand(customers: int) -> DemandReport:
+    return DemandReport(
+        demands={CustomerId(f'customer-{one}'): 0.01 * one for one in range(customers)}
+    )
+
+
+def _size_demand(customers: int) -> float:
+    return len(encode_body(_make_demand(customers)))
+
+
+def _time_demand(customers: int) -> float:
+    report = _make_demand(customers)
+    body = encode_body(report)
+
+    def exchange() -> None:
+        DemandReport.model_validate(_decode_body(body))
+
+    return _time(exchange, 200)
+
+
+def _size_evidence(cells: int) -> float:
+    """Return the size of the evidence that a daemon sends for some cells."""
+    network = MemoryPeerNetwork()
+    clock = ManualClock()
+    book = EvidenceBook(HERE, network.join(HERE), clock)
+    other = replace(HERE, daemon_id=DaemonId('daemon-1'))
+    sizes: list[int] = []
+
+    def take(_: DaemonId, news: EvidenceNews) -> None:
+        sizes.append(len(encode_body(news)))
+
+    network.join(other).handle(EvidenceNews, take)
+    book.watch({DeploymentId('model-0'): Trial(VERSION, VersionId('v2'))})
+    for number in range(cells * 4):
+        call = replace(_make_call(number, 0), route=f'route-{number % cells}')
+        server = replace(_make_server(0), failure_domain=DOMAIN)
+        book.record(call, server, ok=True, first_token=0.2, between_tokens=0.05)
+    book.step()
+    return float(max(sizes))
+
+
+def _weigh_burn(rows: int) -> float:
+    def build() -> BurnRecorder:
+        clock = ManualClock()
+        burn = BurnRecorder(clock, DOMAIN)
+        burn.set_targets({MODEL: BurnTarget(first_token_seconds=0.92)})
+        for number in range(rows * 20):
+            burn.record(
+                CustomerId(f'customer-{number % rows}'),
+                MODEL,
+                'chat',
+                VERSION,
+                ok=True,
+                first_token=0.1 + number % 7 / 10,
+                between_tokens=0.05,
+            )
+            clock.advance(timedelta(seconds=1))
+        return burn
+
+    return _weigh(build)
+
+
+def _time_plan(places: int) -> float:
+    markets = {
+        Placement(FailureDomainId(f'domain-{number}'), kind): Market(
+            price=1.0 + number % 5 / 10, supply=64, reclaims=0.05
+        )
+        for number in range(places // 2)
+        for kind in MachineClass
+    }
+    need = Need(VERSION, len(markets) * 4, {})
+    bounds = Bounds(0.75, 2, len(markets) * 8, len(markets))
+
+    def plan() -> None:
+        plan_version(need, markets, bounds, 0.05)
+
+    return _time(plan, 3) / MILLISECOND_US
+
+
 def _size_change(deployments: int) -> float:
     return len(_make_configuration(deployments).model_dump_json())
 
