Keep the ledger's threads alive through an error

A record that contradicts an earlier one raises while it is settled; the thread that settles ended with it. Now it is logged and the thread goes on.

--- a/libs/ledger/fireflyhitch_ledger/workers.py
+++ b/libs/ledger/fireflyhitch_ledger/workers.py
@@ -5,7 +5,10 @@
 from datetime import timedelta
 from queue import SimpleQueue
 
+from loguru import logger
+
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.states import Step
 
 STOP_SECONDS = 5
 
@@ -55,8 +58,17 @@
             work = self._work.get()
             if work is None:
                 return
-            work()
+            _run_guarded(work)
 
     def _repeat(self, settle: Callable[[], None], interval: timedelta) -> None:
         while not self._clock.wait(self._stopping, interval):
-            settle()
+            _run_guarded(settle)
+
+
+def _run_guarded(work: Callable[[], None]) -> None:
+    try:
+        work()
+    except Exception:
+        # An error that ended the thread would leave the other calls of its
+        # shards waiting, and records unsettled until the daemon is restarted.
+        logger.bind(step=Step.RECORD.value).exception('ledger work failed')
--- a/libs/ledger/tests/test_group_commit.py
+++ b/libs/ledger/tests/test_group_commit.py
@@ -3,8 +3,10 @@
 import threading
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
 
 from fireflyhitch_ledger.results import Claimed
+from fireflyhitch_ledger.workers import Workers
 from fireflyhitch_model.clock import SystemClock
 
 
@@ -59,3 +61,16 @@
             ledger.stop()
         kinds = Counter(type(result).__name__ for result in results)
         assert kinds == {'Claimed': 20, 'InProgress': 40}
+
+
+class TestWorkers:
+    """Threads that no caller waits in."""
+
+    def test_failing_work_does_not_end_its_thread(self):
+        workers = Workers(1, SystemClock())
+        workers.start(lambda: None, timedelta(seconds=60))
+        done = threading.Event()
+        workers.defer(threading.Lock().release)
+        workers.defer(done.set)
+        assert done.wait(10)
+        workers.stop()
