Look at held duties every two seconds instead of each step

At two steps a second each candidate read each duty twice a second. A free duty is now taken up to two seconds later; the test of the paused holder gives the successor 12 s instead of 10 for that, and still asserts that the first has stopped before the second begins.

--- a/libs/fleet/fireflyhitch_fleet/duties.py
+++ b/libs/fleet/fireflyhitch_fleet/duties.py
@@ -88,6 +88,7 @@
         self._live = live
         self._duties: tuple[DutyId, ...] = ()
         self._claims: dict[DutyId, _Claim] = {}
+        self._look_after: dict[DutyId, float] = {}
         self._stopped = threading.Event()
         self._thread: threading.Thread | None = None
 
@@ -149,8 +150,12 @@
             self._renew(duty, claim)
 
     def _campaign(self, duty: DutyId) -> None:
-        if not self._is_candidate(duty):
+        now = self._clock.monotonic()
+        if now < self._look_after.get(duty, 0) or not self._is_candidate(duty):
             return
+        # Held duties are looked at no more often than they are renewed: each
+        # look is a read, at each candidate and for each deployment.
+        self._look_after[duty] = now + self.terms.renewal.total_seconds()
         if self._store.get(_key(duty)) is not None:
             return
         # Counted from before the request is sent: the store starts to count
