Buy capacity, set engines right, and show a take-back in the demo

Cause: planner, orders and duties stood unused; the demo's trial met no call. Change: the capacity duty plans every ten seconds from the engines' reported load and gives instances back only after they were emptied; the demo moves a plain service to a version that fails, before the other faults.

--- a/libs/bench/fireflyhitch_bench/demo.py
+++ b/libs/bench/fireflyhitch_bench/demo.py
@@ -1,8 +1,8 @@
 """The main job on loopback for both sites, with faults: ``make demo``.
 
-While callers ask and book, a backend server's instance and a daemon's own are
-reclaimed, a bad version is moved to and taken back, and the key-value service
-goes away for a while. Each answer is checked against the one it has to be.
+While callers ask and book, a move to a bad version begins, a backend server's
+instance and a daemon's own are reclaimed, and the key-value service goes away
+for a while. Each answer is checked against the one it has to be.
 """
 
 import asyncio
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, replace
 
 from fireflyhitch_bench.demo_callers import Tally, run_callers
-from fireflyhitch_bench.demo_faults import BAD_ENGINE, Teller, run_faults
+from fireflyhitch_bench.demo_faults import BAD_SERVICE, GOOD_ENGINE, Teller, run_faults
 from fireflyhitch_bench.processes import ProcessGroup
 from fireflyhitch_bench.site import (
     BRANDVEILIG,
@@ -22,7 +22,7 @@
     start_site,
 )
 
-JOB_SECONDS = 22.0
+JOB_SECONDS = 27.0
 
 
 @dataclass(slots=True)
@@ -60,7 +60,7 @@
 def _run_site(group: ProcessGroup, plan: SitePlan, demo: DemoResult) -> None:
     say = _make_teller(plan, time.monotonic())
     say(f'{plan.daemons} daemons, {plan.engines} engines, {plan.services} services')
-    site = start_site(group, replace(plan, new_engine=BAD_ENGINE))
+    site = start_site(group, replace(plan, engine=GOOD_ENGINE, new_service=BAD_SERVICE))
     say('ready')
     tally = asyncio.run(_run_job(site, say))
     tally.doubled = sum(
--- a/libs/bench/fireflyhitch_bench/demo_callers.py
+++ b/libs/bench/fireflyhitch_bench/demo_callers.py
@@ -1,4 +1,4 @@
-"""Callers of the demo: models streamed and whole, and bookings."""
+"""Callers of the demo: models streamed and whole, bookings and lookups."""
 
 import asyncio
 import json
@@ -18,11 +18,13 @@
 from fireflyhitch_bench.site import API_KEY, Site
 from fireflyhitch_standins.answers import join_messages, write_answer
 
-CALLERS = 24
+CALLERS = 40
 BOOKERS = 6
+LOOKERS = 6
+LOOKUP_PAUSE_SECONDS = 0.02
 PAUSE_SECONDS = 0.05
 BOOKING_PAUSE_SECONDS = 0.3
-MOST_TOKENS = 60
+MOST_TOKENS = 50
 RETURN_TRIES = 40
 RETURN_PAUSE_SECONDS = 0.1
 Headers = tuple[tuple[str, str], ...]
@@ -60,7 +62,8 @@
     ends = time.monotonic() + seconds
     callers = [_call_models(site, tally, ends, number) for number in range(CALLERS)]
     bookers = [_book(site, tally, ends, number) for number in range(BOOKERS)]
-    await asyncio.gather(*callers, *bookers)
+    lookups = [_look_up(site, tally, ends, number) for number in range(LOOKERS)]
+    await asyncio.gather(*callers, *bookers, *lookups)
 
 
 async def _call_models(site: Site, tally: Tally, ends: float, number: int) -> None:
@@ -158,11 +161,11 @@
         for _ in range(draw.choice((1, 1, 2))):
             entry = await _choose_entry(site, draw)
             spec = CallSpec(entry, 'POST', path, body, headers)
-            _count_booking(tally, await make_call(spec), key)
+            _count_service(tally, await make_call(spec), 'key', key)
         await asyncio.sleep(BOOKING_PAUSE_SECONDS)
 
 
-def _count_booking(tally: Tally, result: CallResult, key: str) -> None:
+def _count_service(tally: Tally, result: CallResult, field: str, expected: str) -> None:
     if result.status == 0:
         return
     tally.accepted += 1
@@ -170,12 +173,23 @@
         tally.refused += 1
     elif not result.complete:
         tally.lost += 1
-    elif json.loads(result.body).get('key') == key:
+    elif json.loads(result.body).get(field) == expected:
         tally.answered += 1
     else:
         tally.mixed_up += 1
 
 
+async def _look_up(site: Site, tally: Tally, ends: float, number: int) -> None:
+    draw = random.Random(2000 + number)  # noqa: S311
+    while time.monotonic() < ends:
+        path = f'/parts/{draw.getrandbits(40):x}'
+        entry = await _choose_entry(site, draw)
+        target = f'/services/{site.plan.service}{path}'
+        result = await make_call(CallSpec(entry, 'GET', target, None, HEADERS))
+        _count_service(tally, result, 'path', path)
+        await asyncio.sleep(LOOKUP_PAUSE_SECONDS)
+
+
 async def _choose_entry(site: Site, draw: random.Random) -> str:
     """Return a ready daemon's address, as the platform's balancer does."""
     while True:
--- a/libs/bench/fireflyhitch_bench/demo_faults.py
+++ b/libs/bench/fireflyhitch_bench/demo_faults.py
@@ -1,17 +1,18 @@
 """What goes wrong in the demo, in this order."""
 
 import asyncio
-import json
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
 from fireflyhitch_bench.site import NEW_VERSION, Site
 from fireflyhitch_standins.engine_settings import EngineSettings
+from fireflyhitch_standins.service_server import ServiceSettings
 
 Teller = Callable[[str], None]
 
 NOTICE_SECONDS = 2.0
+TOKEN_SECONDS = 0.02
 
 
 async def run_faults(site: Site, say: Teller) -> None:
@@ -60,7 +61,7 @@
     for number in range(2):
         order: dict[str, Any] = {
             'order_id': f'demo-{number}',
-            'deployment': site.plan.model,
+            'deployment': site.plan.service,
             'version': NEW_VERSION,
             'failure_domain': site.plan.place(number),
             'machine_class': 'reclaimable',
@@ -71,7 +72,7 @@
     move_by = datetime.now(UTC) + timedelta(minutes=30)
     move = {'to_version': NEW_VERSION, 'move_by': move_by.isoformat()}
     for deployment in configuration['deployments']:
-        if deployment['name'] == site.plan.model:
+        if deployment['name'] == site.plan.service:
             deployment['move'] = move
     proposal = {
         'expected_revision': current['revision'],
@@ -85,20 +86,23 @@
 def _tell_move(site: Site, say: Teller) -> None:
     moves = site.call_admin(0, 'GET', '/admin/moves')['moves']
     for move in moves:
-        say(f'move: {json.dumps(move)[:300]}')
+        say(
+            f'move of {move["deployment"]} to {move["to_version"]}: {move["state"]}, '
+            f'{move["reason"]}, {"; ".join(move["evidence"])}'
+        )
 
 
-# Fails after the first token for every second call, as a version with a fault
-# in its sampling code does.
-BAD_ENGINE = EngineSettings(fail_share=0.5)
+GOOD_ENGINE = EngineSettings(token_seconds=TOKEN_SECONDS)
+# Runs each call and then answers with an error.
+BAD_SERVICE = ServiceSettings(fail_share=1)
 
 # Seconds to wait, then what happens.
 SCHEDULE: tuple[tuple[float, Callable[[Site, Teller], None]], ...] = (
-    (2, _reclaim_server),
+    (1, _move_to_bad_version),
+    (5, _reclaim_server),
     (NOTICE_SECONDS + 1, _reclaim_daemon),
     (NOTICE_SECONDS, _kill_daemon),
     (1, _cut_store),
     (3, _restore_store),
-    (1, _move_to_bad_version),
-    (9, _tell_move),
+    (11, _tell_move),
 )
--- a/libs/bench/fireflyhitch_bench/site.py
+++ b/libs/bench/fireflyhitch_bench/site.py
@@ -24,6 +24,7 @@
 from fireflyhitch_model.instances import Instance
 from fireflyhitch_model.states import InstanceRole, InstanceState, MachineClass
 from fireflyhitch_settings.schema import (
+    CapacityPlan,
     Configuration,
     Customer,
     CustomerLimits,
@@ -64,6 +65,7 @@
     customers: int = 5
     engine: EngineSettings = field(default_factory=EngineSettings)
     new_engine: EngineSettings = field(default_factory=EngineSettings)
+    new_service: ServiceSettings = field(default_factory=ServiceSettings)
     max_streams: int | None = None
     latency: LatencyTarget = field(default_factory=LatencyTarget)
 
@@ -271,8 +273,17 @@
     )
     return Configuration(
         deployments=(
-            ModelDeployment(name=plan.model, latency=plan.latency, **common),
-            ServiceDeployment(name=plan.service, **common),
+            ModelDeployment(
+                name=plan.model,
+                latency=plan.latency,
+                capacity=CapacityPlan(min_servers=plan.engines),
+                **common,
+            ),
+            ServiceDeployment(
+                name=plan.service,
+                capacity=CapacityPlan(min_servers=plan.services),
+                **common,
+            ),
         ),
         customers=tuple(
             Customer(
@@ -302,7 +313,9 @@
                 engines={VERSION: plan.engine, NEW_VERSION: plan.new_engine},
                 capacity=16,
             ),
-            plan.service: DeploymentWorld(services={VERSION: ServiceSettings()}),
+            plan.service: DeploymentWorld(
+                services={VERSION: ServiceSettings(), NEW_VERSION: plan.new_service}
+            ),
         },
         initial=tuple(
             InitialServers(
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/capacity.py
@@ -0,0 +1,153 @@
+"""The capacity duty at this daemon: what is needed, and what engines should hold."""
+
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from loguru import logger
+
+from fireflyhitch_daemon.directory import Directory
+from fireflyhitch_daemon.reports import EngineReports
+from fireflyhitch_fleet.capacity import CapacityKeeper, find_duty
+from fireflyhitch_fleet.needs import Demand, DeploymentNeed
+from fireflyhitch_fleet.orders import OrderDesk, OrderResult, Wish
+from fireflyhitch_membership.network import PeerNetwork
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.ids import DeploymentId, InstanceId
+from fireflyhitch_model.instances import ReclaimNotice
+from fireflyhitch_model.states import Step
+from fireflyhitch_platform.services import (
+    Cloud,
+    EngineAction,
+    InstanceOrder,
+    Price,
+)
+from fireflyhitch_rollout.moves import MoveKeeper
+from fireflyhitch_rollout.supplies import Supply
+from fireflyhitch_settings.schema import Configuration, Deployment, ModelDeployment
+
+# Longer than a leaving mark takes to reach every daemon that can be reached.
+MARK_SPREAD = timedelta(seconds=5)
+
+
+class DrainingCloud:
+    """A cloud whose instances are emptied before they are given back.
+
+    Stopping an instance at once would cut off the answers that its server is in
+    the middle of. The first call to ``stop`` marks it as leaving everywhere; a
+    later one stops it, once it has had time to finish what it had.
+
+    :param drain_time: the longest that an answer takes.
+    """
+
+    def __init__(
+        self,
+        cloud: Cloud,
+        network: PeerNetwork,
+        directory: Directory,
+        clock: Clock,
+        drain_time: timedelta,
+    ) -> None:
+        self._cloud = cloud
+        self._network = network
+        self._directory = directory
+        self._clock = clock
+        self._drain_seconds = (drain_time + MARK_SPREAD).total_seconds()
+        self._lock = threading.Lock()
+        self._leaving: dict[InstanceId, float] = {}
+
+    def read_notices(self) -> tuple[ReclaimNotice, ...]:
+        """Return the reclaim notices in force."""
+        return self._cloud.read_notices()
+
+    def read_prices(self) -> tuple[Price, ...]:
+        """Return the prices of now."""
+        return self._cloud.read_prices()
+
+    def start(self, order: InstanceOrder) -> InstanceId | None:
+        """Start an instance."""
+        return self._cloud.start(order)
+
+    def stop(self, instance: InstanceId) -> None:
+        """Empty an instance, and give it back when called again later."""
+        now = self._clock.monotonic()
+        with self._lock:
+            since = self._leaving.setdefault(instance, now)
+        server = self._directory.find(instance)
+        if server is not None:
+            self._network.mark_leaving(instance, server.incarnation)
+            self._directory.remove((instance,))
+        if now - since >= self._drain_seconds:
+            self._cloud.stop(instance)
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityParts:
+    """What the capacity duty is done with."""
+
+    keeper: CapacityKeeper
+    desk: OrderDesk
+    moves: MoveKeeper
+    directory: Directory
+    reports: EngineReports
+
+
+class CapacityDuty:
+    """Plans for the deployments whose duty this daemon holds."""
+
+    def __init__(self, parts: CapacityParts) -> None:
+        self._parts = parts
+
+    def step(self, configuration: Configuration | None) -> None:
+        """Buy, give back and order what is due; called every ten seconds."""
+        if configuration is None:
+            return
+        needs = [self._describe(one) for one in configuration.deployments]
+        plans = self._parts.keeper.step(needs)
+        for deployment in configuration.deployments:
+            if deployment.name in plans and isinstance(deployment, ModelDeployment):
+                self._set_right(deployment.name)
+
+    def observe(self, configuration: Configuration | None) -> None:
+        """Tell the version moves what there is to serve with."""
+        if configuration is None:
+            return
+        servers = self._parts.directory.list_servers()
+        self._parts.moves.observe(
+            {
+                deployment.name: self._find_supply(deployment, servers)
+                for deployment in configuration.deployments
+            }
+        )
+
+    def _describe(self, deployment: Deployment) -> DeploymentNeed:
+        demand = Demand(self._parts.reports.sum_load(deployment.name))
+        versions = self._parts.moves.list_needs(deployment.name)
+        return DeploymentNeed(deployment, versions, demand)
+
+    def _find_supply(
+        self, deployment: Deployment, servers: Iterable[BackendServer]
+    ) -> Supply:
+        own = tuple(one for one in servers if one.deployment == deployment.name)
+        need = self._describe(deployment)
+        ahead = self._parts.keeper.find_start_time(deployment.name)
+        needed = max(
+            need.count_servers(version, ahead.total_seconds())
+            for version in need.versions
+        )
+        return Supply(own, needed, ahead)
+
+    def _set_right(self, deployment: DeploymentId) -> None:
+        """Have engines that hold another version than they are listed for load it."""
+        duty = find_duty(deployment)
+        for server in self._parts.directory.list_servers():
+            if server.deployment != deployment:
+                continue
+            wish = Wish(EngineAction.LOAD_VERSION, server.version)
+            became = self._parts.desk.fulfil(duty, server, wish)
+            if became is not OrderResult.IN_EFFECT:
+                logger.bind(
+                    step=Step.ORDER.value, peer=server.server_id, result=became.value
+                ).info('engine does not hold its version yet')
--- a/libs/daemon/fireflyhitch_daemon/composition.py
+++ b/libs/daemon/fireflyhitch_daemon/composition.py
@@ -3,12 +3,14 @@
 import ssl
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from functools import partial
 
 from fireflyhitch_daemon.accounts import Accounts
 from fireflyhitch_daemon.admin import Admin, AdminParts
 from fireflyhitch_daemon.callers import CallerParts, Callers
 from fireflyhitch_daemon.calls import CallParts, ModelCalls
+from fireflyhitch_daemon.capacity import CapacityDuty, CapacityParts, DrainingCloud
 from fireflyhitch_daemon.departure import Departure, DepartureParts
 from fireflyhitch_daemon.directory import Directory
 from fireflyhitch_daemon.forwarding import Forwarder
@@ -24,7 +26,9 @@
 from fireflyhitch_daemon.requests import RequestAnswers
 from fireflyhitch_daemon.selection import Selection
 from fireflyhitch_daemon.services import ServiceCalls, ServiceParts
+from fireflyhitch_fleet.capacity import CapacityKeeper
 from fireflyhitch_fleet.duties import DutyKeeper
+from fireflyhitch_fleet.orders import OrderDesk
 from fireflyhitch_ledger.ledger import Ledger
 from fireflyhitch_membership.configuration import ConfigurationKeeper
 from fireflyhitch_membership.links import LinkOptions
@@ -38,6 +42,7 @@
 from fireflyhitch_platform.etcd import EtcdKeyValueStore
 from fireflyhitch_platform.instance_list import HttpInstanceList
 from fireflyhitch_platform.rates import CallBudget
+from fireflyhitch_platform.weights import HttpWeightStore
 from fireflyhitch_recovery.drain import Drain
 from fireflyhitch_recovery.handover import HandOver
 from fireflyhitch_recovery.inflight import InFlight, make_request_id
@@ -54,6 +59,8 @@
 from fireflyhitch_telemetry.metrics import Metrics
 
 MILLISECONDS = 1000
+# An instance that is given back has this long for what it works on.
+LONGEST_ANSWER = timedelta(minutes=2)
 
 Handle = Callable[[CallerRequest], Response | Detached]
 
@@ -102,6 +109,7 @@
         self.store = EtcdKeyValueStore(addresses.key_value, clock, self.budget)
         self.instance_list = HttpInstanceList(addresses.instance_list)
         self.cloud = HttpCloud(addresses.cloud)
+        self.weights = HttpWeightStore(addresses.weight_store or addresses.cloud)
 
 
 class Control:
@@ -181,9 +189,9 @@
         self.drain = Drain(clock)
         self.in_flight = InFlight(daemon_id, clock)
         self.forwarder = Forwarder()
-        engines = HttpEngines(self.directory.find_address, clock=clock)
+        self.engines = HttpEngines(self.directory.find_address, clock=clock)
         self.reports = EngineReports(
-            engines,
+            self.engines,
             self.router,
             lambda: self.directory.list_engines(control.read_configuration()),
         )
@@ -238,6 +246,8 @@
     control: Control
     serving: Serving
     departure: Departure
+    capacity: CapacityDuty
+    capacity_keeper: CapacityKeeper
 
 
 def compose(
@@ -256,6 +266,11 @@
     control = Control(settings, clock, platform, entry_address, tls)
     serving = Serving(settings, clock, platform, control)
     departure = _make_departure(settings, clock, platform, control, serving)
+    keeper = _make_capacity_keeper(clock, platform, control, serving)
+    desk = OrderDesk(serving.engines, control.duties, clock)
+    capacity = CapacityDuty(
+        CapacityParts(keeper, desk, control.moves, serving.directory, serving.reports)
+    )
     listeners.use(
         Callers(_gather_caller_parts(settings, clock, control, serving)),
         Admin(
@@ -274,7 +289,16 @@
         ),
     )
     return Components(
-        settings, clock, tls, listeners, platform, control, serving, departure
+        settings,
+        clock,
+        tls,
+        listeners,
+        platform,
+        control,
+        serving,
+        departure,
+        capacity,
+        keeper,
     )
 
 
@@ -304,6 +328,17 @@
     return Departure(settings.instance_id, parts)
 
 
+def _make_capacity_keeper(
+    clock: Clock, platform: Platform, control: Control, serving: Serving
+) -> CapacityKeeper:
+    cloud = DrainingCloud(
+        platform.cloud, control.network, serving.directory, clock, LONGEST_ANSWER
+    )
+    return CapacityKeeper(
+        control.duties, cloud, platform.instance_list, platform.weights, clock
+    )
+
+
 def _gather_caller_parts(
     settings: DaemonSettings, clock: Clock, control: Control, serving: Serving
 ) -> CallerParts:
--- a/libs/daemon/fireflyhitch_daemon/process.py
+++ b/libs/daemon/fireflyhitch_daemon/process.py
@@ -1,7 +1,6 @@
 """A daemon's life: start, upkeep, and the graceful stop."""
 
 import threading
-from collections import defaultdict
 from datetime import timedelta
 
 from loguru import logger
@@ -10,12 +9,10 @@
 from fireflyhitch_daemon.upkeep import Task, Upkeep
 from fireflyhitch_membership.configuration import InForce
 from fireflyhitch_membership.messages import Mark, MarkKind
-from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.ids import DeploymentId, InstanceId
 from fireflyhitch_model.invariants import observe_violations
 from fireflyhitch_model.states import Step
-from fireflyhitch_rollout.supplies import Supply
 from fireflyhitch_routing.domains import DomainState
 from fireflyhitch_settings.bootstrap import DaemonSettings
 from fireflyhitch_settings.schema import Configuration, ModelDeployment
@@ -24,6 +21,7 @@
 HALF_SECOND = timedelta(seconds=0.5)
 SECOND = timedelta(seconds=1)
 WARM_UP = timedelta(seconds=1)
+PLAN_INTERVAL = timedelta(seconds=10)
 DRAIN_POLL_SECONDS = 0.05
 
 
@@ -33,6 +31,8 @@
     def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
         self.stop_requested = threading.Event()
         self._stopped = False
+        # What all parts have taken over, which comes a little after it is in force.
+        self._applied: Configuration | None = None
         self._clock = clock
         self._parts: Components = compose(settings, clock, self.stop_requested.set)
         observe_violations(self._parts.serving.metrics.record_violation)
@@ -131,13 +131,14 @@
                 serving.hand_over.reception.check_senders,
             ),
             Task('hand-over peers', Step.HAND_OVER, SECOND, self._check_peers),
+            Task('capacity', Step.PLAN, PLAN_INTERVAL, self._plan_capacity),
         ]
 
     def _read_instances(self) -> None:
         listing = self._parts.platform.instance_list.read()
         directory = self._parts.serving.directory
         directory.update(listing)
-        self._observe_supplies(directory.list_servers())
+        self._parts.capacity.observe(self._applied)
         unreachable = self._parts.control.network.unreachable_domains()
         for domain in {server.failure_domain for server in directory.list_servers()}:
             state = DomainState.REACHABLE
@@ -145,18 +146,8 @@
                 state = DomainState.CUT_OFF
             self._parts.serving.router.mark_failure_domain(domain, state)
 
-    def _observe_supplies(self, servers: tuple[BackendServer, ...]) -> None:
-        by_deployment: dict[DeploymentId, list[BackendServer]] = defaultdict(list)
-        for server in servers:
-            by_deployment[server.deployment].append(server)
-        configuration = self._parts.control.read_configuration()
-        needed = _find_needs(configuration) if configuration else {}
-        self._parts.control.moves.observe(
-            {
-                deployment: Supply(tuple(found), needed.get(deployment, 1))
-                for deployment, found in by_deployment.items()
-            }
-        )
+    def _plan_capacity(self) -> None:
+        self._parts.capacity.step(self._applied)
 
     def _check_peers(self) -> None:
         if not self._parts.serving.drain.ready:
@@ -169,7 +160,14 @@
         serving.admission.configure(configuration)
         serving.burn.set_targets(_find_targets(configuration))
         control.moves.configure(configuration, in_force.revision)
-        control.duties.set_duties(control.moves.list_duties())
+        names = [deployment.name for deployment in configuration.deployments]
+        control.duties.set_duties(
+            (
+                *control.moves.list_duties(),
+                *self._parts.capacity_keeper.list_duties(names),
+            )
+        )
+        self._applied = configuration
 
     def _take_marks(self, marks: tuple[Mark, ...]) -> None:
         leaving = [
@@ -178,13 +176,6 @@
         self._parts.departure.take_marks(leaving)
 
 
-def _find_needs(configuration: Configuration) -> dict[DeploymentId, int]:
-    return {
-        deployment.name: deployment.capacity.min_servers
-        for deployment in configuration.deployments
-    }
-
-
 def _find_targets(configuration: Configuration) -> dict[DeploymentId, BurnTarget]:
     targets: dict[DeploymentId, BurnTarget] = {}
     for deployment in configuration.deployments:
--- a/libs/daemon/fireflyhitch_daemon/reports.py
+++ b/libs/daemon/fireflyhitch_daemon/reports.py
@@ -5,9 +5,9 @@
 
 from loguru import logger
 
-from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.backends import BackendServer, LoadReport
 from fireflyhitch_model.errors import PlatformError
-from fireflyhitch_model.ids import BackendServerId
+from fireflyhitch_model.ids import BackendServerId, DeploymentId
 from fireflyhitch_platform.engines import HttpEngines
 from fireflyhitch_routing.router import Router
 
@@ -30,22 +30,35 @@
         self._router = router
         self._list_engines = list_engines
         self._sequences: dict[BackendServerId, int] = {}
+        self._loads: dict[BackendServerId, LoadReport] = {}
         self._pollers = ThreadPoolExecutor(POLLERS, 'reports')
 
     def poll(self) -> None:
         """Ask all engines once; one that does not answer is left out."""
         engines = [server.server_id for server in self._list_engines()]
-        for gone in self._sequences.keys() - set(engines):
-            self._sequences.pop(gone)
+        for gone in self._loads.keys() - set(engines):
+            self._loads.pop(gone)
+            self._sequences.pop(gone, None)
         list(self._pollers.map(self._poll_one, engines))
 
+    def sum_load(self, deployment: DeploymentId) -> float:
+        """Return the calls that a deployment's engines work on or have waiting."""
+        loads = [
+            self._loads.get(server.server_id)
+            for server in self._list_engines()
+            if server.deployment == deployment
+        ]
+        return float(sum(load.running + load.waiting for load in loads if load))
+
     def stop(self) -> None:
         """End the threads."""
         self._pollers.shutdown(wait=False, cancel_futures=True)
 
     def _poll_one(self, server: BackendServerId) -> None:
         try:
-            self._router.record_load(self._engines.read_load(server))
+            load = self._engines.read_load(server)
+            self._loads[server] = load
+            self._router.record_load(load)
             after = self._sequences.get(server, 0)
             for event in self._engines.read_cache_events(server, after):
                 self._sequences[server] = event.sequence
