Tell where a leaving daemon's requests are

A leaving daemon is no longer among the live ones, by which the others found it from a request's id: a caller who came back through another daemon while its request was finishing was told that it was lost. The daemon now tells the request's keepers before it hands over or protects.

--- a/libs/recovery/fireflyhitch_recovery/handover.py
+++ b/libs/recovery/fireflyhitch_recovery/handover.py
@@ -101,6 +101,7 @@
         """
         ends = self._clock.monotonic() + time_left.total_seconds()
         wanted = tuple(request_ids)
+        self.announce()
         waiting = deque(self._find_all(wanted))
         moved: list[RequestId] = []
         while waiting and self._clock.monotonic() < ends:
@@ -130,6 +131,7 @@
 
         :returns: the requests that a peer keeps copies of.
         """
+        self.announce()
         waiting = deque(self._find_all(request_ids))
         protected: list[RequestId] = []
         while waiting:
@@ -146,6 +148,15 @@
         self._failed.clear()
         return tuple(protected)
 
+    def announce(self) -> None:
+        """Tell where this daemon's requests are, once it is leaving.
+
+        The others do not count a leaving daemon among the live ones, by which
+        they find it from a request's id. Callers who come back through them
+        would be told that their request is lost.
+        """
+        self.locations.publish(map(self._describe, self._in_flight.list()))
+
     def check_peers(self) -> HandOverReport:
         """Mend what became of copies and moved requests, once a second.
 
@@ -256,16 +267,16 @@
             tracked.log.lift()
         request_ids = tuple(map(read_id, rest))
         self._messenger.tell(peer, Withdraw(requests=request_ids))
-        locations = tuple(
-            Location(
-                request_id=read_id(kept),
-                daemon_id=self._daemon.daemon_id,
-                generation=kept.generation,
-            )
-            for kept in rest
-        )
+        locations = tuple(map(self._describe, rest))
         self._messenger.tell(peer, Located(locations=locations))
 
+    def _describe(self, tracked: TrackedRequest) -> Location:
+        return Location(
+            request_id=read_id(tracked),
+            daemon_id=self._daemon.daemon_id,
+            generation=tracked.generation,
+        )
+
     def _transfer(
         self, peer: DaemonId, copies: list[tuple[TrackedRequest, AnswerCopy]]
     ) -> tuple[RequestId, ...]:
--- a/libs/recovery/tests/test_handover.py
+++ b/libs/recovery/tests/test_handover.py
@@ -56,6 +56,21 @@
         for node in cluster.nodes.values():
             assert node.locate(tracked) == holder
 
+    def test_request_that_stays_with_a_leaving_daemon_is_found(self, cluster):
+        """A daemon leaves, and finishes a request that fits into its notice.
+
+        The others do not count it as live any more. A caller who comes back
+        through one of them is still sent to it.
+        """
+        tracked = cluster.accept()
+        for messenger in cluster.network.messengers.values():
+            everybody = messenger.live()
+            staying = tuple(one for one in everybody if one.daemon_id != 'a1')
+            messenger.live = staying.__iter__
+        cluster.nodes['a1'].hand_over.protect(ids(tracked))
+        for name in ('a2', 'b1', 'c1'):
+            assert cluster.nodes[name].locate(tracked) == 'a1'
+
     def test_other_customers_do_not_find_it(self, cluster):
         tracked = cluster.accept()
         find = cluster.nodes['a1'].in_flight.find_for
