--- a/libs/recovery/fireflyhitch_recovery/handover.py
+++ b/libs/recovery/fireflyhitch_recovery/handover.py
@@ -327,7 +327,19 @@
             ]
             for start in range(0, len(copies), self._settings.batch_requests):
                 batch = copies[start : start + self._settings.batch_requests]
-                self._transfer(peer, batch)
+                self._protect_elsewhere(batch, self._transfer(peer, batch))
+
+    def _protect_elsewhere(
+        self,
+        copies: list[tuple[TrackedRequest, AnswerCopy]],
+        kept: tuple[RequestId, ...],
+    ) -> None:
+        refused = [one for one, _ in copies if read_id(one) not in kept]
+        for tracked in refused:
+            # Above the copy that may be left at a peer out of reach.
+            tracked.generation += 1
+        if refused:
+            self.protect(map(read_id, refused))
 
     def _find_answered(self, request_ids: list[RequestId]) -> list[Location]:
         """Return where requests are, by the word of who answers them."""
--- a/libs/recovery/fireflyhitch_recovery/reception.py
+++ b/libs/recovery/fireflyhitch_recovery/reception.py
@@ -145,11 +145,16 @@
 
     def _keep(self, kept: _Kept) -> bool:
         request = kept.request
-        known = request.request_id in self._kept
-        has_room = self._count_room() > 0 and self._measure_room() >= request.size
-        if known or has_room:
+        if request.request_id in self._kept:
+            # A newer copy. A daemon that leaves meanwhile sends it elsewhere.
+            has_room = self._read_room() > 0
+        else:
+            has_room = self._count_room() > 0 and self._measure_room() >= request.size
+        if has_room:
             self._kept[request.request_id] = kept
-        return known or has_room
+        else:
+            self._kept.pop(request.request_id, None)
+        return has_room
 
     def _take_confirm(self, sender: DaemonId, message: Confirm) -> ConfirmReply:
         self._start(message.requests)
--- a/libs/recovery/tests/test_handover.py
+++ b/libs/recovery/tests/test_handover.py
@@ -306,6 +306,27 @@
         holder = cluster.nodes[cluster.holder(tracked)]
         assert holder.find(tracked).log.read_after(0).events == (b'1', b'2', b'3')
 
+    def test_protecting_copy_leaves_a_peer_that_leaves(self, cluster):
+        """The peer that keeps a copy gets a notice of its own.
+
+        It refuses the next copy, which goes to another peer.
+        """
+        tracked = cluster.accept()
+        cluster.nodes['a1'].hand_over.protect(ids(tracked))
+        keeps = [
+            node
+            for node in cluster.nodes.values()
+            if node.hand_over.reception.count_kept()
+        ]
+        keeps[0].room = 0
+        cluster.nodes['a1'].check()
+        assert not keeps[0].hand_over.reception.count_kept()
+        cluster.kill('a1')
+        cluster.advance(3)
+        for node in list(cluster.nodes.values()):
+            node.check()
+        assert cluster.holder(tracked) != keeps[0].name
+
     def test_protecting_copy_goes_when_the_request_ends(self, cluster):
         tracked = cluster.accept()
         cluster.nodes['a1'].hand_over.protect(ids(tracked))
