--- a/libs/recovery/tests/test_handover.py
+++ b/libs/recovery/tests/test_handover.py
@@ -56,6 +56,21 @@
         for node in cluster.nodes.values():
             assert node.locate(tracked) == holder
 
+    def test_request_that_stays_with_a_leaving_daemon_is_found(self, cluster):
+        """A daemon leaves, and finishes a request that fits into its notice.
+
+        The others do not count it as live any more. A caller who comes back
+        through one of them is still sent to it.
+        """
+        tracked = cluster.accept()
+        for messenger in cluster.network.messengers.values():
+            everybody = messenger.live()
+            staying = tuple(one for one in everybody if one.daemon_id != 'a1')
+            messenger.live = staying.__iter__
+        cluster.nodes['a1'].hand_over.protect(ids(tracked))
+        for name in ('a2', 'b1', 'c1'):
+            assert cluster.nodes[name].locate(tracked) == 'a1'
+
     def test_other_customers_do_not_find_it(self, cluster):
         tracked = cluster.accept()
         find = cluster.nodes['a1'].in_flight.find_for
@@ -291,6 +306,27 @@
         holder = cluster.nodes[cluster.holder(tracked)]
         assert holder.find(tracked).log.read_after(0).events == (b'1', b'2', b'3')
 
+    def test_protecting_copy_leaves_a_peer_that_leaves(self, cluster):
+        """The peer that keeps a copy gets a notice of its own.
+
+        It refuses the next copy, which goes to another peer.
+        """
+        tracked = cluster.accept()
+        cluster.nodes['a1'].hand_over.protect(ids(tracked))
+        keeps = [
+            node
+            for node in cluster.nodes.values()
+            if node.hand_over.reception.count_kept()
+        ]
+        keeps[0].room = 0
+        cluster.nodes['a1'].check()
+        assert not keeps[0].hand_over.reception.count_kept()
+        cluster.kill('a1')
+        cluster.advance(3)
+        for node in list(cluster.nodes.values()):
+            node.check()
+        assert cluster.holder(tracked) != keeps[0].name
+
     def test_protecting_copy_goes_when_the_request_ends(self, cluster):
         tracked = cluster.accept()
         cluster.nodes['a1'].hand_over.protect(ids(tracked))
