Aim to be done at 0.8 of the time, with the trial at 0.6

All four good moves that were not done met a reclaim wave or a store outage in the last fifth of their time (late 2, unconfirmed 2).

--- a/libs/bench/fireflyhitch_bench/moves.py
+++ b/libs/bench/fireflyhitch_bench/moves.py
@@ -41,8 +41,9 @@
 
 MOVES = 210
 GOOD_PART = 0.5
-# Seeds from 0 to 209 were looked at while the policy was made.
-FIRST_SEED = 1000
+# Seeds from 0 to 209 and from 1000 to 1209 were looked at while the policy was
+# made.
+FIRST_SEED = 2000
 BAD_KINDS = tuple(kind for kind in Kind if kind is not Kind.GOOD)
 ON_DEMAND_PRICE = 1.0
 PLAN_SECONDS = 30.0
--- a/libs/bench/fireflyhitch_bench/moves_matrix.py
+++ b/libs/bench/fireflyhitch_bench/moves_matrix.py
@@ -243,6 +243,8 @@
         'Written by `make bench NAME=moves_matrix`. Each cell is one whole move of',
         f'{int(WINDOW.total_seconds())} s in passed time on three daemons; the fault',
         f'begins when the step is first reached and lasts {int(FAULT_SECONDS)} s.',
+        'Store down is for all daemons; a partition cuts one from its peers, not from',
+        'the store; late evidence cuts all links; a paused daemon takes no step.',
         'At the steps verdict and withdraw the new version is bad. Shown is how the',
         'move ended at all daemons; **bold** is a broken promise, and - a step that',
         'was not reached.',
--- a/libs/rollout/fireflyhitch_rollout/schedule.py
+++ b/libs/rollout/fireflyhitch_rollout/schedule.py
@@ -20,7 +20,8 @@
 
     :param trial_part: part of the time that the trial takes; faults that come
         late show in it, at a small share.
-    :param finish_part: part of the time at which the move aims to be done.
+    :param finish_part: part of the time at which the move aims to be done; the
+        rest is for reclaim waves, refused starts and outages near the end.
     :param longest: the longest that a move takes, however far off its date is.
     :param base_share: share of the traffic during the trial.
     :param burst_part: part of the traffic that bursts take over their period.
@@ -31,8 +32,8 @@
     :param step_calls: calls of the new version that each step needs.
     """
 
-    trial_part: float = 0.7
-    finish_part: float = 0.95
+    trial_part: float = 0.6
+    finish_part: float = 0.8
     longest: timedelta = timedelta(hours=6)
     base_share: float = 0.006
     burst_part: float = 0.01
