--- a/libs/bench/fireflyhitch_bench/moves_backends.py
+++ b/libs/bench/fireflyhitch_bench/moves_backends.py
@@ -22,7 +22,7 @@
 import heapq
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 from random import Random
@@ -181,7 +181,6 @@
     first_fault: float = math.inf
     last_new: float = -math.inf
     cost: float = 0
-    last_new_by_daemon: dict[int, float] = field(default_factory=dict)
 
 
 class Backends:
@@ -284,7 +283,6 @@
         if version == NEW:
             counts.new_calls += 1
             counts.last_new = now
-            counts.last_new_by_daemon[daemon] = now
         if not engines:
             return
         engine = min(engines, key=_order_by_load)
