--- a/libs/routing/tests/test_router.py
+++ b/libs/routing/tests/test_router.py
@@ -1,6 +1,7 @@
 """Tests of the router under faults: each tells what callers see."""
 
 import random
+from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
 import pytest
@@ -256,6 +257,19 @@
         assert refused == ['large']
 
 
+class TestThreads:
+    """Calls from many threads at once, as the daemon makes them."""
+
+    def test_counts_balance_after_concurrent_calls(self, bench):
+        with ThreadPoolExecutor(8) as pool:
+            places = list(pool.map(lambda _: bench.run(SUCCEEDED, 50), range(16)))
+        assert sum(map(len, places)) == 800
+        # Nothing is left in flight: the cheapest is as free as at the start.
+        bench.sleep(60)
+        assert bench.choose().server.server_id == 'a1'
+        assert bench.choose().first_token_seconds < 0.2
+
+
 class TestSlowUnderLoad:
     """A server that is well until it has much to do."""
 
