--- a/libs/bench/fireflyhitch_bench/routing.py
+++ b/libs/bench/fireflyhitch_bench/routing.py
@@ -48,13 +48,16 @@
             f' {total.recomputed_per_call / first.recomputed_per_call:6.2f}'
         )
 
+    def ratios(self, figure: str, baseline: str) -> dict[str, float]:
+        """Return the router's ratio to a baseline for each phase."""
+        return {
+            phase: getattr(rows[ROUTER], figure) / getattr(rows[baseline], figure)
+            for phase, rows in self.figures.items()
+        }
+
     def worst_ratio(self, figure: str, baseline: str) -> float:
         """Return the router's highest ratio to a baseline over the phases."""
-        ratios: list[float] = [
-            getattr(rows[ROUTER], figure) / getattr(rows[baseline], figure)
-            for rows in self.figures.values()
-        ]
-        return max(ratios)
+        return max(self.ratios(figure, baseline).values())
 
     def best_baselines(self) -> dict[str, float]:
         """Return for each phase the best baseline's share within the target."""
@@ -114,6 +117,7 @@
     summary = {
         'cost_vs_round_robin': table.worst_ratio('cost', ROUND_ROBIN),
         'cost_vs_least_latency': table.worst_ratio('cost', LEAST_LATENCY),
+        'cost_vs_round_robin_by_phase': table.ratios('cost', ROUND_ROBIN),
         'cost_by_slots_vs_round_robin': table.worst_ratio('cost_of_slots', ROUND_ROBIN),
         'target_met': steady.target_met,
         'target_met_best_baseline': best[Phase.STEADY.value],
@@ -122,6 +126,9 @@
         'recomputed_vs_round_robin': table.worst_ratio(
             'recomputed_per_call', ROUND_ROBIN
         ),
+        'recomputed_vs_round_robin_by_phase': table.ratios(
+            'recomputed_per_call', ROUND_ROBIN
+        ),
         'retry_amplification_in_outage': outage.attempts / outage.offered,
         'small_customer_target_met_under_large_burst': statistics.mean(
             small for small, _ in bursts[ROUTER]
--- a/libs/routing/fireflyhitch_routing/prefix.py
+++ b/libs/routing/fireflyhitch_routing/prefix.py
@@ -42,7 +42,7 @@
     """Which server holds which prompt block; bounded, not thread-safe.
 
     :param max_blocks: blocks kept, the least recently used dropped first; 65,536
-        take some 13 MB.
+        take 9.6 MB.
     """
 
     def __init__(self, max_blocks: int = MAX_BLOCKS) -> None:
