--- a/libs/routing/tests/test_router.py
+++ b/libs/routing/tests/test_router.py
@@ -1,6 +1,7 @@
 """Tests of the router under faults: each tells what callers see."""
 
 import random
+from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 
 import pytest
@@ -10,7 +11,7 @@
 from fireflyhitch_model.clock import ManualClock
 from fireflyhitch_model.errors import RequestError
 from fireflyhitch_model.states import MachineClass, Outcome, Priority
-from fireflyhitch_routing.choices import CallResult, ResultStatus
+from fireflyhitch_routing.choices import CallResult, Reason, ResultStatus
 from fireflyhitch_routing.domains import DomainState
 from fireflyhitch_routing.router import Router
 from fireflyhitch_standins.engine import Engine
@@ -222,6 +223,21 @@
         order = sorted(first_refused, key=first_refused.get)
         assert order == [Priority.BATCH, Priority.NORMAL, Priority.URGENT]
 
+    def test_call_within_the_target_is_not_refused_in_calm(self, bench):
+        """A large customer's batch calls at half of the load.
+
+        The limits of low priority and of a customer above its part multiplied to
+        half of the target, and calls that would have been in time were refused.
+        """
+        bench.fill(4, customer='small')
+        for _ in range(60):
+            urgent = bench.make_call(priority=Priority.URGENT)
+            if bench.router.choose(urgent).reason is Reason.FASTEST:
+                break
+            batch = bench.make_call(customer='large', priority=Priority.BATCH)
+            bench.router.start(bench.router.choose(batch), batch)
+        assert bench.number > 50
+
     def test_burst_of_one_customer_is_refused_before_others(self, bench):
         """A large customer sends far more than all servers can take.
 
@@ -241,6 +257,19 @@
         assert refused == ['large']
 
 
+class TestThreads:
+    """Calls from many threads at once, as the daemon makes them."""
+
+    def test_counts_balance_after_concurrent_calls(self, bench):
+        with ThreadPoolExecutor(8) as pool:
+            places = list(pool.map(lambda _: bench.run(SUCCEEDED, 50), range(16)))
+        assert sum(map(len, places)) == 800
+        # Nothing is left in flight: the cheapest is as free as at the start.
+        bench.sleep(60)
+        assert bench.choose().server.server_id == 'a1'
+        assert bench.choose().first_token_seconds < 0.2
+
+
 class TestSlowUnderLoad:
     """A server that is well until it has much to do."""
 
