--- a/libs/membership/fireflyhitch_membership/network.py
+++ b/libs/membership/fireflyhitch_membership/network.py
@@ -3,6 +3,7 @@
 import asyncio
 import threading
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from datetime import timedelta
 from functools import partial
 from typing import Any, TypeVar
@@ -39,6 +40,7 @@
 
 START_SECONDS = 5
 STOP_SECONDS = 10
+JOIN_SECONDS = 1.5
 # For the loop to notice its own timeout first.
 ASK_GRACE_SECONDS = 1
 # Room for the messages of one life of the process.
@@ -98,10 +100,14 @@
         return self._links.counts
 
     def start(self) -> None:
-        """Listen and start the thread; returns when peers can connect."""
+        """Listen and start the thread; returns when peers can connect.
+
+        A peer that can be reached at once is known by then.
+        """
         self._thread.start()
         port = self._call(self._links.listen(), START_SECONDS)
         self._members.listen_at(f'{self._options.host}:{port}')
+        self._call(self._join(), START_SECONDS)
         self._loop.call_soon_threadsafe(self._prober.start, self._links)
 
     def stop(self) -> None:
@@ -243,6 +249,12 @@
         self._loop.run_until_complete(self._loop.shutdown_asyncgens())
         self._loop.close()
 
+    async def _join(self) -> None:
+        # With nobody there the daemon starts all the same, and goes on searching.
+        with suppress(TimeoutError):
+            async with asyncio.timeout(JOIN_SECONDS):
+                await self._prober.join(self._links)
+
     async def _close(self) -> None:
         self._prober.stop()
         await self._links.close()
--- a/libs/membership/fireflyhitch_membership/probing.py
+++ b/libs/membership/fireflyhitch_membership/probing.py
@@ -45,6 +45,7 @@
 DIRECT_PROBES = 2
 SYNC_TIMEOUT = timedelta(seconds=1)
 INDIRECT_HELPERS = 2
+JOIN_ATTEMPTS = 3
 # A round that took longer than this was not held up by its peers' timeouts.
 PAUSE_SECONDS = 3.0
 # How often a daemon with peers still looks for ones it lost or never knew.
@@ -86,6 +87,17 @@
         exchange.handle_quickly(SyncRequest.kind, self._answer_sync)
         exchange.handle_by_task(IndirectProbe.kind, self._start_indirect)
 
+    async def join(self, links: Links) -> None:
+        """Find a first peer, so that its soft state can be asked for at once."""
+        addresses = sorted(self.addresses)
+        for address in random.sample(addresses, min(JOIN_ATTEMPTS, len(addresses))):
+            try:
+                found = await links.contact(address)
+            except PeerError:
+                continue
+            await self._probe(found.daemon_id)
+            return
+
     def start(self, links: Links) -> None:
         """Begin to probe."""
         self._start(self._run(links))
