--- a/libs/membership/fireflyhitch_membership/links.py
+++ b/libs/membership/fireflyhitch_membership/links.py
@@ -1,6 +1,7 @@
 """Links to peers: one bounded queue and one writer each, on one event loop."""
 
 import asyncio
+import logging
 import random
 import ssl
 from collections.abc import Callable
@@ -41,6 +42,8 @@
 
 # Decides whether a frame of a kind goes out to a peer; for tests of lost messages.
 LinkFilter = Callable[[DaemonId, str], bool]
+# The library would write lines that are no JSON to standard error.
+_silent_log = logging.Logger('peer-links', logging.CRITICAL + 1)
 LINK_ERRORS = (OSError, EOFError, KeyError, WebSocketException, PeerError)
 
 
@@ -119,6 +122,7 @@
             ping_interval=None,
             max_size=MAX_FRAME_BYTES,
             close_timeout=CLOSE_SECONDS,
+            logger=_silent_log,
         )
         port: int = next(iter(self._server.sockets)).getsockname()[1]
         return port
@@ -245,6 +249,7 @@
             max_size=MAX_FRAME_BYTES,
             open_timeout=OPEN_SECONDS,
             close_timeout=CLOSE_SECONDS,
+            logger=_silent_log,
         )
         try:
             peer = await open_handshake(
@@ -293,6 +298,12 @@
             logger.bind(step=Step.PEER.value, peer=peer).info(
                 'link lost', error=repr(error)
             )
+        except Exception as error:
+            # A fault in a handler costs this link, and a new one is opened; it
+            # must be seen, since the library's own log is off.
+            logger.bind(step=Step.PEER.value, peer=peer).error(
+                'link failed', error=repr(error)
+            )
         finally:
             if self._sockets.get(peer) is socket:
                 self._sockets.pop(peer)
--- a/libs/membership/fireflyhitch_membership/network.py
+++ b/libs/membership/fireflyhitch_membership/network.py
@@ -111,7 +111,9 @@
         self._loop.call_soon_threadsafe(self._prober.start, self._links)
 
     def stop(self) -> None:
-        """Close all links and end the thread."""
+        """Close all links and end the thread, if it was started."""
+        if not self._thread.is_alive():
+            return
         try:
             self._call(self._close(), STOP_SECONDS)
         finally:
--- a/libs/membership/tests/test_network.py
+++ b/libs/membership/tests/test_network.py
@@ -156,6 +156,21 @@
         assert three[0].ask('b', Echo(text='good'), SECOND) == Echo(text='good')
 
 
+class TestLifetime:
+    """Starting and stopping."""
+
+    def test_network_that_never_started_can_be_stopped(self):
+        options = LinkOptions(seeds=(), peer_key='key')
+        network = PeerNetwork(Daemon('a', 'gent', '', ''), options, SystemClock())
+        network.stop()
+
+    def test_seeds_that_do_not_answer_do_not_keep_it_from_starting(self, cluster):
+        with socket.create_server(('127.0.0.1', 0)) as silent:
+            address = f'127.0.0.1:{silent.getsockname()[1]}'
+            alone = cluster.add('a', 'gent', seeds=(address, '127.0.0.1:9'))
+        assert [one.daemon_id for one in alone.live()] == ['a']
+
+
 class TestAccess:
     """Who may join."""
 
