Count apart what two unannounced deaths take

Nobody is left who has them, their callers are told, and the soak counts them so (trace: both holders dead, no other copy).

--- a/libs/bench/fireflyhitch_bench/soak.py
+++ b/libs/bench/fireflyhitch_bench/soak.py
@@ -37,7 +37,8 @@
     """One round of streams, reclaims, crashes and partitions.
 
     :ivar unprotected: requests whose daemon died without any notice, so that
-        nobody else could have them; they end as told, not as answered.
+        nobody else could have them; they end as told, not as answered. Also
+        those whose daemon died early, and right after it the peer with the copy.
     :ivar engines_of: where the requests were placed whose daemon died before
         its time under notice. If that engine crashes too, nobody has what the
         caller has read since the last copy.
@@ -113,6 +114,14 @@
             tracked.accepted.call.request_id for tracked in node.in_flight.list()
         )
         node.die()
+        # Copies whose own daemon died just before, so that nobody has them.
+        answered = {
+            tracked.accepted.call.request_id
+            for alive in self.world.list_alive()
+            for tracked in alive.in_flight.list()
+        }
+        kept = node.hand_over.reception.list_kept()
+        self.unprotected.update(one for one in kept if one not in answered)
 
     def _crash_leaving_daemon(self) -> None:
         # Under notice, so nothing of it may be lost.
--- a/libs/recovery/fireflyhitch_recovery/reception.py
+++ b/libs/recovery/fireflyhitch_recovery/reception.py
@@ -85,6 +85,11 @@
             theirs = [kept for kept in overdue if kept.sender == sender]
             self._check_sender(sender, theirs)
 
+    def list_kept(self) -> tuple[RequestId, ...]:
+        """Return the requests that wait for confirmation."""
+        with self._lock:
+            return tuple(self._kept)
+
     def count_kept(self) -> int:
         """Return how many requests wait for confirmation."""
         with self._lock:
