Keep a trial's share when the old version has no server

Cause: a call whose version had no server went to any version that was not withdrawn, so a version on trial could get the whole traffic. Change: only the old version stands in for the new one, never the reverse.

--- a/libs/daemon/fireflyhitch_daemon/composition.py
+++ b/libs/daemon/fireflyhitch_daemon/composition.py
@@ -199,7 +199,6 @@
         selection = Selection(
             self.router,
             control.picker,
-            self.directory.list_versions,
             self.directory.read_subset,
         )
         retries = RetryBudget(clock)
--- a/libs/daemon/fireflyhitch_daemon/directory.py
+++ b/libs/daemon/fireflyhitch_daemon/directory.py
@@ -10,7 +10,6 @@
     DaemonId,
     DeploymentId,
     InstanceId,
-    VersionId,
 )
 from fireflyhitch_model.instances import InstanceListing
 from fireflyhitch_model.states import InstanceState
@@ -108,14 +107,6 @@
             server = self._servers.get(server_id)
         return server.address if server else None
 
-    def list_versions(self, deployment: DeploymentId) -> frozenset[VersionId]:
-        """Return the versions that a deployment's servers have."""
-        return frozenset(
-            server.version
-            for server in self.list_servers()
-            if server.deployment == deployment
-        )
-
     def read_subset(
         self, deployment: DeploymentId
     ) -> frozenset[BackendServerId] | None:
--- a/libs/daemon/fireflyhitch_daemon/selection.py
+++ b/libs/daemon/fireflyhitch_daemon/selection.py
@@ -17,21 +17,19 @@
 class Selection:
     """Chooses with the shares of version moves and this daemon's subset.
 
-    :param list_versions: the versions that a deployment's servers have.
     :param read_subset: the servers that this daemon uses; ``None`` for all.
     """
 
     router: Router
     picker: VersionPicker
-    list_versions: Callable[[DeploymentId], frozenset[VersionId]]
     read_subset: Callable[[DeploymentId], frozenset[BackendServerId] | None]
 
     def choose(self, call: Call, excluded: Collection[BackendServerId]) -> Choice:
         """Choose a server for a call's next attempt.
 
         A call that fell on a new version none of whose servers can be used goes
-        to the old one, and any call goes to whatever version is left rather than
-        be refused; a withdrawn version is never used.
+        to the old one. The other way round it is refused: a version on trial must
+        not be given the whole traffic because the old one's servers are gone.
 
         :raises RequestError: if no server can serve it.
         """
@@ -40,27 +38,20 @@
         servers = frozenset(pick.servers) or subset
         avoided = frozenset(excluded)
         try:
-            return self._choose(call, frozenset((pick.version,)), servers, avoided)
+            return self._choose(call, pick.version, servers, avoided)
         except RequestError as error:
-            if error.code != NO_SERVER:
+            shares = self.picker.find(call.deployment)
+            if error.code != NO_SERVER or shares is None or pick.version == shares.old:
                 raise
-        usable = self._list_usable(call.deployment)
-        return self._choose(call, usable, subset, avoided)
+        return self._choose(call, shares.old, subset, avoided)
 
     def _choose(
         self,
         call: Call,
-        versions: frozenset[VersionId],
+        version: VersionId,
         servers: frozenset[BackendServerId] | None,
         excluded: frozenset[BackendServerId],
     ) -> Choice:
         return self.router.choose(
-            call, versions=versions, servers=servers, excluded=excluded
-        )
-
-    def _list_usable(self, deployment: DeploymentId) -> frozenset[VersionId]:
-        return frozenset(
-            version
-            for version in self.list_versions(deployment)
-            if not self.picker.is_withdrawn(deployment, version)
+            call, versions=frozenset((version,)), servers=servers, excluded=excluded
         )
--- a/libs/daemon/tests/small_site.py
+++ b/libs/daemon/tests/small_site.py
@@ -48,9 +48,14 @@
 class SmallSite:
     """Two daemons in two failure domains, three engines, two plain services."""
 
-    def __init__(self):
+    def __init__(self, tls=None):
+        self._tls = tls
+        self._scheme = 'https' if tls else 'http'
+        authority = tls['authority'] if tls else None
         self._stack = ExitStack()
-        self.http = urllib3.PoolManager(retries=False, timeout=PATIENCE_SECONDS)
+        self.http = urllib3.PoolManager(
+            retries=False, timeout=PATIENCE_SECONDS, ca_certs=authority
+        )
         self.store = self._start(EtcdServer(SystemClock()))
         self.platform = self._start(PlatformServer(make_world()))
         self.daemons = [self._start_daemon(number) for number in range(len(DOMAINS))]
@@ -64,7 +69,7 @@
         self._stack.close()
 
     def entry(self, number):
-        return f'http://{self.daemons[number].describe()["callers"]}'
+        return f'{self._scheme}://{self.daemons[number].describe()["callers"]}'
 
     def client(self, number=0, key=KEY):
         return OpenAI(base_url=f'{self.entry(number)}/v1', api_key=key, max_retries=0)
@@ -88,7 +93,7 @@
     def admin(self, number, method, path, body=None):
         address = self.daemons[number].describe()['admin']
         headers = {'Authorization': f'Bearer {TOKEN}'}
-        url = f'http://{address}{path}'
+        url = f'{self._scheme}://{address}{path}'
         return self.http.request(method, url, json=body, headers=headers)
 
     def engines(self):
@@ -127,6 +132,7 @@
                 'peer_key': 'peers',
                 'seeds': seeds or self._first_seeds(),
                 'limits': {'max_body_bytes': 100000},
+                'tls': self._tls,
                 'platform': {
                     'key_value': self.store.url,
                     'instance_list': f'{platform}/instances',
@@ -144,9 +150,9 @@
         return getattr(self, '_seeds', [])
 
     def _is_ready(self, daemon):
-        callers = daemon.describe()['callers']
-        ready = self.http.request('GET', f'http://{callers}/readyz').status == 200
         number = self.daemons.index(daemon)
+        url = f'{self.entry(number)}/readyz'
+        ready = self.http.request('GET', url).status == 200
         status = self.admin(number, 'GET', '/admin/status').json()
         return ready and len(status['daemons']) == 2 and status['backend_servers']
 
--- /dev/null
+++ b/libs/daemon/tests/test_tls.py
@@ -0,0 +1,51 @@
+"""Tests of TLS for callers, operators and peers."""
+
+import pytest
+import trustme
+from small_site import SmallSite
+from urllib3.exceptions import HTTPError
+
+
+def write_files(authority, directory):
+    """Issue a certificate and write the files that the platform gives."""
+    issued = authority.issue_cert('127.0.0.1')
+    files = {
+        'certificate': directory / 'certificate.pem',
+        'private_key': directory / 'key.pem',
+        'authority': directory / 'authority.pem',
+    }
+    chain = b''.join(blob.bytes() for blob in issued.cert_chain_pems)
+    files['certificate'].write_bytes(chain)
+    files['private_key'].write_bytes(issued.private_key_pem.bytes())
+    files['authority'].write_bytes(authority.cert_pem.bytes())
+    return {name: str(path) for name, path in files.items()}
+
+
+@pytest.fixture
+def authority():
+    return trustme.CA()
+
+
+class TestTls:
+    """Two daemons that talk TLS with callers, operators and each other."""
+
+    def test_calls_stream_and_files_are_reloaded_under_them(self, authority, tmp_path):
+        """The platform replaces the certificate while an answer is under way.
+
+        The open stream goes on with what it agreed; new connections get the new
+        certificate. A caller that trusts another authority is not served.
+        """
+        site = SmallSite(write_files(authority, tmp_path))
+        try:
+            stream = site.open_stream(0, 'secret', 60)
+            head = stream.read(200)
+            write_files(authority, tmp_path)
+            site.daemons[0].reload_tls()
+            assert site.call(0, 'GET', '/v1/models').status == 200
+            body = head + stream.read()
+            assert body.endswith(b'data: [DONE]\n\n')
+            plain = site.entry(0).replace('https', 'http')
+            with pytest.raises(HTTPError):
+                site.http.request('GET', f'{plain}/v1/models', timeout=2)
+        finally:
+            site.close()
