Count calls where they were begun; finish callers that are behind

Cause: three faults. A server that the lagging list dropped and listed again came back with its count at zero and without its leaving mark, so a call that ended later broke an invariant. A caller that came back just as its answer ended was dropped after the events it missed, before the end. Over TLS no connection was taken, since the adapter lacked an attribute of its parent. Change: tickets hold the record that counted them, and dropped servers with calls or a mark are remembered; a follower is closing only after it has caught up; the adapter sets the attribute. Entry instances are read before peers are looked for, and demand is exchanged before callers are served.

--- a/libs/daemon/fireflyhitch_daemon/followers.py
+++ b/libs/daemon/fireflyhitch_daemon/followers.py
@@ -60,13 +60,16 @@
 
     def finish(self, exchange: Exchange, follower: Follower) -> None:
         """Send the end of the answer, or where it goes on, then close."""
+        streamed = exchange.error is None or follower.head_sent
+        if follower.streaming and streamed:
+            # Before it is closing: a caller that is closing is dropped as soon as
+            # all that it was sent has gone out, and would miss the end.
+            self.catch_up(exchange, follower)
         follower.closing = True
         if exchange.state is ExchangeState.MOVED:
             self._finish_moved(exchange, follower)
             return
-        streamed = exchange.error is None or follower.head_sent
         if follower.streaming and streamed:
-            self.catch_up(exchange, follower)
             ending = render_stream_end(exchange)
             self.send(exchange, follower, render_chunk(ending) + LAST_CHUNK)
             return
--- a/libs/daemon/fireflyhitch_daemon/front.py
+++ b/libs/daemon/fireflyhitch_daemon/front.py
@@ -185,8 +185,11 @@
     """TLS from a context that is shared, so that reloaded files take effect."""
 
     def __init__(self, context: ssl.SSLContext) -> None:
+        # The parent would make a context of its own from files. What it keeps of
+        # them beside is for WSGI environments, of which there are none here.
         self.context = context
         self.private_key_password = None
+        self._server_env: dict[str, str] = {}
 
 
 class _FrontGateway(Gateway):
--- a/libs/daemon/fireflyhitch_daemon/process.py
+++ b/libs/daemon/fireflyhitch_daemon/process.py
@@ -10,6 +10,7 @@
 from fireflyhitch_membership.configuration import InForce
 from fireflyhitch_membership.messages import Mark, MarkKind
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import DeploymentId, InstanceId
 from fireflyhitch_model.invariants import observe_violations
 from fireflyhitch_model.states import Step
@@ -45,6 +46,7 @@
     def start(self) -> None:
         """Start all threads; return when callers can be served."""
         control, serving = self._parts.control, self._parts.serving
+        self._learn_entries()
         control.network.start()
         serving.calls.start()
         serving.forwarder.start()
@@ -56,6 +58,7 @@
         serving.ledger.start()
         control.duties.start()
         self._upkeep.start()
+        serving.admission.exchange()
         self._serve()
         logger.bind(**self.describe()).info('started')
 
@@ -104,6 +107,15 @@
         ):
             threading.Thread(target=server.serve, name=name, daemon=True).start()
 
+    def _learn_entries(self) -> None:
+        """Read whom to ask first; seeds do where the list cannot be read."""
+        try:
+            listing = self._parts.platform.instance_list.read()
+        except PlatformError as error:
+            logger.bind(step=error.step.value, peer=error.peer).warning(error.message)
+            return
+        self._parts.control.network.update_instance_list(listing)
+
     def _wait_for_calls(self) -> None:
         serving = self._parts.serving
         limit = self._parts.settings.limits.drain_seconds
--- /dev/null
+++ b/libs/daemon/tests/test_followers.py
@@ -0,0 +1,59 @@
+"""Tests of callers' connections on the relay's loop."""
+
+import select
+import socket
+
+from fireflyhitch_daemon.exchange import Exchange, ExchangeState, Follower
+from fireflyhitch_daemon.followers import Followers
+from fireflyhitch_model.calls import Call
+from fireflyhitch_model.states import Priority
+from fireflyhitch_recovery.answers import AnswerLog
+from fireflyhitch_recovery.requests import (
+    AcceptedRequest,
+    CompletionKind,
+    TrackedRequest,
+)
+
+
+def make_exchange(events):
+    call = Call('id', 'customer', 'model', 'chat', Priority.NORMAL, 1, 9, (), 0, 9)
+    accepted = AcceptedRequest(call, CompletionKind.CHAT, b'{}', streaming=True)
+    log = AnswerLog('daemon')
+    log.current().extend(events)
+    return Exchange(TrackedRequest(accepted, log))
+
+
+class TestFinish:
+    """The end of an answer."""
+
+    def test_caller_behind_the_end_gets_the_rest_and_the_end(self):
+        """A caller comes back just as its answer ends.
+
+        It is behind by two events when the end is sent. It gets them and then
+        the end; dropped after the events, it would take the answer for cut off.
+        """
+        here, caller = socket.socketpair()
+        followers = Followers(select.epoll(), lambda exchange: None)
+        exchange = make_exchange([b'{"a":1}', b'{"a":2}', b'{"a":3}'])
+        follower = Follower(here, streaming=True, position=1)
+        followers.add(exchange, follower)
+        exchange.state = ExchangeState.DONE
+        followers.finish(exchange, follower)
+        received = caller.makefile('rb').read()
+        assert b'id: 2\ndata: {"a":2}' in received
+        assert b'id: 3\ndata: {"a":3}' in received
+        assert b'data: [DONE]' in received
+        assert received.endswith(b'0\r\n\r\n')
+
+    def test_moved_answer_ends_without_its_last_event(self):
+        here, caller = socket.socketpair()
+        followers = Followers(select.epoll(), lambda exchange: None)
+        exchange = make_exchange([b'{"a":1}'])
+        follower = Follower(here, streaming=True)
+        followers.add(exchange, follower)
+        followers.catch_up(exchange, follower)
+        exchange.state = ExchangeState.MOVED
+        followers.finish(exchange, follower)
+        received = caller.makefile('rb').read()
+        assert b'retry: ' in received
+        assert b'[DONE]' not in received
--- a/libs/routing/fireflyhitch_routing/choices.py
+++ b/libs/routing/fireflyhitch_routing/choices.py
@@ -2,10 +2,14 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.calls import Call
 
+if TYPE_CHECKING:
+    from fireflyhitch_routing.records import ServerRecord
+
 
 class Reason(Enum):
     """Why a backend server was chosen."""
@@ -67,6 +71,7 @@
         those of earlier calls included.
     :param own_prompt_work: this call's part of them.
     :param first_token_at: monotonic seconds, once it came.
+    :param record: where it was counted, and where it has to be taken off again.
     """
 
     call: Call
@@ -77,3 +82,4 @@
     own_prompt_work: float
     first_token_at: float | None = None
     finished: bool = False
+    record: 'ServerRecord | None' = None
--- a/libs/routing/fireflyhitch_routing/router.py
+++ b/libs/routing/fireflyhitch_routing/router.py
@@ -8,6 +8,8 @@
 from http import HTTPStatus
 from operator import itemgetter
 
+from cachetools import LRUCache
+
 from fireflyhitch_model.backends import BackendServer, CacheEvent, LoadReport
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.clock import Clock
@@ -37,6 +39,8 @@
 CALM_MARGIN = 0.7
 # At least this share of the servers stays in use, ejected or not.
 LEAST_IN_USE = 0.5
+# Servers remembered after the list has dropped them, some days' worth.
+MOST_ABSENT = 10000
 
 
 class Router:
@@ -58,6 +62,7 @@
         self._lock = threading.Lock()
         self._deployments: dict[DeploymentId, DeploymentRecord] = {}
         self._records: dict[BackendServerId, ServerRecord] = {}
+        self._absent: LRUCache[BackendServerId, ServerRecord] = LRUCache(MOST_ABSENT)
         self._pools: dict[tuple[DeploymentId, VersionId], Curves] = {}
         self._domains = FailureDomains()
         self._prefixes = PrefixIndex()
@@ -90,8 +95,7 @@
         with self._lock:
             current = {server.server_id: server for server in servers}
             for gone in self._records.keys() - current.keys():
-                self._prefixes.forget(gone)
-                self._records.pop(gone)
+                self._put_away(gone)
             for server in current.values():
                 self._take_server(server, now)
             self._order_records()
@@ -177,6 +181,7 @@
         ticket = Ticket(call, choice, now, 0, own_work, own_work)
         with self._lock:
             record = self._find_record(choice)
+            ticket.record = record
             if record is not None:
                 load = record.load
                 ticket.in_flight = load.total(now, self._likeness)
@@ -196,7 +201,7 @@
             if ticket.finished or ticket.first_token_at is not None:
                 return
             ticket.first_token_at = now
-            record = self._find_record(ticket.choice)
+            record = ticket.record
             if record is not None:
                 record.load.finish_prompt(ticket.own_prompt_work)
                 record.learn_first(ticket, now)
@@ -207,7 +212,7 @@
         with self._lock:
             invariant(not ticket.finished, Invariant.COUNT_BALANCES, step=Step.ROUTE)
             ticket.finished = True
-            record = self._find_record(ticket.choice)
+            record = ticket.record
             if record is None:
                 return
             record.load.finish(now)
@@ -230,8 +235,23 @@
             return None
         return record
 
+    def _put_away(self, server_id: BackendServerId) -> None:
+        """Take a server out of use, but remember what the list may have missed.
+
+        The list lags and can drop a server that is still there. When it comes
+        back, calls of before are still in flight, and a leaving mark still holds.
+        """
+        self._prefixes.forget(server_id)
+        record = self._records.pop(server_id)
+        if record.load.own or record.leaving:
+            self._absent[server_id] = record
+
     def _take_server(self, server: BackendServer, now: float) -> None:
         known = self._records.get(server.server_id)
+        if known is None:
+            known = self._absent.pop(server.server_id, None)
+            if known is not None:
+                self._records[server.server_id] = known
         if known is not None and known.server.incarnation == server.incarnation:
             known.server = server
             return
--- a/libs/routing/tests/test_router.py
+++ b/libs/routing/tests/test_router.py
@@ -312,3 +312,36 @@
         if turn > seconds * 5:
             peaks.append(engines['a1'].running)
     return peaks
+
+
+class TestLaggingList:
+    """The instance list drops a server that is still there."""
+
+    def test_calls_of_before_still_count_when_the_server_is_back(self):
+        """A call is under way when the list drops its server, then lists it again.
+
+        The call ends after that. It is taken off where it was counted; a count
+        that had started anew would have gone below zero and stopped the call.
+        """
+        bench = Bench(SERVERS[:1])
+        call = bench.make_call()
+        choice = bench.router.choose(call)
+        ticket = bench.router.start(choice, call)
+        bench.router.update_servers(())
+        bench.router.update_servers(SERVERS[:1])
+        bench.router.finish(ticket, SUCCEEDED)
+        again = bench.router.start(bench.router.choose(call), call)
+        assert again.in_flight == 0
+
+    def test_leaving_server_that_is_listed_again_gets_no_work(self):
+        """A server is marked as leaving, drops out of the list and is back in it.
+
+        The list lags; the mark holds for the server's incarnation, so callers
+        are refused rather than sent to a server that is about to go.
+        """
+        bench = Bench(SERVERS[:1])
+        bench.router.mark_leaving('a1')
+        bench.router.update_servers(())
+        bench.router.update_servers(SERVERS[:1])
+        with pytest.raises(RequestError):
+            bench.router.choose(bench.make_call())
