Go on where an engine reports an error; account for every fault

Cause: read-through. An engine's error event in mid answer was passed on as part of the answer; an unforeseen fault while sending kept the stream and the permit; a 500 of our own said not-run; a lapsed claim was recorded twice; a garbled answer of a service escaped as an unnamed fault; prompts were cut into blocks by two functions. Change: the error event ends the attempt and the answer goes on elsewhere; whatever the fault, the call is accounted for; a 500 says unknown; the ledger alone records a lapsed claim; plain services' answers have a module of their own; one function cuts prompts.

--- a/libs/daemon/fireflyhitch_daemon/calls.py
+++ b/libs/daemon/fireflyhitch_daemon/calls.py
@@ -114,8 +114,10 @@
         self._parts.retries.record_call(asked.call.customer)
         try:
             self._attempts.begin(exchange)
-        except RequestError as error:
-            exchange.error = error
+        except Exception as error:
+            # Whatever the fault, its stream and its permit are given back; kept,
+            # they would lower what this daemon and the customer may carry.
+            exchange.error = _as_request_error(error)
             exchange.state = ExchangeState.FAILED
             self._on_ended(exchange)
             raise
@@ -151,7 +153,7 @@
             self.relay.fail(exchange, error)
         except Exception as error:
             logger.bind(request_id=exchange.call.request_id).exception('resend failed')
-            self.relay.fail(exchange, _describe_fault(error))
+            self.relay.fail(exchange, _as_request_error(error))
 
     def _on_lost(self, exchange: Exchange, upstream: Upstream, reason: str) -> None:
         logger.bind(
@@ -225,9 +227,11 @@
     )
 
 
-def _describe_fault(error: Exception) -> RequestError:
+def _as_request_error(error: Exception) -> RequestError:
+    if isinstance(error, RequestError):
+        return error
     return RequestError(
-        f'the answer could not be gone on with: {error!r}',
+        f'the call could not be gone on with: {error!r}',
         step=Step.RESUME,
         status=HTTPStatus.INTERNAL_SERVER_ERROR,
         code='internal_error',
--- a/libs/daemon/fireflyhitch_daemon/front.py
+++ b/libs/daemon/fireflyhitch_daemon/front.py
@@ -167,11 +167,14 @@
     def simple_response(self, status: str, msg: str = '') -> None:
         """Answer a request that could not be read."""
         code = int(str(status)[:3])
+        # A fault of our own may come at any step, also after a call was sent.
+        refused = code < HTTPStatus.INTERNAL_SERVER_ERROR
         error = RequestError(
             msg or HTTPStatus(code).phrase,
             step=Step.PARSE,
             status=code,
-            code='bad_request',
+            code='bad_request' if refused else 'internal_error',
+            outcome=Outcome.NOT_RUN if refused else Outcome.UNKNOWN,
         )
         self.close_connection = True
         answer = render_error(error)
--- a/libs/daemon/fireflyhitch_daemon/relay.py
+++ b/libs/daemon/fireflyhitch_daemon/relay.py
@@ -18,7 +18,13 @@
 from fireflyhitch_daemon.exchange import Exchange, ExchangeState, Follower
 from fireflyhitch_daemon.followers import Followers
 from fireflyhitch_daemon.replies import describe_fault, describe_timeout
-from fireflyhitch_daemon.sse import DONE, render_chunk, render_events, split_events
+from fireflyhitch_daemon.sse import (
+    Ending,
+    render_chunk,
+    render_events,
+    split_events,
+    take_ending,
+)
 from fireflyhitch_daemon.upstream import Upstream
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import RequestError
@@ -196,16 +202,16 @@
         events, upstream.body = split_events(upstream.body)  # noqa: WPS414
         if not events:
             return
-        done = events[-1] == DONE
-        if done:
-            events.pop()
+        ending = take_ending(events)
         if upstream.continuation is not None:
             events = _adapt(upstream, events)
         self._note_progress(exchange)
         if events and upstream.stream.extend(events):
             self._relay(exchange, upstream, events)
-        if done:
+        if ending is Ending.DONE:
             self._take_end(exchange, upstream)
+        elif ending is Ending.ERROR:
+            self._drop_upstream(exchange, 'the engine reported an error')
 
     def _relay(
         self, exchange: Exchange, upstream: Upstream, events: list[bytes]
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/service_answers.py
@@ -0,0 +1,108 @@
+"""What passes between a caller and a plain service, and how it can fail."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+
+from loguru import logger
+from urllib3 import HTTPResponse
+
+from fireflyhitch_daemon.front import OUTCOME_HEADER, Header, Response
+from fireflyhitch_ledger.operations import Answer, AnswerHeader
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.errors import RequestError
+from fireflyhitch_model.ids import RequestId
+from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_routing.choices import ResultStatus
+
+# Headers that belong to one connection, or that this daemon sets itself.
+OWN_HEADERS = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'fireflyhitch-deadline-ms',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+def forward_headers(given: Mapping[str, str], request_id: RequestId) -> dict[str, str]:
+    """Return a caller's headers as the backend server gets them."""
+    headers = {name: text for name, text in given.items() if name not in OWN_HEADERS}
+    headers['X-Request-Id'] = request_id
+    return headers
+
+
+def take_answer(received: HTTPResponse) -> Response:
+    """Return a backend server's answer as the caller gets it."""
+    headers = tuple(
+        Header(name, text)
+        for name, text in received.headers.items()
+        if name.lower() not in OWN_HEADERS
+    )
+    ran = Header(OUTCOME_HEADER, Outcome.RAN.value)
+    return Response(received.status, received.data, (*headers, ran))
+
+
+def keep_answer(answer: Response) -> Answer:
+    """Return an answer as the ledger keeps it."""
+    headers = tuple(
+        AnswerHeader(name=header.name, value=header.value) for header in answer.headers
+    )
+    return Answer(status=answer.status, headers=headers, body=answer.body)
+
+
+def restore_answer(answer: Answer) -> Response:
+    """Return an answer that the ledger kept."""
+    headers = tuple(Header(header.name, header.value) for header in answer.headers)
+    return Response(answer.status, answer.body, headers)
+
+
+def judge_answer(answer: Response) -> ResultStatus:
+    """Return what an answer says of the backend server."""
+    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return ResultStatus.FAILED
+    return ResultStatus.SUCCEEDED
+
+
+def describe_unreached(server: BackendServer, error: OSError) -> RequestError:
+    """Return the error for a call of which nothing was sent."""
+    return RequestError(
+        f'the backend server was not reached: {error!r}',
+        step=Step.CONNECT,
+        peer=server.server_id,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        code='backend_unreached',
+    )
+
+
+def describe_refused(server: BackendServer, received: HTTPResponse) -> RequestError:
+    """Return the error for a call that was refused before execution."""
+    logger.bind(step=Step.FIRST_BYTE.value, peer=server.server_id).warning('refused')
+    return RequestError(
+        f'the backend server refused the call with status {received.status}',
+        step=Step.FIRST_BYTE,
+        peer=server.server_id,
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        code='backend_refused',
+    )
+
+
+def describe_lost(server: BackendServer, error: Exception) -> RequestError:
+    """Return the error for a call that was sent and whose answer was lost."""
+    return RequestError(
+        f'the answer was lost: {error!r}',
+        step=Step.FIRST_BYTE,
+        peer=server.server_id,
+        status=HTTPStatus.BAD_GATEWAY,
+        code='answer_lost',
+        outcome=Outcome.UNKNOWN,
+    )
--- a/libs/daemon/fireflyhitch_daemon/services.py
+++ b/libs/daemon/fireflyhitch_daemon/services.py
@@ -1,23 +1,32 @@
 """Calls of plain services: at most once where a call may not be repeated."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
+from http.client import HTTPException
 from threading import Lock
 from urllib.parse import quote
 
-from loguru import logger
 from urllib3 import HTTPResponse
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from fireflyhitch_daemon.accounts import Accounts, EndedCall
 from fireflyhitch_daemon.dispatch import open_connection
-from fireflyhitch_daemon.front import OUTCOME_HEADER, CallerRequest, Header, Response
+from fireflyhitch_daemon.front import OUTCOME_HEADER, CallerRequest, Response
 from fireflyhitch_daemon.parsing import authenticate, find_service, read_deadline
 from fireflyhitch_daemon.selection import Selection
+from fireflyhitch_daemon.service_answers import (
+    describe_lost,
+    describe_refused,
+    describe_unreached,
+    forward_headers,
+    judge_answer,
+    keep_answer,
+    restore_answer,
+    take_answer,
+)
 from fireflyhitch_ledger.keys import CallKey, digest_body
 from fireflyhitch_ledger.ledger import Ledger
-from fireflyhitch_ledger.operations import Answer, AnswerHeader
 from fireflyhitch_ledger.results import (
     Attempt,
     Claimed,
@@ -31,7 +40,7 @@
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import RequestError
 from fireflyhitch_model.ids import BackendServerId, IdempotencyKey, RequestId
-from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_model.states import Outcome
 from fireflyhitch_routing.admission import Admission
 from fireflyhitch_routing.choices import CallResult, Choice, ResultStatus, Ticket
 from fireflyhitch_routing.retries import RetryBudget
@@ -39,27 +48,11 @@
 
 SERVICES_PREFIX = '/services/'
 LEAST_SECONDS = 0.001
+# How a connection fails, as the libraries beneath say it.
+BROKEN = (HTTPError, HTTPException, OSError, ValueError)
 KEY_HEADER = 'idempotency-key'
 # Methods that HTTP defines as idempotent may be sent again after a lost answer.
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'TRACE'))
-# Headers that belong to one connection, or that this daemon sets itself.
-OWN_HEADERS = frozenset(
-    (
-        'authorization',
-        'connection',
-        'content-length',
-        'expect',
-        'fireflyhitch-deadline-ms',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,7 +197,7 @@
         if isinstance(claim, Stored):
             if claim.answer is None:
                 raise build_too_large()
-            return _restore(claim.answer)
+            return restore_answer(claim.answer)
         raise build_refusal(claim)
 
     def _send(self, service: _ServiceCall) -> Response:
@@ -230,7 +223,7 @@
             failed = ResultStatus.REFUSED if refused else ResultStatus.FAILED
             self._finish(ticket, failed, started)
             raise
-        self._finish(ticket, _judge(answer), started)
+        self._finish(ticket, judge_answer(answer), started)
         return answer
 
     def _attempt(self, service: _ServiceCall, server: BackendServer) -> Response:
@@ -242,33 +235,46 @@
         try:
             connection = open_connection(server.address)
         except OSError as error:
-            raise _describe_unreached(server, error) from error
-        if service.claim is not None:
-            self._parts.ledger.mark_sent(service.claim)
-        service.sent = True
-        left = max(service.call.deadline - self._clock.monotonic(), LEAST_SECONDS)
-        assert connection.sock is not None
-        connection.sock.settimeout(left)
+            raise describe_unreached(server, error) from error
         try:
-            connection.request(
-                service.request.method,
-                service.target,
-                body=service.request.body or None,
-                headers=_forward_headers(service),
-            )
-            received = connection.getresponse()
-        except (HTTPError, OSError, ValueError) as error:
-            raise _describe_lost(server, error) from error
+            self._mark_sent(service)
+            received = self._exchange(service, connection)
+        except BROKEN as error:
+            raise describe_lost(server, error) from error
         finally:
             connection.close()
         if received.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value:
-            raise _describe_refused(server, received)
-        answer = _take(received)
+            raise describe_refused(server, received)
+        answer = take_answer(received)
         if service.claim is not None:
-            self._parts.ledger.record_ran(service.claim, _keep(answer))
+            self._parts.ledger.record_ran(service.claim, keep_answer(answer))
             service.claim = None
         return answer
 
+    def _mark_sent(self, service: _ServiceCall) -> None:
+        claim = service.claim
+        if claim is not None:
+            # A claim that lapsed is refused here, and the ledger records that
+            # itself; there must be no second record of it.
+            service.claim = None
+            self._parts.ledger.mark_sent(claim)
+            service.claim = claim
+        service.sent = True
+
+    def _exchange(
+        self, service: _ServiceCall, connection: HTTPConnection
+    ) -> HTTPResponse:
+        left = max(service.call.deadline - self._clock.monotonic(), LEAST_SECONDS)
+        assert connection.sock is not None
+        connection.sock.settimeout(left)
+        connection.request(
+            service.request.method,
+            service.target,
+            body=service.request.body or None,
+            headers=forward_headers(service.request.headers, service.call.request_id),
+        )
+        return connection.getresponse()
+
     def _may_repeat(self, service: _ServiceCall, error: RequestError) -> bool:
         """Tell whether another server may be tried.
 
@@ -320,73 +326,3 @@
                 seconds=seconds,
             )
         )
-
-
-def _forward_headers(service: _ServiceCall) -> Mapping[str, str]:
-    headers = {
-        name: text
-        for name, text in service.request.headers.items()
-        if name not in OWN_HEADERS
-    }
-    headers['X-Request-Id'] = service.call.request_id
-    return headers
-
-
-def _take(received: HTTPResponse) -> Response:
-    headers = tuple(
-        Header(name, text)
-        for name, text in received.headers.items()
-        if name.lower() not in OWN_HEADERS
-    )
-    ran = Header(OUTCOME_HEADER, Outcome.RAN.value)
-    return Response(received.status, received.data, (*headers, ran))
-
-
-def _keep(answer: Response) -> Answer:
-    headers = tuple(
-        AnswerHeader(name=header.name, value=header.value) for header in answer.headers
-    )
-    return Answer(status=answer.status, headers=headers, body=answer.body)
-
-
-def _restore(answer: Answer) -> Response:
-    headers = tuple(Header(header.name, header.value) for header in answer.headers)
-    return Response(answer.status, answer.body, headers)
-
-
-def _judge(answer: Response) -> ResultStatus:
-    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-        return ResultStatus.FAILED
-    return ResultStatus.SUCCEEDED
-
-
-def _describe_unreached(server: BackendServer, error: OSError) -> RequestError:
-    return RequestError(
-        f'the backend server was not reached: {error!r}',
-        step=Step.CONNECT,
-        peer=server.server_id,
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        code='backend_unreached',
-    )
-
-
-def _describe_refused(server: BackendServer, received: HTTPResponse) -> RequestError:
-    logger.bind(step=Step.FIRST_BYTE.value, peer=server.server_id).warning('refused')
-    return RequestError(
-        f'the backend server refused the call with status {received.status}',
-        step=Step.FIRST_BYTE,
-        peer=server.server_id,
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        code='backend_refused',
-    )
-
-
-def _describe_lost(server: BackendServer, error: Exception) -> RequestError:
-    return RequestError(
-        f'the answer was lost: {error!r}',
-        step=Step.FIRST_BYTE,
-        peer=server.server_id,
-        status=HTTPStatus.BAD_GATEWAY,
-        code='answer_lost',
-        outcome=Outcome.UNKNOWN,
-    )
--- a/libs/daemon/fireflyhitch_daemon/sse.py
+++ b/libs/daemon/fireflyhitch_daemon/sse.py
@@ -1,6 +1,7 @@
 """Server-sent events: cutting a backend server's stream, rendering a caller's."""
 
 from collections.abc import Sequence
+from enum import Enum
 
 from fireflyhitch_recovery.answers import AnswerPart
 from fireflyhitch_recovery.events import Lineage, find_attempt, format_event_id
@@ -8,6 +9,7 @@
 DATA_PREFIX = b'data: '
 DATA_START = len(DATA_PREFIX)
 DONE = b'[DONE]'
+ERROR_START = b'{"error"'
 DONE_EVENT = b'data: [DONE]\n\n'
 LAST_CHUNK = b'0\r\n\r\n'
 EVENT_END = b'\n\n'
@@ -26,6 +28,29 @@
     ], rest
 
 
+class Ending(Enum):
+    """What the last events of a stream say of its end."""
+
+    NONE = 'none'
+    DONE = 'done'
+    ERROR = 'error'
+
+
+def take_ending(events: list[bytes]) -> Ending:
+    """Take the events off that end a stream, and return which end it is.
+
+    An engine that fails in mid answer says so in an event. Passed on, it would
+    end an answer that another engine can go on with.
+    """
+    done = events[-1] == DONE
+    if done:
+        events.pop()
+    if events and events[-1].startswith(ERROR_START):
+        events.pop()
+        return Ending.ERROR
+    return Ending.DONE if done else Ending.NONE
+
+
 def render_events(events: Sequence[bytes], first_id: int, tag: bytes) -> bytes:
     """Return events of one attempt with their ids, counted up from the first.
 
--- a/libs/daemon/tests/test_front.py
+++ b/libs/daemon/tests/test_front.py
@@ -10,12 +10,16 @@
 from fireflyhitch_settings.bootstrap import Limits, Listener
 
 
+def echo(request):
+    if request.path == '/fault':
+        raise LookupError('unforeseen')
+    return Response(200, request.body)
+
+
 @pytest.fixture
 def address():
     limits = Limits(max_body_bytes=1000)
-    server = build_server(
-        Listener(), limits, lambda request: Response(200, request.body), lambda: 'id'
-    )
+    server = build_server(Listener(), limits, echo, lambda: 'id')
     thread = threading.Thread(target=server.serve)
     thread.start()
     yield 'http://{}:{}'.format(*server.bind_addr)
@@ -48,3 +52,13 @@
         assert answer.startswith(b'HTTP/1.1 400 Bad Request')
         assert b'Fireflyhitch-Outcome: not-run' in answer
         assert b'Fireflyhitch-Request-Id: id' in answer
+
+    def test_fault_of_the_handler_leaves_the_outcome_open(self, address):
+        """The handler fails with an error that nobody foresaw.
+
+        The caller gets a 500 in the same form; whether the call ran is not known,
+        so "not-run" is not said.
+        """
+        answer = urllib3.request('POST', f'{address}/fault')
+        assert answer.status == 500
+        assert answer.headers['Fireflyhitch-Outcome'] == 'unknown'
--- a/libs/routing/fireflyhitch_routing/prefix.py
+++ b/libs/routing/fireflyhitch_routing/prefix.py
@@ -8,36 +8,15 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
-import xxhash
-
 from fireflyhitch_model.backends import CacheEvent
 from fireflyhitch_model.ids import BackendServerId
 
-BLOCK_TOKENS = 16
 MAX_BLOCKS = 65536
 # Each server, and each new start of one, takes a bit; above this many the index
 # starts empty rather than sweep its entries under the router's lock.
 MAX_SLOTS = 1024
 
 
-def hash_prefix(
-    tokens: Sequence[str], block_tokens: int = BLOCK_TOKENS
-) -> tuple[int, ...]:
-    """Return the chained hashes of a prompt's whole blocks.
-
-    :param tokens: the prompt's words, or an engine's tokens.
-    :returns: as many hashes as whole blocks; equal first hashes mean an equal
-        beginning.
-    """
-    chain = 0
-    hashes = []
-    for end in range(block_tokens, len(tokens) + 1, block_tokens):
-        text = '\x00'.join(tokens[end - block_tokens : end])
-        chain = xxhash.xxh3_64_intdigest(text.encode(), chain)
-        hashes.append(chain)
-    return tuple(hashes)
-
-
 class PrefixIndex:
     """Which server holds which prompt block; bounded, not thread-safe.
 
--- a/libs/routing/fireflyhitch_routing/router.py
+++ b/libs/routing/fireflyhitch_routing/router.py
@@ -23,12 +23,13 @@
     VersionId,
 )
 from fireflyhitch_model.invariants import Invariant, invariant
+from fireflyhitch_model.prompts import TOKENS_PER_BLOCK
 from fireflyhitch_model.states import Step
 from fireflyhitch_routing.choices import CallResult, Choice, ResultStatus, Ticket
 from fireflyhitch_routing.deployments import DeploymentRecord, Target
 from fireflyhitch_routing.domains import DomainState, FailureDomains, is_failing
 from fireflyhitch_routing.policy import Candidate, Estimate, Question, decide, estimate
-from fireflyhitch_routing.prefix import BLOCK_TOKENS, PrefixIndex
+from fireflyhitch_routing.prefix import PrefixIndex
 from fireflyhitch_routing.records import Curves, ServerRecord
 from fireflyhitch_settings.schema import Configuration
 
@@ -297,7 +298,7 @@
             candidate = record.see(
                 now,
                 self._likeness,
-                cached.get(server.server_id, 0) * BLOCK_TOKENS,
+                cached.get(server.server_id, 0) * TOKENS_PER_BLOCK,
                 self._domains.hazard(server.failure_domain, now),
             )
             until = self._shunned_until(record, now)
--- a/libs/routing/tests/test_knowledge.py
+++ b/libs/routing/tests/test_knowledge.py
@@ -7,9 +7,10 @@
 from hypothesis import strategies as st
 
 from fireflyhitch_model.backends import CacheEvent, LoadReport
+from fireflyhitch_model.prompts import hash_prefix_blocks
 from fireflyhitch_routing.curves import FORGET_SECONDS, Curve
 from fireflyhitch_routing.load import REPORT_LIFE, ServerLoad
-from fireflyhitch_routing.prefix import PrefixIndex, hash_prefix
+from fireflyhitch_routing.prefix import PrefixIndex
 
 PRIOR = (0.05, 0.005)
 
@@ -96,8 +97,8 @@
         assert not index.find(())
 
     def test_equal_texts_share_first_hashes_only(self):
-        one = hash_prefix('a' * 20 + 'b' * 20, 10)
-        other = hash_prefix('a' * 20 + 'c' * 20, 10)
+        one = hash_prefix_blocks('a' * 128 + 'b' * 128)
+        other = hash_prefix_blocks('a' * 128 + 'c' * 128)
         assert one[:2] == other[:2]
         assert not set(one[2:]) & set(other[2:])
 
