--- a/libs/daemon/fireflyhitch_daemon/attempts.py
+++ b/libs/daemon/fireflyhitch_daemon/attempts.py
@@ -16,11 +16,12 @@
     send_call,
     send_resume,
 )
-from fireflyhitch_daemon.exchange import Exchange, ExchangeState
+from fireflyhitch_daemon.exchange import Exchange, ExchangeState, MovedCache
 from fireflyhitch_daemon.relay import Relay
 from fireflyhitch_daemon.upstream import Continuation, Upstream
 from fireflyhitch_model.backends import BackendServer
-from fireflyhitch_model.errors import RequestError
+from fireflyhitch_model.errors import PlatformError, RequestError
+from fireflyhitch_model.ids import AttemptId, BackendServerId
 from fireflyhitch_model.states import Outcome, Step
 from fireflyhitch_recovery.answers import AnswerEnd, AttemptStream
 from fireflyhitch_recovery.continuation import (
@@ -31,7 +32,12 @@
     read_generated,
 )
 from fireflyhitch_recovery.requests import Placement
-from fireflyhitch_recovery.resume import ResumeFacts, ResumeKind, plan_resume
+from fireflyhitch_recovery.resume import (
+    ResumeFacts,
+    ResumeKind,
+    ResumePlan,
+    plan_resume,
+)
 from fireflyhitch_routing.choices import CallResult, Choice, ResultStatus
 
 if TYPE_CHECKING:
@@ -90,6 +96,18 @@
         if not self._resume_stream(exchange):
             self._continue(exchange)
 
+    def leave(self, exchange: Exchange) -> None:
+        """Have an answer go on at another server while its own is still there.
+
+        The KV cache is fetched first, since dropping the stream cancels it.
+        """
+        placement = exchange.tracked.placement
+        if placement is not None:
+            exchange.cache = self._export(exchange, placement)
+        # Without a placement the old engine is not asked for the rest.
+        exchange.tracked.placement = None
+        self._relay.drop(exchange, 'backend server is leaving')
+
     def close(self, exchange: Exchange) -> BackendServer | None:
         """Account for the last attempt of a call that has ended.
 
@@ -133,11 +151,14 @@
             log.current().finish(AnswerEnd.COMPLETE)
             self._relay.complete(exchange)
             return
-        self._check_continuable(exchange, generated)
+        plan = self._plan(exchange, generated)
+        if plan.kind is ResumeKind.IMPOSSIBLE:
+            raise _give_up(exchange, 'the request allows no continuation')
         stream = log.open_attempt()
         if stream is None:
             # The answer is held for a peer, or has moved: it goes on there.
             return
+        self._parts.accounts.metrics.count_recomputed(plan.recomputed_tokens)
         try:
             self._send(exchange, stream, generated)
         except RequestError as error:
@@ -146,14 +167,49 @@
                 error.outcome = Outcome.UNKNOWN
             raise
 
-    def _check_continuable(self, exchange: Exchange, generated: GeneratedText) -> None:
-        facts = ResumeFacts(
-            prompt_tokens=exchange.call.prompt_tokens,
-            generated_tokens=generated.tokens,
-            continuable=is_continuable(exchange.tracked.accepted.body),
+    def _plan(
+        self, exchange: Exchange, generated: GeneratedText, kv_tokens: int = 0
+    ) -> ResumePlan:
+        if exchange.cache is not None:
+            kv_tokens = exchange.cache.export.tokens
+        return plan_resume(
+            ResumeFacts(
+                prompt_tokens=exchange.call.prompt_tokens,
+                generated_tokens=generated.tokens,
+                kv_tokens=kv_tokens,
+                continuable=is_continuable(exchange.tracked.accepted.body),
+            )
         )
-        if plan_resume(facts).kind is ResumeKind.IMPOSSIBLE:
-            raise _give_up(exchange, 'the form of the request allows no continuation')
+
+    def _export(self, exchange: Exchange, placement: Placement) -> MovedCache | None:
+        """Fetch an answer's KV cache, if moving it costs less than computing."""
+        generated = read_generated(exchange.tracked.log.read_after(0).events)
+        total = exchange.call.prompt_tokens + generated.tokens
+        plan = self._plan(exchange, generated, kv_tokens=total)
+        if plan.kind is not ResumeKind.KV_IMPORT:
+            return None
+        attempt = placement.engine_attempt
+        try:
+            export = self._parts.engines.export_kv(placement.server_id, attempt)
+        except PlatformError as error:
+            _log_cache(exchange, placement.server_id, error)
+            return None
+        return MovedCache(attempt, export)
+
+    def _import(self, exchange: Exchange, server: BackendServer) -> AttemptId | None:
+        """Give an answer's KV cache to the engine that goes on with it.
+
+        :returns: the attempt that it was of; ``None`` if the engine computes anew.
+        """
+        cache = exchange.cache
+        if cache is None:
+            return None
+        try:
+            self._parts.engines.import_kv(server.server_id, cache.attempt, cache.export)
+        except PlatformError as error:
+            _log_cache(exchange, server.server_id, error)
+            return None
+        return cache.attempt
 
     def _send(
         self,
@@ -172,7 +228,13 @@
             attempt = name_attempt(exchange.call.request_id, stream.tag)
             self._start_ticket(exchange, choice)
             try:
-                sock = send_call(server, exchange.tracked.accepted, body, attempt)
+                sock = send_call(
+                    server,
+                    exchange.tracked.accepted,
+                    body,
+                    attempt,
+                    self._import(exchange, server),
+                )
             except OSError as error:
                 self._finish_ticket(exchange, ResultStatus.REFUSED)
                 _log_unreached(exchange, server, error)
@@ -258,6 +320,14 @@
     ).warning('backend server not reached')
 
 
+def _log_cache(
+    exchange: Exchange, server: BackendServerId, error: PlatformError
+) -> None:
+    logger.bind(
+        request_id=exchange.call.request_id, step=error.step.value, peer=server
+    ).warning(f'KV cache not moved: {error.message}')
+
+
 def _pass_refusal(upstream: Upstream, reason: str) -> RequestError:
     return RequestError(
         f'the backend server refused the call: {reason}',
--- a/libs/daemon/fireflyhitch_daemon/calls.py
+++ b/libs/daemon/fireflyhitch_daemon/calls.py
@@ -25,6 +25,7 @@
 from fireflyhitch_model.errors import RequestError
 from fireflyhitch_model.ids import RequestId
 from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_platform.engines import HttpEngines
 from fireflyhitch_recovery.answers import AnswerEnd
 from fireflyhitch_recovery.inflight import InFlight
 from fireflyhitch_recovery.requests import AcceptedRequest, TrackedRequest
@@ -46,6 +47,7 @@
     retries: RetryBudget
     in_flight: InFlight
     accounts: Accounts
+    engines: HttpEngines
 
 
 class ModelCalls:
@@ -137,9 +139,7 @@
         for request_id in request_ids:
             exchange = self.find_open(request_id)
             if exchange is not None:
-                # Without a placement the old engine is not asked for the rest.
-                exchange.tracked.placement = None
-                self.relay.drop(exchange, 'backend server is leaving')
+                self._workers.submit(self._guard, exchange, self._attempts.leave)
 
     def _enter(self, exchange: Exchange) -> None:
         with self._lock:
--- a/libs/daemon/fireflyhitch_daemon/composition.py
+++ b/libs/daemon/fireflyhitch_daemon/composition.py
@@ -204,7 +204,13 @@
         retries = RetryBudget(clock)
         self.calls = ModelCalls(
             CallParts(
-                clock, selection, self.admission, retries, self.in_flight, accounts
+                clock,
+                selection,
+                self.admission,
+                retries,
+                self.in_flight,
+                accounts,
+                self.engines,
             ),
             settings.limits.max_streams,
         )
--- a/libs/daemon/fireflyhitch_daemon/directory.py
+++ b/libs/daemon/fireflyhitch_daemon/directory.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from threading import Lock
 
+from cachetools import LRUCache
+
 from fireflyhitch_membership.network import PeerNetwork
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.ids import (
@@ -17,6 +19,8 @@
 from fireflyhitch_routing.subset import choose_subset
 from fireflyhitch_settings.schema import Configuration, ModelDeployment
 
+MOST_LEAVING = 256
+
 
 class Directory:
     """Keeps the router's servers and this daemon's subset of them."""
@@ -29,6 +33,8 @@
         self._network = network
         self._lock = Lock()
         self._servers: dict[BackendServerId, BackendServer] = {}
+        # Their engines still hold the KV caches of answers that move.
+        self._leaving: LRUCache[BackendServerId, BackendServer] = LRUCache(MOST_LEAVING)
         self._subsets: dict[DeploymentId, frozenset[BackendServerId]] = {}
 
     def update(self, listing: InstanceListing) -> None:
@@ -63,7 +69,7 @@
                 if server.instance in leaving
             )
             for server_id in gone:
-                self._servers.pop(server_id)
+                self._leaving[server_id] = self._servers.pop(server_id)
         for server_id in gone:
             self._router.mark_leaving(server_id)
         return gone
@@ -102,9 +108,9 @@
         return None
 
     def find_address(self, server_id: BackendServerId) -> str | None:
-        """Return where a server listens."""
+        """Return where a server listens, also one that is leaving."""
         with self._lock:
-            server = self._servers.get(server_id)
+            server = self._servers.get(server_id) or self._leaving.get(server_id)
         return server.address if server else None
 
     def read_subset(
--- a/libs/daemon/fireflyhitch_daemon/dispatch.py
+++ b/libs/daemon/fireflyhitch_daemon/dispatch.py
@@ -51,14 +51,22 @@
 
 
 def send_call(
-    server: BackendServer, accepted: AcceptedRequest, body: bytes, attempt: AttemptId
+    server: BackendServer,
+    accepted: AcceptedRequest,
+    body: bytes,
+    attempt: AttemptId,
+    imported: AttemptId | None = None,
 ) -> socket.socket:
     """Send a call, or its continuation, and return the connection's socket.
 
+    :param imported: the attempt whose KV cache the engine was given.
+
     :raises OSError: if the server was not reached or the connection broke.
     """
     connection = open_connection(server.address)
     headers = {'Content-Type': 'application/json', 'X-Request-Id': attempt}
+    if imported is not None:
+        headers['X-Kv-Import'] = imported
     connection.request('POST', PATHS[accepted.kind], body=body, headers=headers)
     return _take_socket(connection)
 
--- a/libs/daemon/fireflyhitch_daemon/exchange.py
+++ b/libs/daemon/fireflyhitch_daemon/exchange.py
@@ -7,7 +7,8 @@
 from fireflyhitch_daemon.upstream import Upstream
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.errors import RequestError
-from fireflyhitch_model.ids import BackendServerId
+from fireflyhitch_model.ids import AttemptId, BackendServerId
+from fireflyhitch_platform.engines import KvExport
 from fireflyhitch_recovery.requests import CompletionKind, TrackedRequest
 from fireflyhitch_routing.admission import Permit
 from fireflyhitch_routing.choices import Ticket
@@ -53,6 +54,14 @@
     longest_gap: float = 0
 
 
+@dataclass(frozen=True, slots=True)
+class MovedCache:
+    """The KV cache of an answer, on its way to another engine."""
+
+    attempt: AttemptId
+    export: KvExport
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """A call, its answer so far, and who receives it.
@@ -75,6 +84,7 @@
     offset: int = 0
     tried: set[BackendServerId] = field(default_factory=set)
     ticket: Ticket | None = None
+    cache: MovedCache | None = None
     sent: bool = False
     state: ExchangeState = ExchangeState.WAITING
     timing: Timing = field(default_factory=Timing)
--- a/libs/daemon/tests/test_departure.py
+++ b/libs/daemon/tests/test_departure.py
@@ -63,6 +63,24 @@
         leaving = fresh_site.admin(1, 'GET', '/admin/status').json()['leaving']
         assert leaving == [instance]
 
+    def test_moved_answer_takes_its_kv_cache_along(self, fresh_site):
+        """An engine with a long prompt gets a notice of two seconds.
+
+        Computing prompt and text again would cost more than moving the cache, so
+        the cache is exported before the stream is dropped, and imported where
+        the answer goes on; the new engine computes next to nothing.
+        """
+        prompt = ' '.join(f'word{number}' for number in range(400))
+        stream = fresh_site.open_stream(0, prompt, 400)
+        head = stream.read(600)
+        engines = fresh_site.engines()
+        wish = {'notice_seconds': 2, 'instances': [find_server(fresh_site)]}
+        url = f'http://{fresh_site.platform.address}/standin/reclaims'
+        fresh_site.http.request('POST', url, json=wish)
+        body = head + stream.read()
+        assert read_text(body) == expect(prompt, 400)
+        assert sum(engine.recomputed_tokens for engine in engines) < 100
+
 
 class TestLeavingDaemon:
     """A daemon's own way out."""
--- a/libs/telemetry/fireflyhitch_telemetry/metrics.py
+++ b/libs/telemetry/fireflyhitch_telemetry/metrics.py
@@ -41,6 +41,7 @@
         self._requests = meter.create_counter('fireflyhitch_requests')
         self._tokens = meter.create_counter('fireflyhitch_tokens')
         self._retries = meter.create_counter('fireflyhitch_retries')
+        self._recomputed = meter.create_counter('fireflyhitch_recomputed_tokens')
         self._violations = meter.create_counter('fireflyhitch_invariant_violations')
         self._first_token = meter.create_histogram('fireflyhitch_first_token', unit='s')
         self._gap = meter.create_histogram('fireflyhitch_longest_gap', unit='s')
@@ -61,6 +62,10 @@
             self._first_token.record(record.first_token_seconds, labels)
             self._gap.record(record.longest_gap_seconds, labels)
 
+    def count_recomputed(self, tokens: int) -> None:
+        """Count tokens that an engine computes a second time."""
+        self._recomputed.add(tokens)
+
     def record_violation(self, name: str, detail: str) -> None:
         """Count an invariant that did not hold."""
         self._violations.add(1, {'invariant': name})
