Carry the caller's deadline through to backend servers

Cause: the deadline bounded the daemon's own waiting only; a server that plans by deadlines was not told of it. Conclusion: the header means the same at each step.

--- a/libs/daemon/fireflyhitch_daemon/attempts.py
+++ b/libs/daemon/fireflyhitch_daemon/attempts.py
@@ -233,6 +233,7 @@
                     exchange.tracked.accepted,
                     body,
                     attempt,
+                    exchange.call.deadline - self._clock.monotonic(),
                     self._import(exchange, server),
                 )
             except OSError as error:
--- a/libs/daemon/fireflyhitch_daemon/dispatch.py
+++ b/libs/daemon/fireflyhitch_daemon/dispatch.py
@@ -17,6 +17,9 @@
 )
 
 CONNECT_SECONDS = 1.0
+# How long the caller still waits, for servers that plan by it.
+DEADLINE_HEADER = 'Fireflyhitch-Deadline-Ms'
+MILLISECONDS = 1000
 NO_DELAY: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 ]
@@ -55,16 +58,22 @@
     accepted: AcceptedRequest,
     body: bytes,
     attempt: AttemptId,
+    seconds_left: float,
     imported: AttemptId | None = None,
 ) -> socket.socket:
     """Send a call, or its continuation, and return the connection's socket.
 
+    :param seconds_left: until the caller's deadline.
     :param imported: the attempt whose KV cache the engine was given.
 
     :raises OSError: if the server was not reached or the connection broke.
     """
     connection = open_connection(server.address)
-    headers = {'Content-Type': 'application/json', 'X-Request-Id': attempt}
+    headers = {
+        'Content-Type': 'application/json',
+        'X-Request-Id': attempt,
+        DEADLINE_HEADER: str(int(seconds_left * MILLISECONDS)),
+    }
     if imported is not None:
         headers['X-Kv-Import'] = imported
     connection.request('POST', PATHS[accepted.kind], body=body, headers=headers)
--- a/libs/daemon/fireflyhitch_daemon/parsing.py
+++ b/libs/daemon/fireflyhitch_daemon/parsing.py
@@ -9,6 +9,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from fireflyhitch_daemon.dispatch import DEADLINE_HEADER, MILLISECONDS
 from fireflyhitch_daemon.front import CallerRequest
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.errors import RequestError
@@ -24,10 +25,8 @@
     ServiceDeployment,
 )
 
-DEADLINE_HEADER = 'fireflyhitch-deadline-ms'
 BEARER = 'Bearer '
 DEFAULT_MAX_TOKENS = 1024
-MILLISECONDS = 1000
 
 
 class _Message(BaseModel):
@@ -114,7 +113,7 @@
 
     :raises RequestError: 400 if the header is not a positive whole number.
     """
-    given = request.headers.get(DEADLINE_HEADER)
+    given = request.headers.get(DEADLINE_HEADER.lower())
     if given is None:
         return now + default_seconds
     if not given.isascii() or not given.isdigit() or int(given) == 0:
--- a/libs/daemon/fireflyhitch_daemon/service_answers.py
+++ b/libs/daemon/fireflyhitch_daemon/service_answers.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from urllib3 import HTTPResponse
 
+from fireflyhitch_daemon.dispatch import DEADLINE_HEADER, MILLISECONDS
 from fireflyhitch_daemon.front import OUTCOME_HEADER, Header, Response
 from fireflyhitch_ledger.operations import Answer, AnswerHeader
 from fireflyhitch_model.backends import BackendServer
@@ -34,10 +35,16 @@
 )
 
 
-def forward_headers(given: Mapping[str, str], request_id: RequestId) -> dict[str, str]:
-    """Return a caller's headers as the backend server gets them."""
+def forward_headers(
+    given: Mapping[str, str], request_id: RequestId, seconds_left: float
+) -> dict[str, str]:
+    """Return a caller's headers as the backend server gets them.
+
+    :param seconds_left: until the caller's deadline.
+    """
     headers = {name: text for name, text in given.items() if name not in OWN_HEADERS}
     headers['X-Request-Id'] = request_id
+    headers[DEADLINE_HEADER] = str(int(seconds_left * MILLISECONDS))
     return headers
 
 
--- a/libs/daemon/fireflyhitch_daemon/services.py
+++ b/libs/daemon/fireflyhitch_daemon/services.py
@@ -271,7 +271,9 @@
             service.request.method,
             service.target,
             body=service.request.body or None,
-            headers=forward_headers(service.request.headers, service.call.request_id),
+            headers=forward_headers(
+                service.request.headers, service.call.request_id, left
+            ),
         )
         return connection.getresponse()
 
