Look for an answer at the daemon that accepted it when nobody says

Cause: on a busy machine (soak, tests and a stack at once) a caller that came back to another daemon got 404: the question where its request was had not been answered in 0.4 s. Change: without an answer the request is passed on to the daemon that its id names, which answers for itself. Conclusion: a slow peer is no longer taken for a lost request.

--- a/libs/daemon/fireflyhitch_daemon/requests.py
+++ b/libs/daemon/fireflyhitch_daemon/requests.py
@@ -22,7 +22,7 @@
 from fireflyhitch_model.states import Outcome, Step
 from fireflyhitch_recovery.answers import AnswerEnd
 from fireflyhitch_recovery.events import EventId, check_lineage, parse_event_id
-from fireflyhitch_recovery.inflight import InFlight
+from fireflyhitch_recovery.inflight import InFlight, make_daemon_tag
 from fireflyhitch_recovery.locations import Locations
 from fireflyhitch_recovery.requests import TrackedRequest
 
@@ -74,14 +74,28 @@
     def _forward(self, request: CallerRequest, request_id: RequestId) -> Detached:
         if FORWARDED_HEADER in request.headers:
             raise _describe_missing(request_id)
-        location = self._locations.find(request_id)
-        if location is None or location.daemon_id == self._daemon_id:
-            raise _describe_missing(request_id)
+        holder = self._find_holder(request_id)
         for daemon in self._messenger.live():
-            if daemon.daemon_id == location.daemon_id:
+            if daemon.daemon_id == holder and holder != self._daemon_id:
                 return self._forward_to(request, request_id, daemon.entry_address)
         raise _describe_missing(request_id)
 
+    def _find_holder(self, request_id: RequestId) -> DaemonId | None:
+        """Return the daemon that has a request, or else the one that accepted it.
+
+        On a busy machine a peer may not say in time where a request is. The
+        daemon that its id names answers for itself then; a caller must not be
+        told that its request is gone because a question went unanswered.
+        """
+        location = self._locations.find(request_id)
+        if location is not None:
+            return location.daemon_id
+        tag = request_id.partition('-')[0]
+        for daemon in self._messenger.live():
+            if make_daemon_tag(daemon.daemon_id) == tag:
+                return daemon.daemon_id
+        return None
+
     def _forward_to(
         self, request: CallerRequest, request_id: RequestId, address: str
     ) -> Detached:
--- /dev/null
+++ b/libs/daemon/tests/test_requests.py
@@ -0,0 +1,50 @@
+"""Tests of finding the daemon that has an answer."""
+
+from datetime import timedelta
+from types import SimpleNamespace
+
+from fireflyhitch_daemon.front import DETACHED, CallerRequest
+from fireflyhitch_daemon.requests import RequestAnswers
+from fireflyhitch_model.clock import ManualClock
+from fireflyhitch_model.peers import Daemon
+from fireflyhitch_recovery.inflight import InFlight, make_request_id
+from fireflyhitch_recovery.locations import Locations
+from fireflyhitch_recovery.settings import DEFAULT_SETTINGS
+from fireflyhitch_standins.peers import MemoryPeerNetwork
+
+HERE = Daemon('here', 'north', '', '127.0.0.1:1')
+THERE = Daemon('there', 'south', '', '127.0.0.1:2')
+
+
+class TestBusyPeer:
+    """A peer that does not answer in time."""
+
+    def test_request_is_looked_for_at_the_daemon_that_accepted_it(self):
+        """A caller comes back to another daemon while the links are too slow.
+
+        Nobody says where its request is. It is passed on to the daemon that its
+        id names, rather than told that the request does not exist.
+        """
+        network = MemoryPeerNetwork()
+        messenger = network.join(HERE)
+        network.join(THERE)
+        network.separate('here', 'there')
+        in_flight = InFlight(
+            'here',
+            ManualClock(),
+            SimpleNamespace(max_bytes=1000, duration=timedelta(seconds=9)),
+        )
+        locations = Locations(
+            'here', messenger, ManualClock(), in_flight, DEFAULT_SETTINGS
+        )
+        asked = []
+        forwarder = SimpleNamespace(
+            forward=lambda request, address: asked.append(address)
+        )
+        answers = RequestAnswers(
+            'here', None, in_flight, locations, messenger, forwarder
+        )
+        path = f'/v1/requests/{make_request_id("there")}'
+        request = CallerRequest('GET', path, '', {}, '127.0.0.1', None, 0)
+        assert answers.answer(request, 'customer') is DETACHED
+        assert asked == ['127.0.0.1:2']
