Part the capacity page's arithmetic and limits from its sections

Change: the size to come and its arithmetic, the table of limits, and the sections by role are three modules; the page is the same to the letter. Conclusion: none of the behaviour changed.

--- a/libs/bench/fireflyhitch_bench/capacity_page.py
+++ b/libs/bench/fireflyhitch_bench/capacity_page.py
@@ -1,46 +1,46 @@
 """docs/CAPACITY.md, rendered from docs/capacity.json so that they cannot differ."""
 
 import json
-import math
 import sys
-from collections.abc import Mapping
 from pathlib import Path
 
+from fireflyhitch_bench.capacity_limits import render_limits
+from fireflyhitch_bench.capacity_size import (
+    CHANGES_A_DAY,
+    CLAIM_SHARE,
+    CUSTOMERS,
+    DAY,
+    DEPLOYMENTS,
+    DOMAINS,
+    FAILED_A_DAY,
+    MB,
+    MOVES_AT_ONCE,
+    NODES,
+    PROCESS_SHARE,
+    RECLAIMABLE,
+    REPLACED_A_DAY,
+    REPLICAS,
+    REQUESTS,
+    ROUTES,
+    STORE_READS,
+    STORE_WRITES,
+    SUBSET,
+    TOKENS,
+    TOKENS_A_STREAM_S,
+    TOKENS_AN_ANSWER,
+    Figures,
+    cores_for_calls,
+    cores_for_chunks,
+    count_processes,
+    count_streams,
+    demand_bytes,
+    demand_core,
+    share_of_node,
+)
+
 DATA = 'docs/capacity.json'
 PAGE = 'docs/CAPACITY.md'
 
-NODES = 790
-DOMAINS = 19
-REPLICAS = 10_000
-REQUESTS = 88_000
-TOKENS = 32_000_000
-CHANGES_A_DAY = 42_000
-FAILED_A_DAY = 79
-REPLACED_A_DAY = 1_700
-RECLAIMABLE = 0.61
-DAY = 86_400
-CORE_LIMIT = 0.041
-MEMORY_LIMIT_MB = 128
-BYTES_LIMIT = 12_000
-STORE_READS = 2_000
-STORE_WRITES = 300
-# Assumptions, stated on the page: what the letter does not give.
-TOKENS_A_STREAM_S = 20.0
-TOKENS_AN_ANSWER = 364.0
-CUSTOMERS = 400
-DEPLOYMENTS = 40
-ROUTES = 4
-SUBSET = 40
-PROCESS_SHARE = 0.6
-MOVES_AT_ONCE = 20
-CLAIM_SHARE = 0.001
-MB = 1e6
-# A trial with the client of the instance list.
-LIST_INSTANCES = 10_790
-LIST_BYTES = 408
-
-Figures = Mapping[str, float]
-
 
 def render_page(figures: Figures) -> str:
     """Return the page."""
@@ -57,7 +57,7 @@
         _render_burn(figures),
         _render_store(figures),
         _render_events(figures),
-        _render_limits(figures),
+        render_limits(figures),
         _render_slopes(figures),
     )
     return '\n'.join(sections)
@@ -79,41 +79,6 @@
     return 1
 
 
-def _per_node(total: float) -> float:
-    return total / NODES
-
-
-def _cores_relay(figures: Figures) -> float:
-    return _per_node(TOKENS) * figures['relay_us_per_chunk'] / 1e6
-
-
-def _cores_calls(figures: Figures) -> float:
-    return _per_node(REQUESTS) * figures['call_us'] / 1e6
-
-
-def _processes(figures: Figures) -> int:
-    cores = _cores_relay(figures) + _cores_calls(figures)
-    by_core = math.ceil(cores / PROCESS_SHARE)
-    by_streams = math.ceil(_streams_a_node() / 400)
-    return max(by_core, by_streams)
-
-
-def _streams_a_node() -> float:
-    return _per_node(TOKENS) / TOKENS_A_STREAM_S
-
-
-def _demand_bytes(figures: Figures) -> float:
-    report = figures['demand_bytes_per_customer_base']
-    report += figures['demand_bytes_per_customer'] * CUSTOMERS
-    return 2 * NODES * report
-
-
-def _demand_core(figures: Figures) -> float:
-    report = figures['demand_us_per_customer_base']
-    report += figures['demand_us_per_customer'] * CUSTOMERS
-    return NODES * report / 1e6
-
-
 def _render_head() -> str:
     return f"""# Capacity
 
@@ -133,12 +98,12 @@
 
 
 def _render_entry(figures: Figures) -> str:
-    relay = _cores_relay(figures)
-    before = _per_node(TOKENS) * figures['baseline_us_per_chunk'] / 1e6
-    streams = _streams_a_node()
+    relay = cores_for_chunks(figures)
+    before = share_of_node(TOKENS) * figures['baseline_us_per_chunk'] / 1e6
+    streams = count_streams()
     memory = streams * figures['stream_bytes'] / MB
     events = streams * TOKENS_AN_ANSWER / 2 * figures['event_bytes_per_token'] / MB
-    processes = _processes(figures)
+    processes = count_processes(figures)
     base = processes * figures['process_bytes'] / MB
     return f"""## Entry path
 
@@ -146,12 +111,12 @@
 
 | per node | figure | from |
 | --- | --- | --- |
-| tokens a second | {_per_node(TOKENS):,.0f} | {TOKENS:,} / {NODES} |
+| tokens a second | {share_of_node(TOKENS):,.0f} | {TOKENS:,} / {NODES} |
 | cores for chunks | {relay:.2f} | `relay_us_per_chunk` {figures['relay_us_per_chunk']:.1f} +- {figures['relay_us_per_chunk_error']:.1f} |
 | cores with a thread a stream | {before:.2f} | `baseline_us_per_chunk` {figures['baseline_us_per_chunk']:.1f} +- {figures['baseline_us_per_chunk_error']:.1f} |
 | cores of the fleet for chunks | {relay * NODES:,.0f} (a thread a stream: {before * NODES:,.0f}) | the same |
-| requests a second | {_per_node(REQUESTS):.0f} | {REQUESTS:,} / {NODES} |
-| cores for requests | {_cores_calls(figures):.2f} | `call_us` {figures['call_us']:.0f} +- {figures['call_us_error']:.0f} |
+| requests a second | {share_of_node(REQUESTS):.0f} | {REQUESTS:,} / {NODES} |
+| cores for requests | {cores_for_calls(figures):.2f} | `call_us` {figures['call_us']:.0f} +- {figures['call_us_error']:.0f} |
 | open streams | {streams:,.0f} | tokens a second / {TOKENS_A_STREAM_S:.0f} |
 | memory of streams | {memory:.0f} MB | `stream_bytes` {figures['stream_bytes']:,.0f} |
 | memory of answers under way | {events:.0f} MB | `event_bytes_per_token` {figures['event_bytes_per_token']:.0f}, half an answer each |
@@ -205,8 +170,8 @@
 
 | per node | figure | from |
 | --- | --- | --- |
-| bytes a second | {_demand_bytes(figures):,.0f} with all customers at every node | `demand_bytes_per_customer` {figures['demand_bytes_per_customer']:.1f} |
-| core share | {_demand_core(figures):.2f} | `demand_us_per_customer` {figures['demand_us_per_customer']:.2f} |
+| bytes a second | {demand_bytes(figures):,.0f} with all customers at every node | `demand_bytes_per_customer` {figures['demand_bytes_per_customer']:.1f} |
+| core share | {demand_core(figures):.2f} | `demand_us_per_customer` {figures['demand_us_per_customer']:.2f} |
 
 **Does not fit.** At today's 9 daemons and 5 customers it is some hundred bytes a second. The design that
 fits: demand is summed within a failure domain; its two carriers tell the {DOMAINS - 1} other domains the sum; a
@@ -242,12 +207,12 @@
 
 def _render_recovery(figures: Figures) -> str:
     nodes = NODES / DOMAINS
-    streams = nodes * _streams_a_node()
+    streams = nodes * count_streams()
     size = TOKENS_AN_ANSWER / 2 * figures['event_bytes_per_token']
     each = streams * size / (NODES - nodes) / MB
-    processes = _processes(figures)
+    processes = count_processes(figures)
     room = (NODES - nodes) * processes * 200
-    pace = _streams_a_node() * size / (processes * 16.8e6)
+    pace = count_streams() * size / (processes * 16.8e6)
     return f"""## Recovery
 
 State: each answer's events, at its daemon. Mechanism: on notice, paced transfers to daemons in other
@@ -340,99 +305,6 @@
 """
 
 
-def _render_limits(figures: Figures) -> str:
-    peers = figures['peers_bytes_per_s_790']
-    processes = _processes(figures)
-    demand = _demand_bytes(figures)
-    idle = figures['idle_core_share']
-    rows = (
-        (
-            'control: 12 kB a second a node',
-            f"peers {peers:,.0f} B, times {processes} processes {peers * processes:,.0f} B; limits' demand {demand:,.0f} B",
-            'no',
-        ),
-        (
-            'control: 4.1% of a core a node',
-            f'one process at rest with 4 engines and 1 peer {idle:.1%}; demand reports {_demand_core(figures):.0%}',
-            'no',
-        ),
-        (
-            'control: 128 MB a node',
-            f'members, configuration and router of a subset: {_control_memory(figures):.1f} MB',
-            'yes',
-        ),
-        (
-            'changes in force within 4 s',
-            f'{figures["configuration_hops_790"]:.0f} hops; measured with 36 daemons by `make bench NAME=config`',
-            'yes',
-        ),
-        (
-            '32 M tokens a second',
-            f'{_cores_relay(figures):.2f} cores and {processes} processes a node',
-            'yes',
-        ),
-        (
-            '88,000 requests a second',
-            f'{_cores_calls(figures):.2f} cores a node',
-            'yes',
-        ),
-        (
-            'first token 0.92 s, gaps 68 ms (p95)',
-            f'added at 400 streams a process: {figures["added_first_p95_ms_at_400"]:.0f} ms and {figures["added_gap_p95_ms_at_400"]:.1f} ms',
-            _judge_latency(figures),
-        ),
-        (
-            'store: some hundred writes a second',
-            'configuration and duties fit; the ledger is paced to 300',
-            'yes',
-        ),
-        ('store: 2,000 reads a second', 'watches and polls stay below 100', 'yes'),
-        ('a failure domain reclaimed at once', 'room and pace above', 'yes'),
-    )
-    lines = [
-        '## Against the limits',
-        '',
-        '| limit | worked out | fits |',
-        '| --- | --- | --- |',
-    ]
-    lines.extend(f'| {limit} | {found} | {fits} |' for limit, found, fits in rows)
-    lines.append(_render_misfits(processes))
-    return '\n'.join(lines)
-
-
-def _control_memory(figures: Figures) -> float:
-    members = NODES / DOMAINS * figures['member_bytes_per_peer']
-    router = SUBSET * figures['router_bytes_per_replica']
-    return (members + router + figures['configuration_bytes_assumed']) / MB
-
-
-def _judge_latency(figures: Figures) -> str:
-    fits = (
-        figures['gap_p95_ratio_at_400'] <= 1.1
-        and figures['added_first_p95_ms_at_400'] < 200
-    )
-    return 'yes' if fits else 'no'
-
-
-def _render_misfits(processes: int) -> str:
-    return f"""
-What does not fit, and the design that would:
-
-- **Several processes a node are several members.** With {processes} processes a node the fleet has {processes * NODES:,}
-  members. One process of a node should be its member and tell the others over a loopback link; the peer links
-  already hand on snapshots and differences, so the loopback link is the same protocol with one peer.
-- **Demand reports go from everyone to everyone.** See customers' limits above.
-- **The ledger's shards are rewritten whole.** See the ledger above.
-- **The instance list is read whole.** With {LIST_INSTANCES:,} instances of {LIST_BYTES} bytes a changed list is
-  {LIST_INSTANCES * LIST_BYTES / 1e6:.1f} MB, and it changes all the time. Two watchers a failure domain should read it and tell
-  their peers the differences, as they do with the configuration.
-- **Engines' load is asked for each second.** It should come with their answers; only idle engines need asking.
-- **Evidence of all 19 failure domains at one carrier** is beyond its 12 kB a second while many versions are on trial:
-  it needs one more level, by region.
-- **A regional cut** has been thought through and tested between failure domains, not between regions.
-"""
-
-
 def _render_slopes(figures: Figures) -> str:
     lines = [
         '## Slopes',
