Refuse keys of more than 255 characters, and drop what nothing uses

Cause: read-through. Change: the limit is checked where the key is read; the unused pieces go. Conclusion: the message says what the program does.

--- a/libs/bench/fireflyhitch_bench/capacity_size.py
+++ b/libs/bench/fireflyhitch_bench/capacity_size.py
@@ -13,9 +13,6 @@
 REPLACED_A_DAY = 1_700
 RECLAIMABLE = 0.61
 DAY = 86_400
-CORE_LIMIT = 0.041
-MEMORY_LIMIT_MB = 128
-BYTES_LIMIT = 12_000
 STORE_READS = 2_000
 STORE_WRITES = 300
 # Assumptions, stated on the page: what the letter does not give.
--- a/libs/bench/fireflyhitch_bench/site.py
+++ b/libs/bench/fireflyhitch_bench/site.py
@@ -4,7 +4,6 @@
 import json
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from pathlib import Path
 from time import monotonic, sleep
 from typing import Any
 
@@ -336,10 +335,3 @@
 
 def _hash(text: str) -> str:
     return hashlib.sha256(text.encode()).hexdigest()
-
-
-def read_log(group: ProcessGroup, name: str) -> list[dict[str, Any]]:
-    """Return a process's log, a record a line."""
-    path: Path = group.directory / f'{name}.log'
-    lines = path.read_text(encoding='utf-8').splitlines()
-    return [json.loads(line) for line in lines if line.startswith('{')]
--- a/libs/daemon/fireflyhitch_daemon/services.py
+++ b/libs/daemon/fireflyhitch_daemon/services.py
@@ -25,7 +25,7 @@
     restore_answer,
     take_answer,
 )
-from fireflyhitch_ledger.keys import CallKey, digest_body
+from fireflyhitch_ledger.keys import MAX_KEY_CHARACTERS, CallKey, digest_body
 from fireflyhitch_ledger.ledger import Ledger
 from fireflyhitch_ledger.results import (
     Attempt,
@@ -167,7 +167,7 @@
             repeatable=repeatable,
         )
         given = request.headers.get(KEY_HEADER)
-        if not repeatable and not given:
+        if not repeatable and not 0 < len(given or '') <= MAX_KEY_CHARACTERS:
             raise build_missing_key()
         key = IdempotencyKey(given) if given else None
         return _ServiceCall(call, deployment, request, target, key)
--- a/libs/daemon/tests/test_services.py
+++ b/libs/daemon/tests/test_services.py
@@ -88,6 +88,16 @@
         assert site.runs()['lost'] == 1
 
 
+class TestKeys:
+    """Keys that cannot be taken."""
+
+    def test_key_of_more_than_255_characters_is_refused(self, site):
+        answer = book(site, 0, 'k' * 256)
+        assert answer.status == 400
+        assert answer.json()['error']['code'] == 'idempotency_key_required'
+        assert book(site, 0, 'k' * 255).status == 200
+
+
 class TestOutage:
     """The key-value service is away."""
 
--- a/libs/model/fireflyhitch_model/invariants.py
+++ b/libs/model/fireflyhitch_model/invariants.py
@@ -24,7 +24,6 @@
     SHARE_NEEDS_LEASE = 'only the lease holder raises a share'
     ONE_HOLDER = 'an order is given only within its lease'
     MOVE_ENDS = 'a move ends by its date'
-    LIMIT_HOLDS = 'in-flight work stays within its limit'
     COUNT_BALANCES = 'in-flight counts never go below zero'
     BUDGET_HOLDS = 'retries stay within their budget'
 
--- a/libs/recovery/fireflyhitch_recovery/handover.py
+++ b/libs/recovery/fireflyhitch_recovery/handover.py
@@ -203,12 +203,6 @@
         if late:
             self.protect(late)
 
-    def find_moved(self, request_id: RequestId) -> DaemonId | None:
-        """Return the peer that a request was handed over to from here."""
-        with self._lock:
-            move = self._moved.get(request_id)
-        return move.peer if move else None
-
     def _find_all(self, request_ids: Iterable[RequestId]) -> list[TrackedRequest]:
         found = map(self._in_flight.find, request_ids)
         return [tracked for tracked in found if tracked and self._is_movable(tracked)]
--- a/libs/settings/fireflyhitch_settings/schema.py
+++ b/libs/settings/fireflyhitch_settings/schema.py
@@ -1,6 +1,5 @@
 """The configuration that operators accept: what is served, for whom and how."""
 
-from enum import Enum
 from typing import Annotated, Literal
 
 from pydantic import AwareDatetime, BaseModel, ConfigDict, Field
@@ -64,13 +63,6 @@
     max_on_demand: Count = 8
 
 
-class DeploymentKind(Enum):
-    """Whether a deployment answers as a model or as a plain service."""
-
-    MODEL = 'model'
-    SERVICE = 'service'
-
-
 class _Deployment(Checked):
     """What models and plain services have in common.
 
--- a/libs/standins/fireflyhitch_standins/engine.py
+++ b/libs/standins/fireflyhitch_standins/engine.py
@@ -159,13 +159,6 @@
             return None
         return StreamState(stream.call, stream.status, stream.generated, stream.cached)
 
-    def export_tokens(self, attempt: AttemptId) -> int:
-        """Return how many tokens a call's exported KV cache covers."""
-        stream = self._streams.get(attempt)
-        if stream is None:
-            return 0
-        return stream.call.prompt_tokens - stream.uncomputed + stream.generated
-
     def load_report(self, at: float) -> LoadReport | None:
         """Return the newest load report that is visible at a time."""
         visible = None
