Fill customers' accounts that only peers spoke of, and admit by how late news are

Found by a new test with 75 daemons; each daemon there seldom hears a customer itself. Also: the platform counts a limit over any window as rate x window + burst, and an account of rate and burst refuses who asks a little more than the rate for long; half of the burst now fills over the window. And with news after 0.7 s a flood of five times a limit got 14,920 units where 13,800 are tolerated; the part admitted at once now follows from what is left and what is asked for until news are there. Failing first: TestHearsay, TestManyDaemons, TestLongDemand. The fault matters where daemons are many.

--- a/libs/serving/fireflyhitch_serving/catalog.py
+++ b/libs/serving/fireflyhitch_serving/catalog.py
@@ -154,10 +154,14 @@
     limits: CallerLimits
     customers: Mapping[str, Customer] | None
     _by_host: Mapping[str, tuple[Route, ...]] = field(init=False, repr=False)
+    _quotas: Mapping[CustomerId, Quota] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
-        """Order the routes of each host by prefix, longest first."""
+        """Order the routes of each host by prefix, longest first; index quotas."""
         object.__setattr__(self, '_by_host', _index_routes(self.routes))
+        customers = (self.customers or {}).values()
+        quotas = {customer.name: customer.quota for customer in customers}
+        object.__setattr__(self, '_quotas', quotas)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins a path."""
@@ -170,6 +174,10 @@
         """Return the customer that holds a key."""
         return (self.customers or {}).get(key)
 
+    def find_quota(self, name: CustomerId) -> Quota | None:
+        """Return a customer's quota."""
+        return self._quotas.get(name)
+
     @property
     def asks_keys(self) -> bool:
         """Tell whether requests must carry a customer's key."""
--- a/libs/serving/fireflyhitch_serving/quotas.py
+++ b/libs/serving/fireflyhitch_serving/quotas.py
@@ -4,12 +4,16 @@
 and what any daemon takes from it is told to the others some times a second. So a
 customer whose connections lie at few daemons gets its whole limit, and a prompt that
 is larger than any daemon's part of a burst is admitted. What daemons take at the same
-moment without knowing of each other is within what the platform tolerates.
+moment without knowing of each other is within what the platform tolerates: the longer
+news take, and the more a customer asks for, the less of its account is given away at
+once (``_find_chance``).
 
 Daemons that do not hear each other go on with the part of the limit that their number
 stands for, so the sum over all groups holds.
 """
 
+import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from cachetools import LRUCache
@@ -23,6 +27,18 @@
 # Demand is averaged over about this long: shorter than the window that limits are
 # counted in, longer than the gap between two messages of a peer.
 DEMAND_SECONDS = 2.0
+# The platform counts a limit over any window of some seconds, as rate x window + burst.
+# This part of the burst fills anew over the window instead of being there at once; the
+# sum in any window stays the same. Customers that ask a little more than their rate for
+# long are within their limit so: in the played load of ``TestLongDemand``, 12 in 100 of
+# their requests were refused without it, and 0 with it.
+SUSTAINED_PART = 0.5
+# Of what is tolerated above limits: with news within 0.1 s, less for each second that
+# they take, and at least. Five times a limit at 75 daemons, with news after 0.7 s,
+# stays within what is tolerated by these (``TestManyDaemons``).
+MOST_SLACK_PART = 0.75
+SLACK_PER_SECOND = 0.5
+LEAST_SLACK_PART = 0.3
 
 
 @dataclass(slots=True)
@@ -58,6 +74,12 @@
     left: float
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerDemand:
+    rate: float
+    at: float
+
+
 @dataclass(slots=True)
 class _Account:
     left: float
@@ -65,6 +87,14 @@
     quota: Quota | None = None
     taken: float = 0
     demand: DemandMeter = field(default_factory=DemandMeter)
+    peers: dict[str, _PeerDemand] = field(default_factory=dict)
+
+    def sum_demand(self, now: float) -> float:
+        """Return units a second that are asked of all daemons."""
+        told = (
+            peer.rate for peer in self.peers.values() if now - peer.at < DEMAND_SECONDS
+        )
+        return self.demand.read(now) + sum(told)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,32 +103,64 @@
 
     :param units: over all daemons, on top of a customer's burst.
     :param part: of a customer's rate, on top of it.
+    :param window: seconds over which limits are counted; 0 if that is not known.
     """
 
     units: float = 0
     part: float = 0
+    window: float = 0
+
+
+def find_slack_part(news_seconds: float) -> float:
+    """Return the part of what is tolerated above limits that the daemons may use.
+
+    Callers within a limit come in bursts, and each refusal makes an answer late. The
+    rest covers what daemons take before they hear of each other.
+
+    :param news_seconds: in which what one has taken is known to all.
+    """
+    return max(LEAST_SLACK_PART, MOST_SLACK_PART - SLACK_PER_SECOND * news_seconds)
+
+
+def _find_no_quota(customer: CustomerId) -> Quota | None:
+    return None
 
 
 class Quotas:
     """This daemon's account of all customers."""
 
-    def __init__(self, slack: QuotaSlack, started: float = 0) -> None:
+    def __init__(
+        self,
+        slack: QuotaSlack,
+        started: float = 0,
+        draw: Callable[[], float] = random.random,
+        find_quota: Callable[[CustomerId], Quota | None] = _find_no_quota,
+    ) -> None:
         """Make accounts on demand.
 
         :param started: monotonic seconds since which customers could save up units.
+        :param draw: returns numbers from 0 to 1.
+        :param find_quota: by the configuration in force. An account that only peers
+            have spoken of fills as well: without it, customers whose requests seldom
+            come here were refused while most of their limit was left.
         """
+        self._draw = draw
+        self._find_quota = find_quota
         self.slack = slack
         self._started = started
         self._accounts: dict[CustomerId, _Account] = {}
         self._told: LRUCache[str, dict[CustomerId, float]] = LRUCache(MOST_PROCESSES)
         self._part = 1.0
+        self._news_seconds = 0.0
 
-    def share_with(self, daemons: int, heard: int) -> None:
+    def share_with(self, daemons: int, heard: int, news_seconds: float = 0) -> None:
         """Take in how many daemons there are.
 
         :param daemons: this one included, heard or not.
         :param heard: of them, this one included.
+        :param news_seconds: in which what one has taken is known to all.
         """
+        self._news_seconds = news_seconds
         self._part = min(1.0, max(heard, 1) / max(daemons, 1))
 
     def notes(self, now: float) -> dict[CustomerId, CustomerNote]:
@@ -123,8 +185,10 @@
         told[customer] = note.taken
         account = self._accounts.get(customer)
         if account is None:
-            self._accounts[customer] = _Account(note.left, now)
-            return
+            account = _Account(note.left, now, self._find_quota(customer))
+            self._accounts[customer] = account
+            before = note.taken
+        account.peers[process] = _PeerDemand(note.demand, now)
         # What was saved up until now must not make up for what is taken now.
         self._refill(account, now)
         if before is None:
@@ -132,6 +196,12 @@
         else:
             account.left -= note.taken - before
 
+    def forget_process(self, process: str) -> None:
+        """Drop a process whose place another has taken."""
+        self._told.pop(process, None)
+        for account in self._accounts.values():
+            account.peers.pop(process, None)
+
     def count_processes(self) -> int:
         """Return how many peers' processes are remembered."""
         return len(self._told)
@@ -150,8 +220,12 @@
         most = self._find_most(quota)
         # A request larger than what can be saved up runs into debt from a full one.
         needed = min(units, most)
+        rate = self._find_rate(quota)
         if account.left < needed:
-            return (needed - account.left) / self._find_rate(quota)
+            return (needed - account.left) / rate
+        chance = self._find_chance(account, rate, now)
+        if chance < 1 and self._draw() >= chance:
+            return self._news_seconds
         account.left -= units
         account.taken += units
         return None
@@ -174,6 +248,19 @@
             account.left += units
             account.taken -= units
 
+    def _find_chance(self, account: _Account, rate: float, now: float) -> float:
+        """Return the part of a customer's requests that is admitted now.
+
+        What other daemons take is known only some tenths of a second later. With 75 of
+        them, a customer that asks for several times its limit would be admitted at
+        each, until all have heard of all: in the played load of ``TestManyDaemons``
+        1.5 times its limit. So no more is admitted than the account holds until then.
+        """
+        asked = account.sum_demand(now) * self._news_seconds
+        if not asked:
+            return 1
+        return (account.left + rate * self._news_seconds) / asked
+
     def _refill(self, account: _Account, now: float) -> None:
         if account.quota is not None:
             saved = (now - account.at) * self._find_rate(account.quota)
@@ -181,10 +268,16 @@
         account.at = now
 
     def _find_rate(self, quota: Quota) -> float:
-        return self._part * quota.rate * (1 + self.slack.part)
+        rate = quota.rate * (1 + self.slack.part)
+        if self.slack.window:
+            rate += (
+                SUSTAINED_PART * (quota.burst + self.slack.units) / self.slack.window
+            )
+        return self._part * rate
 
     def _find_most(self, quota: Quota) -> float:
-        return self._part * (quota.burst + self.slack.units)
+        kept = 1 - SUSTAINED_PART if self.slack.window else 1
+        return self._part * kept * (quota.burst + self.slack.units)
 
     def _find(self, name: CustomerId, quota: Quota, now: float) -> _Account:
         found = self._accounts.get(name)
--- a/libs/serving/tests/test_quotas.py
+++ b/libs/serving/tests/test_quotas.py
@@ -9,6 +9,7 @@
     CustomerNote,
     Quotas,
     QuotaSlack,
+    find_slack_part,
 )
 
 BAKERY = CustomerId('bakery')
@@ -21,10 +22,16 @@
 class Fleet:
     """Daemons that tell each other their accounts ten times a second."""
 
-    def __init__(self, daemons: int) -> None:
-        self.books = [Quotas(QuotaSlack()) for _ in range(daemons)]
+    def __init__(
+        self, daemons: int, slack: QuotaSlack = QuotaSlack(), news: float = 0
+    ) -> None:
+        draw = random.Random(2)  # noqa: S311
+        self.books = [
+            Quotas(slack, draw=draw.random, find_quota=lambda _: CUSTOMER.quota)
+            for _ in range(daemons)
+        ]
         for book in self.books:
-            book.share_with(daemons, daemons)
+            book.share_with(daemons, daemons, news)
         self.taken: list[tuple[float, float]] = []
         self.refused = 0
 
@@ -97,6 +104,57 @@
         assert fleet.most_in(8) <= RATE * 8 + BURST + 200
 
 
+class TestManyDaemons:
+    def test_a_flood_at_75_daemons_keeps_the_limit(self) -> None:
+        # A customer asks for five times its limit at 75 daemons that hear of each
+        # other's work 0.7 s late. Each admits what its own account still shows, so the
+        # customer gets far more than its limit before all have heard of all: 14,920
+        # units in 8 s with the part of the slack that few daemons use, and 13,800 are
+        # tolerated (rate and burst by a tenth more, and the slack).
+        slack = 2800
+        used = find_slack_part(0.7)
+        fleet = Fleet(75, QuotaSlack(used * slack, used * 0.05, 8), news=0.7)
+        draw = random.Random(5)  # noqa: S311
+        for step in range(6000):
+            fleet.ask(draw.randrange(75), 20, step * 0.004)
+            if step % 175 == 0:
+                fleet.tell(step * 0.004)
+        assert fleet.most_in(8) <= (RATE * 8 + BURST) * 1.1 + slack
+        assert fleet.most_in(8) >= RATE * 8 + BURST
+
+    def test_a_customer_within_its_limit_is_not_refused_by_late_news(self) -> None:
+        draw = random.Random(6)  # noqa: S311
+        fleet = Fleet(75, news=0.7)
+        for step in range(600):
+            fleet.ask(draw.randrange(75), draw.choice((20, 40, 90)), step * 0.07)
+            if step % 10 == 0:
+                fleet.tell(step * 0.07)
+        assert fleet.refused == 0
+
+
+class TestLongDemand:
+    def test_a_customer_a_little_above_its_rate_for_long_is_within_its_limit(
+        self,
+    ) -> None:
+        # A customer asks for 1.1 times its rate for a minute. Any eight seconds hold
+        # less than rate x 8 + burst, which is how the platform counts, and yet its
+        # account was empty after 20 s and the rest refused.
+        plain = Fleet(1)
+        filling = Fleet(1, QuotaSlack(window=8))
+        for step in range(600):
+            for fleet in (plain, filling):
+                fleet.ask(0, 110, step * 0.1)
+        assert plain.refused >= 30
+        assert filling.refused == 0
+        assert filling.most_in(8) <= RATE * 8 + BURST
+
+    def test_a_flood_gets_no_more_in_a_window_than_before(self) -> None:
+        filling = Fleet(1, QuotaSlack(window=8))
+        for step in range(3000):
+            filling.ask(0, 100, step * 0.02)
+        assert filling.most_in(8) <= RATE * 8 + BURST + 100
+
+
 class TestAccounts:
     def test_a_new_process_begins_with_what_its_peers_think_is_left(self) -> None:
         # A daemon is killed and starts again while its customer has used up all. Its
@@ -124,6 +182,20 @@
         assert Quotas(QuotaSlack()).take(free, 1e9, 0) is None
 
 
+class TestHearsay:
+    def test_an_account_that_only_peers_spoke_of_fills_as_well(self) -> None:
+        # A customer takes half its rate at another daemon for a minute; then its first
+        # request comes here. It was refused: this account had only been taken from,
+        # and never filled, until a request of its own told the customer's rate.
+        here = Quotas(QuotaSlack(), find_quota=lambda _: CUSTOMER.quota)
+        there = Quotas(QuotaSlack())
+        for second in range(60):
+            there.take(CUSTOMER, RATE / 2, second)
+            for customer, note in there.notes(second).items():
+                here.take_note('there', customer, note, second)
+        assert here.take(CUSTOMER, RATE, 60) is None
+
+
 class TestGoneProcesses:
     def test_processes_that_are_gone_do_not_pile_up(self) -> None:
         # Instances are replaced some thousand times a day, each with a process of a
