Know other failure domains by their summaries where daemons are many

Each daemon told each far one every 1.9 s, so placing saw a quarter of the queues, limits overshot, and reports lacked counts. Now one daemon of each domain sums up its own for the others' and passes theirs on; far daemons tell their counts to the leader only. Messages between near daemons went from 60 to 40 a second.

--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -171,8 +171,14 @@
             wait = min(wait * 2, LONGEST_RETRY_SECONDS)
 
     async def _follow(self) -> None:
+        is_first = not self.current and not self._known
         listing = await self._store.list(self._prefix)
-        self._take_listing(listing)
+        found = self._take_listing(listing)
+        if not is_first:
+            # What a watch missed while the store forgot its history; neighbours that do
+            # not watch read a list that is seconds old then, and one of them sent a
+            # request to a server 3.2 s after it had begun to leave.
+            self._pass_on(found)
         if self._watches():
             await self._watch(listing.revision)
         else:
@@ -190,14 +196,21 @@
             listing = await self._store.list(self._prefix, stale=True)
             self._take_listing(listing)
 
-    def _take_listing(self, listing: Listing) -> None:
+    def _take_listing(self, listing: Listing) -> list[Change]:
+        """Take in all keys, and return what has changed since the last time."""
         self._note_current()
         present = {item.key for item in listing.items}
-        for item in listing.items:
-            self._take(item.key, item.value, item.revision)
-        for key in self._known.keys() - present:
-            self._lose(key, listing.revision)
+        found = [
+            Change(item.key, item.value, item.revision)
+            for item in listing.items
+            if self._is_news(item.key, item.revision)
+        ]
+        gone = self._known.keys() - present
+        found.extend(Change(key, None, listing.revision) for key in sorted(gone))
+        for change in found:
+            self.take_change(change)
         self._events.listed()
+        return found
 
     async def _watch(self, revision: Revision) -> None:
         while self._watches():
@@ -206,10 +219,20 @@
             result = await self._wait(revision, seconds)
             self._health.note_answer()
             revision = result.revision
-            for event in result.events:
-                self.take_change(Change(event.key, event.value, event.revision))
-                if self._relay is not None:
-                    self._relay.pass_on(Change(event.key, event.value, event.revision))
+            changes = [
+                Change(event.key, event.value, event.revision)
+                for event in result.events
+            ]
+            for change in changes:
+                self.take_change(change)
+            self._pass_on(changes)
+            if changes and self._relay is not None:
+                await asyncio.sleep(self._relay.find_pause())
+
+    def _pass_on(self, changes: list[Change]) -> None:
+        for change in changes:
+            if self._relay is not None:
+                self._relay.pass_on(change)
 
     async def _wait(self, revision: Revision, seconds: float) -> WatchResult:
         watch = self._store.watch(self._prefix, revision, seconds)
@@ -243,13 +266,16 @@
             self._take(change.key, change.value, change.revision)
 
     def _take(self, key: str, value: bytes, revision: Revision) -> None:
-        # A read that may be old shows what was removed since, and old values.
-        if max(self._known.get(key, -1), self._gone.get(key, -1)) >= revision:
+        if not self._is_news(key, revision):
             return
         self._missing.pop(key, None)
         self._known[key] = revision
         self._events.changed(key, value, revision)
 
+    def _is_news(self, key: str, revision: Revision) -> bool:
+        # A read that may be old shows what was removed since, and old values.
+        return revision > max(self._known.get(key, -1), self._gone.get(key, -1))
+
     def _lose(self, key: str, revision: Revision) -> None:
         if key not in self._known or self._known[key] > revision:
             return
--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/peer_news.py
@@ -0,0 +1,78 @@
+"""What a daemon tells its peers: its present state, in one datagram."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, fields
+from typing import Any
+
+import cbor2
+
+from fireflyhitch_model.ids import BackendServerId, CustomerId, FailureDomainId
+from fireflyhitch_serving.quotas import CustomerNote
+from fireflyhitch_serving.servers import InFlight
+
+UNREADABLE = (cbor2.CBORDecodeError, KeyError, TypeError, ValueError, AttributeError)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerNews:
+    """A daemon's present state.
+
+    :param daemon: its name, which a later process at the same place has too.
+    :param process: names this process alone.
+    :param sequence: grows with each message of a process.
+    :param wall: seconds since 1970 by its clock.
+    :param work: what it has in flight at each server.
+    :param customers: what customers take and ask of it.
+    :param usage: requests that began, by window and customer.
+    :param fresh_parts: prompt parts that servers began to read since the last
+        messages.
+    :param evidence: answers by service, version and route of the moves in force.
+    :param hears_store: whether the store answers it.
+    :param store_settled: whether it has done so for some seconds.
+    :param stopping: whether it is about to go.
+    """
+
+    daemon: str
+    process: str
+    failure_domain: FailureDomainId
+    sequence: int
+    wall: float
+    work: Mapping[BackendServerId, InFlight]
+    customers: Mapping[CustomerId, CustomerNote]
+    usage: Mapping[int, Mapping[CustomerId, int]]
+    fresh_parts: Mapping[BackendServerId, list[str]]
+    evidence: Mapping[str, list[int]]
+    hears_store: bool = True
+    store_settled: bool = True
+    stopping: bool = False
+
+
+def render_news(news: PeerNews) -> bytes:
+    """Return a datagram."""
+    return cbor2.dumps(
+        {field.name: getattr(news, field.name) for field in fields(news)},
+        default=encode_note,
+    )
+
+
+def encode_note(encoder: cbor2.CBOREncoder, note: object) -> None:
+    """Encode the values in messages that CBOR does not know."""
+    if isinstance(note, InFlight):
+        encoder.encode((note.requests, note.prompt_tokens))
+    elif isinstance(note, CustomerNote):
+        encoder.encode((note.taken, note.demand, note.left))
+
+
+def read_news(data: bytes) -> PeerNews | None:
+    """Read a datagram; nothing for one that is none."""
+    try:
+        return PeerNews(**decode_notes(cbor2.loads(data)))
+    except UNREADABLE:
+        return None
+
+
+def decode_notes(read: dict[str, Any]) -> dict[str, Any]:
+    """Return a message's fields with the values that ``encode_note`` wrote."""
+    work = {key: InFlight(*counts) for key, counts in read['work'].items()}
+    customers = {key: CustomerNote(*units) for key, units in read['customers'].items()}
+    return {**read, 'work': work, 'customers': customers}
--- a/libs/serving/fireflyhitch_serving/peer_roll.py
+++ b/libs/serving/fireflyhitch_serving/peer_roll.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.ids import FailureDomainId
 from fireflyhitch_platform.keyvalue import Listing
 from fireflyhitch_serving.beliefs import StoreHealth
 from fireflyhitch_serving.connections import Address
@@ -19,6 +20,9 @@
 
 # A daemon that has ended is in the list until its lease lapses, some 4 s.
 READ_SECONDS = 2.0
+# With more daemons than this each reads less often, so that they read as often together:
+# those that start tell all others of themselves, and those that ended are not heard.
+MOST_AT_FULL_PACE = 15
 # While this daemon is not in the list it looks more often.
 FIRST_READ_SECONDS = 0.3
 SPREAD = 0.3
@@ -55,14 +59,22 @@
             else:
                 self._has_read = True
                 self._take(listing)
-            wait = READ_SECONDS if self._lease.is_registered else FIRST_READ_SECONDS
+            wait = self._find_wait()
             await asyncio.sleep(wait * self._draw.uniform(1 - SPREAD, 1 + SPREAD))
 
+    def _find_wait(self) -> float:
+        if not self._lease.is_registered:
+            return FIRST_READ_SECONDS
+        return READ_SECONDS * max(1, len(self._peers.listed()) / MOST_AT_FULL_PACE)
+
     def _take(self, listing: Listing) -> None:
         listed: dict[str, Address] = {}
+        domains: dict[str, FailureDomainId] = {}
         for item in listing.items:
-            address = item.value.decode().split(' ')[0]
-            listed[item.key.removeprefix(DAEMONS_PREFIX)] = Address.parse(address)
+            daemon = item.key.removeprefix(DAEMONS_PREFIX)
+            address, _, *more = item.value.decode().split(' ')
+            listed[daemon] = Address.parse(address)
+            domains.update({daemon: FailureDomainId(domain) for domain in more})
             self._lease.take_registration(item)
         known = self._peers.listed()
         if not self._health.is_settled():
@@ -73,5 +85,5 @@
             logger.bind(peer=daemon).info('daemon no longer listed')
         for daemon, where in listed.items():
             if known.get(daemon) != where:
-                self._peers.register(daemon, where)
+                self._peers.register(daemon, where, domains.get(daemon))
                 logger.bind(peer=daemon).info('daemon listed')
--- a/libs/serving/fireflyhitch_serving/peers.py
+++ b/libs/serving/fireflyhitch_serving/peers.py
@@ -8,26 +8,24 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, fields
+from collections.abc import Callable
+from dataclasses import dataclass
 from statistics import median
-from typing import Any, cast
+from typing import cast
 
-import cbor2
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.ids import BackendServerId, CustomerId, FailureDomainId
+from fireflyhitch_model.ids import FailureDomainId
 from fireflyhitch_serving.connections import Address
-from fireflyhitch_serving.quotas import CustomerNote
-from fireflyhitch_serving.servers import InFlight
+from fireflyhitch_serving.peer_news import PeerNews, read_news, render_news
 
 # A peer's view of a server is this old at most; engines take 0.2 s for a long prompt.
 SEND_SECONDS = 0.1
 # With more daemons each tells less often, those of the own failure domain first, so that
 # a daemon sends and gets a bounded number of messages. They have some hundred bytes to
 # 2 kB, and the slowest instances' links carry 600 kB a second.
-MOST_NEAR_PER_SECOND = 60.0
+MOST_NEAR_PER_SECOND = 40.0
 MOST_FAR_PER_SECOND = 40.0
 # A peer that is not heard for this long is not there, or is cut off.
 SILENT_SECONDS = 1.2
@@ -40,69 +38,15 @@
 SPREAD = 0.2
 # A turn that comes a little early is taken, or every other one would be.
 NEARLY = 0.7
-UNREADABLE = (cbor2.CBORDecodeError, KeyError, TypeError, ValueError, AttributeError)
-
-
-@dataclass(frozen=True, slots=True)
-class PeerNews:
-    """A daemon's present state.
-
-    :param daemon: its name, which a later process at the same place has too.
-    :param process: names this process alone.
-    :param sequence: grows with each message of a process.
-    :param wall: seconds since 1970 by its clock.
-    :param work: what it has in flight at each server.
-    :param customers: what customers take and ask of it.
-    :param usage: requests that began, by window and customer.
-    :param fresh_parts: prompt parts that servers began to read since the last
-        messages.
-    :param evidence: answers by service, version and route of the moves in force.
-    :param hears_store: whether the store answers it.
-    :param store_settled: whether it has done so for some seconds.
-    :param stopping: whether it is about to go.
-    """
-
-    daemon: str
-    process: str
-    failure_domain: FailureDomainId
-    sequence: int
-    wall: float
-    work: Mapping[BackendServerId, InFlight]
-    customers: Mapping[CustomerId, CustomerNote]
-    usage: Mapping[int, Mapping[CustomerId, int]]
-    fresh_parts: Mapping[BackendServerId, list[str]]
-    evidence: Mapping[str, list[int]]
-    hears_store: bool = True
-    store_settled: bool = True
-    stopping: bool = False
-
-
-def render_news(news: PeerNews) -> bytes:
-    """Return a datagram."""
-    return cbor2.dumps(
-        {field.name: getattr(news, field.name) for field in fields(news)},
-        default=_encode_note,
-    )
-
-
-def _encode_note(encoder: cbor2.CBOREncoder, note: object) -> None:
-    if isinstance(note, InFlight):
-        encoder.encode((note.requests, note.prompt_tokens))
-    elif isinstance(note, CustomerNote):
-        encoder.encode((note.taken, note.demand, note.left))
-
-
-def read_news(data: bytes) -> PeerNews | None:
-    """Read a datagram; nothing for one that is none."""
-    try:
-        read: dict[str, Any] = cbor2.loads(data)
-        work = {key: InFlight(*counts) for key, counts in read['work'].items()}
-        customers = {
-            key: CustomerNote(*units) for key, units in read['customers'].items()
-        }
-        return PeerNews(**{**read, 'work': work, 'customers': customers})
-    except UNREADABLE:
-        return None
+# With more daemons than this, the state of other failure domains comes by their
+# summaries (``summaries``): each far daemon could be told only every half second or
+# later, and 75 of them every 1.9 s.
+MOST_DIRECT = 20
+# In which a summary has come from any daemon to any other: two turns of near news and
+# two of the relays.
+SUMMARY_TURN_SECONDS = 0.7
+# A leader needs every daemon's counts; those far away tell it this often.
+LEADER_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -129,14 +73,32 @@
         self._wall = wall
         self._heard: dict[str, _Heard] = {}
         self._registered: dict[str, Address] = {}
+        self._domains: dict[str, FailureDomainId] = {}
+        self.own_news: PeerNews | None = None
+
+    @property
+    def own_domain(self) -> FailureDomainId:
+        """Return the failure domain that this daemon is in."""
+        return self._domain
 
-    def register(self, daemon: str, address: Address | None) -> None:
-        """Take in that the store lists a daemon, or lists it no more."""
+    def register(
+        self,
+        daemon: str,
+        address: Address | None,
+        domain: FailureDomainId | None = None,
+    ) -> None:
+        """Take in that the store lists a daemon, or lists it no more.
+
+        :param domain: its failure domain, as far as the list tells.
+        """
         if address is None:
             self._registered.pop(daemon, None)
             self._heard.pop(daemon, None)
-        else:
-            self._registered[daemon] = address
+            self._domains.pop(daemon, None)
+            return
+        self._registered[daemon] = address
+        if domain is not None:
+            self._domains[daemon] = domain
 
     def listed(self) -> dict[str, Address]:
         """Return the daemons that the store lists."""
@@ -156,10 +118,37 @@
         if known is None or now - known.at > self._silent_seconds():
             logger.bind(peer=news.daemon, process=news.process).info('peer heard')
         self._heard[news.daemon] = _Heard(news, now, news.wall - self._wall())
+        self._domains[news.daemon] = news.failure_domain
         return True
 
+    def uses_summaries(self) -> bool:
+        """Tell whether there are too many daemons for each to tell all others."""
+        return len(self._registered) > MOST_DIRECT
+
+    def is_far(self, daemon: str) -> bool:
+        """Tell whether a daemon is known to be in another failure domain."""
+        return self._domains.get(daemon, self._domain) != self._domain
+
+    def group_far(self) -> dict[FailureDomainId, list[str]]:
+        """Return the listed daemons of other failure domains."""
+        groups: dict[FailureDomainId, list[str]] = {}
+        for daemon in self._registered:
+            if self.is_far(daemon):
+                groups.setdefault(self._domains[daemon], []).append(daemon)
+        return groups
+
+    def heard_near(self) -> dict[str, PeerNews]:
+        """Return the news of those of the own failure domain that are heard now."""
+        return {
+            daemon: news
+            for daemon, news in self.heard().items()
+            if news.failure_domain == self._domain
+        }
+
     def turn_seconds(self) -> float:
-        """Return how long it takes until each daemon has told all others."""
+        """Return how long it takes until each daemon's state is known to all others."""
+        if self.uses_summaries():
+            return SUMMARY_TURN_SECONDS
         return max(SEND_SECONDS, len(self._registered) / MOST_FAR_PER_SECOND)
 
     def _silent_seconds(self) -> float:
@@ -172,16 +161,13 @@
     def part_by_domain(self) -> tuple[list[Address], list[Address]]:
         """Return where to send to: in the own failure domain, and elsewhere.
 
-        A daemon that was never heard counts as near.
+        A daemon of which nothing is known counts as near.
         """
         near: list[Address] = []
         far: list[Address] = []
         for daemon, address in self._registered.items():
-            if daemon == self._own:
-                continue
-            heard = self._heard.get(daemon)
-            is_far = heard is not None and heard.news.failure_domain != self._domain
-            (far if is_far else near).append(address)
+            if daemon != self._own:
+                (far if self.is_far(daemon) else near).append(address)
         return near, far
 
     def find_address(self, daemon: str) -> Address | None:
@@ -245,12 +231,15 @@
         own_news: Callable[[], PeerNews],
         take: Callable[[PeerNews], None],
         take_other: Callable[[bytes], bool],
+        find_leader: Callable[[], str | None],
         draw: random.Random,
     ) -> None:
         """Make a channel; ``run`` sends until cancelled.
 
         :param take_other: takes a datagram of another kind, and tells whether it was.
+        :param find_leader: returns the name of the daemon that leads.
         """
+        self._find_leader = find_leader
         self._take_other = take_other
         self._book = book
         self._own_news = own_news
@@ -283,16 +272,26 @@
         """Send this daemon's news until cancelled."""
         while True:
             near, far = self._book.part_by_domain()
-            now = self._book.monotonic()
-            addresses = list(near)
-            if now >= self._far_due:
-                addresses.extend(far)
-                wait = max(SEND_SECONDS, len(far) / MOST_FAR_PER_SECOND)
-                self._far_due = now + wait * NEARLY
-            self.send(addresses)
+            self.send([*near, *self._pick_far(far)])
             seconds = max(SEND_SECONDS, len(near) / MOST_NEAR_PER_SECOND)
             await asyncio.sleep(seconds * self._draw.uniform(1 - SPREAD, 1 + SPREAD))
 
+    def _pick_far(self, far: list[Address]) -> list[Address]:
+        """Return the far daemons that are told now."""
+        now = self._book.monotonic()
+        if now < self._far_due:
+            return []
+        if not self._book.uses_summaries():
+            wait = max(SEND_SECONDS, len(far) / MOST_FAR_PER_SECOND)
+            self._far_due = now + wait * NEARLY
+            return far
+        self._far_due = now + LEADER_SECONDS * NEARLY
+        leader = self._find_leader()
+        if leader is None or not self._book.is_far(leader):
+            return []
+        address = self._book.find_address(leader)
+        return [] if address is None else [address]
+
     def send_to(self, data: bytes, daemons: list[str]) -> None:
         """Send a datagram to daemons by name."""
         for daemon in daemons:
@@ -304,7 +303,9 @@
         """Send this daemon's news once."""
         if not addresses or self._transport is None:
             return
-        data = render_news(self._own_news())
+        news = self._own_news()
+        self._book.own_news = news
+        data = render_news(news)
         if len(data) > MOST_DATAGRAM_BYTES:
             logger.bind(size=len(data)).error('news too large for a datagram')
             return
--- a/libs/serving/fireflyhitch_serving/quotas.py
+++ b/libs/serving/fireflyhitch_serving/quotas.py
@@ -82,6 +82,7 @@
 class _PeerDemand:
     rate: float
     at: float
+    near: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,13 +97,19 @@
     at: float
     quota: Quota | None = None
     taken: float = 0
+    relayed: float = 0
     demand: DemandMeter = field(default_factory=DemandMeter)
     peers: dict[str, _PeerDemand] = field(default_factory=dict)
 
-    def sum_demand(self, now: float) -> float:
-        """Return units a second that are asked of all daemons."""
+    def sum_demand(self, now: float, *, near: bool = False) -> float:
+        """Return units a second that are asked of all daemons.
+
+        :param near: only of those of the own failure domain.
+        """
         told = (
-            peer.rate for peer in self.peers.values() if now - peer.at < DEMAND_SECONDS
+            peer.rate
+            for peer in self.peers.values()
+            if now - peer.at < DEMAND_SECONDS and (peer.near or not near)
         )
         return self.demand.read(now) + sum(told)
 
@@ -132,8 +139,8 @@
     return max(LEAST_SLACK_PART, MOST_SLACK_PART - SLACK_PER_SECOND * news_seconds)
 
 
-def _find_no_quota(customer: CustomerId) -> Quota | None:
-    return None
+def _find_no_quota(_: CustomerId) -> None:
+    """Return no quota: accounts then learn it from their first own request."""
 
 
 class Quotas:
@@ -183,11 +190,42 @@
             if account.taken
         }
 
+    def domain_notes(self, now: float) -> dict[CustomerId, CustomerNote]:
+        """Return what this daemon tells other failure domains for its own.
+
+        ``taken`` is what this process has taken and seen its neighbours take: like
+        theirs it grows, and a daemon that relays next counts as another process.
+        Accounts of which nothing was taken are told too, so that what is taken next is
+        not the first that others hear of it.
+        """
+        for known in self._accounts.values():
+            self._refill(known, now)
+        return {
+            name: CustomerNote(
+                account.taken + account.relayed,
+                account.sum_demand(now, near=True),
+                account.left,
+            )
+            for name, account in self._accounts.items()
+        }
+
+    def sum_demand(self, now: float) -> float:
+        """Return units a second that all customers ask of all daemons."""
+        return sum(account.sum_demand(now) for account in self._accounts.values())
+
     def take_note(
-        self, process: str, customer: CustomerId, note: CustomerNote, now: float
+        self,
+        process: str,
+        customer: CustomerId,
+        note: CustomerNote,
+        now: float,
+        *,
+        near: bool = False,
     ) -> None:
         """Take in what a peer's process tells.
 
+        :param near: whether this daemon may have to tell it to other failure domains.
+
         What it took before it was first heard is in what it thinks is left. So it is
         for one that was cut off: it kept to its own part of the limit meanwhile, and
         taking all of that from this account at once refused requests for two seconds
@@ -203,13 +241,14 @@
             account = _Account(note.left, now, self._find_quota(customer))
             self._accounts[customer] = account
             before = told[customer]
-        account.peers[process] = _PeerDemand(note.demand, now)
+        account.peers[process] = _PeerDemand(note.demand, now, near)
         # What was saved up until now must not make up for what is taken now.
         self._refill(account, now)
         if before is None:
             account.left = min(account.left, note.left)
         else:
             account.left -= note.taken - before.taken
+            account.relayed += near * (note.taken - before.taken)
 
     def _find_gap(self) -> float:
         return max(GAP_SECONDS, GAP_TURNS * self._news_seconds)
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -13,10 +13,15 @@
 import cbor2
 
 from fireflyhitch_model.hashing import rank_by_hash
-from fireflyhitch_model.ids import FailureDomainId, Revision
-from fireflyhitch_serving.peers import UNREADABLE, PeerBook
+from fireflyhitch_model.ids import Revision
+from fireflyhitch_serving.peer_news import UNREADABLE
+from fireflyhitch_serving.peers import PeerBook
 
 WATCHERS = 2
+# Servers come and go by the dozen, and each change that is asked for by itself costs a
+# call. What is passed on this much later is known well within a drain time of 2 to 3 s.
+FIRST_PAUSE_SECONDS = 0.25
+SECOND_PAUSE_SECONDS = 1.0
 # Each change goes out again after this, since a datagram may be lost.
 AGAIN_SECONDS = 0.06
 # Datagrams of this many changes stay well below the largest.
@@ -55,7 +60,6 @@
         self,
         peers: PeerBook,
         own: str,
-        domain: FailureDomainId,
         send: Callable[[bytes, list[str]], None],
     ) -> None:
         """Make a relay with nothing to pass on.
@@ -64,7 +68,6 @@
         """
         self._peers = peers
         self._own = own
-        self._domain = domain
         self._send = send
         self._waiting: list[Change] = []
 
@@ -74,13 +77,25 @@
         Only daemons that hear the store count, so a watcher that is cut off from it
         is replaced as soon as its peers hear so.
         """
+        return self._own in self._find_watchers()
+
+    def find_pause(self) -> float:
+        """Return the seconds between one answer of the watch and the next call.
+
+        The second watcher only helps out when the first is stuck or just gone.
+        """
+        watchers = self._find_watchers()
+        if len(self._peers.heard_near()) < WATCHERS:
+            return 0
+        return FIRST_PAUSE_SECONDS if watchers[0] == self._own else SECOND_PAUSE_SECONDS
+
+    def _find_watchers(self) -> list[str]:
         near = [
             daemon
-            for daemon, news in self._peers.heard().items()
-            if news.failure_domain == self._domain and news.hears_store
+            for daemon, news in self._peers.heard_near().items()
+            if news.hears_store
         ]
-        ranked = rank_by_hash('watch', [self._own, *near])
-        return self._own in ranked[:WATCHERS]
+        return rank_by_hash('watch', [self._own, *near])[:WATCHERS]
 
     def pass_on(self, change: Change) -> None:
         """Send a change to the daemons that do not watch."""
@@ -89,11 +104,7 @@
         self._waiting.append(change)
 
     def _flush(self) -> None:
-        near = [
-            daemon
-            for daemon, news in self._peers.heard().items()
-            if news.failure_domain == self._domain
-        ]
+        near = list(self._peers.heard_near())
         changes = self._waiting
         self._waiting = []
         # With no more daemons than watchers all watch.
--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -0,0 +1,181 @@
+"""What this daemon tells the others of itself, and what it takes in from them.
+
+With few daemons each tells all others its whole state. With many, those of another
+failure domain are known by its summary, and tell only their counts, to the leader.
+"""
+
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.ids import BackendServerId, FailureDomainId
+from fireflyhitch_serving.beliefs import StoreHealth
+from fireflyhitch_serving.budgets import RepeatBudget
+from fireflyhitch_serving.moves import MoveBook
+from fireflyhitch_serving.parts import FreshParts
+from fireflyhitch_serving.peer_news import PeerNews
+from fireflyhitch_serving.peers import PeerBook
+from fireflyhitch_serving.quotas import Quotas, QuotaSlack, find_slack_part
+from fireflyhitch_serving.servers import InFlight, ServerBook
+from fireflyhitch_serving.summaries import (
+    DomainSummary,
+    SummaryBook,
+    read_summaries,
+)
+from fireflyhitch_serving.usage import UsageBook
+
+
+@dataclass(frozen=True, slots=True)
+class SharedParts:
+    """What daemons tell each other of.
+
+    :param stopping: whether this daemon is about to go.
+    """
+
+    clock: Clock
+    peers: PeerBook
+    summaries: SummaryBook
+    servers: ServerBook
+    quotas: Quotas
+    usage: UsageBook
+    budget: RepeatBudget
+    moves: MoveBook
+    fresh_parts: FreshParts
+    health: StoreHealth
+    stopping: Callable[[], bool]
+
+
+class SharedState:
+    """Makes this daemon's news, and joins those of the others."""
+
+    def __init__(self, daemon: str, process: str, parts: SharedParts) -> None:
+        """Make a state that was told to nobody."""
+        self._daemon = daemon
+        self._process = process
+        self._parts = parts
+        self._sequence = 0
+        self._tolerated = QuotaSlack()
+        parts.health.others_settled = self.is_store_settled_elsewhere
+
+    def tolerate(self, tolerated: QuotaSlack) -> None:
+        """Take in what the platform tolerates above customers' limits."""
+        self._tolerated = tolerated
+        self._apply_slack()
+
+    def make_news(self) -> PeerNews:
+        """Return this daemon's present state."""
+        parts = self._parts
+        self._note_daemons()
+        self._sequence += 1
+        return PeerNews(
+            daemon=self._daemon,
+            process=self._process,
+            failure_domain=parts.peers.own_domain,
+            sequence=self._sequence,
+            wall=time.time(),
+            work={
+                server_id: record.own
+                for server_id, record in parts.servers.all().items()
+                if record.requests
+            },
+            customers=parts.quotas.notes(parts.clock.monotonic()),
+            usage=parts.usage.own_counts(parts.peers.wall()),
+            fresh_parts=parts.fresh_parts.take(),
+            evidence=parts.moves.evidence(),
+            hears_store=parts.health.answers,
+            store_settled=parts.health.vouches(),
+            stopping=parts.stopping(),
+        )
+
+    def take_news(self, news: PeerNews) -> None:
+        """Take in a daemon's state."""
+        parts = self._parts
+        parts.usage.take_in(news.process, news.usage)
+        parts.moves.take_evidence(news.process, news.evidence)
+        near = news.failure_domain == parts.peers.own_domain
+        if parts.peers.uses_summaries() and not near:
+            # It is in its domain's summary, and must not count twice.
+            return
+        self._take_work(news.daemon, news.work, news.fresh_parts)
+        now = parts.clock.monotonic()
+        for customer, note in news.customers.items():
+            parts.quotas.take_note(news.process, customer, note, now, near=near)
+
+    def take_summaries(self, data: bytes) -> bool:
+        """Take in a datagram with summaries; tell whether it was one."""
+        summaries = read_summaries(data)
+        if summaries is None:
+            return False
+        for summary in summaries:
+            if self._parts.summaries.take(summary):
+                self._take_summary(summary)
+        return True
+
+    def find_silent_domains(self) -> frozenset[FailureDomainId]:
+        """Return the failure domains that are probably cut off from here."""
+        if self._parts.peers.uses_summaries():
+            return self._parts.summaries.find_silent_domains()
+        return self._parts.peers.find_silent_domains()
+
+    def hears_all(self) -> bool:
+        """Tell whether every daemon there is has been heard itself just now."""
+        peers = self._parts.peers
+        return len(peers.heard()) >= peers.count_daemons() - 1
+
+    def is_store_settled_elsewhere(self) -> bool:
+        """Tell whether another daemon has heard the store without a break."""
+        near = self._parts.peers.heard().values()
+        far = self._parts.summaries.live().values()
+        return any(news.store_settled for news in near) or any(
+            summary.store_settled for summary in far
+        )
+
+    def sum_demand(self) -> float:
+        """Return units a second that customers ask of all daemons."""
+        return self._parts.quotas.sum_demand(self._parts.clock.monotonic())
+
+    def _take_summary(self, summary: DomainSummary) -> None:
+        parts = self._parts
+        self._take_work(summary.domain, summary.work, summary.fresh_parts)
+        now = parts.clock.monotonic()
+        for customer, note in summary.customers.items():
+            parts.quotas.take_note(summary.source, customer, note, now)
+        for process, evidence in summary.evidence.items():
+            parts.moves.take_evidence(process, evidence)
+
+    def _take_work(
+        self,
+        teller: str,
+        work: Mapping[BackendServerId, InFlight],
+        fresh_parts: Mapping[BackendServerId, list[str]],
+    ) -> None:
+        now = self._parts.clock.monotonic()
+        for server_id, record in self._parts.servers.all().items():
+            record.note_peer(teller, work.get(server_id, InFlight()), now)
+            for part in fresh_parts.get(server_id, ()):
+                record.note_part(part, now)
+
+    def _note_daemons(self) -> None:
+        peers = self._parts.peers
+        daemons = peers.count_daemons()
+        self._parts.budget.daemons = daemons
+        self._parts.quotas.share_with(
+            daemons, self._count_heard(), peers.turn_seconds()
+        )
+        self._apply_slack()
+
+    def _apply_slack(self) -> None:
+        used = find_slack_part(self._parts.peers.turn_seconds())
+        self._parts.quotas.slack = QuotaSlack(
+            self._tolerated.units * used,
+            # The other half covers bursts that begin in one window and end in the next.
+            self._tolerated.part * used / 2,
+            self._tolerated.window,
+        )
+
+    def _count_heard(self) -> int:
+        heard = {self._daemon, *self._parts.peers.heard()}
+        for summary in self._parts.summaries.live().values():
+            heard.update(summary.daemons)
+        return len(heard)
--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -0,0 +1,168 @@
+"""The state of whole failure domains, where there are many daemons.
+
+Daemons of one failure domain tell each other all. Of the others each needs sums only:
+work in flight at each server, what customers take, prompt parts. One daemon of each
+domain, the relay, sums up its own domain for the relays of the others, and passes on to
+its neighbours what it hears from these. So a daemon's messages grow with its own
+domain and the number of domains, not with all daemons.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, fields
+
+import cbor2
+from loguru import logger
+
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.ids import BackendServerId, CustomerId, FailureDomainId
+from fireflyhitch_serving.peer_news import (
+    UNREADABLE,
+    PeerNews,
+    decode_notes,
+    encode_note,
+)
+from fireflyhitch_serving.quotas import CustomerNote
+from fireflyhitch_serving.servers import InFlight
+
+SUMMARIES = 'summaries'
+# Some turns of the relays; a relay that ended is replaced within that time.
+SILENT_SECONDS = 2.0
+# A domain that was not heard for three turns may be cut off.
+SUSPECT_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class DomainSummary:
+    """The present state of a failure domain's daemons.
+
+    :param relay: the daemon that made it.
+    :param process: that daemon's process.
+    :param sequence: grows with each summary of a process.
+    :param daemons: whose state is in it.
+    :param work: what they have in flight at each server.
+    :param customers: what customers take and ask of them.
+    :param fresh_parts: prompt parts that servers began to read lately.
+    :param evidence: by process: answers by service, version and route of moves in force.
+    :param store_settled: whether one of them has heard the store without a break.
+    """
+
+    domain: FailureDomainId
+    relay: str
+    process: str
+    sequence: int
+    daemons: Sequence[str]
+    work: Mapping[BackendServerId, InFlight]
+    customers: Mapping[CustomerId, CustomerNote]
+    fresh_parts: Mapping[BackendServerId, list[str]]
+    evidence: Mapping[str, Mapping[str, list[int]]]
+    store_settled: bool
+
+    @property
+    def source(self) -> str:
+        """Return the name under which its work and counts are kept."""
+        return f'{self.domain} by {self.process}'
+
+
+def render_summaries(summaries: Sequence[DomainSummary]) -> bytes:
+    """Return a datagram."""
+    rows = [
+        {field.name: getattr(summary, field.name) for field in fields(summary)}
+        for summary in summaries
+    ]
+    return cbor2.dumps({SUMMARIES: rows}, default=encode_note)
+
+
+def read_summaries(data: bytes) -> list[DomainSummary] | None:
+    """Read a datagram; nothing for one of another kind."""
+    try:
+        rows = cbor2.loads(data)[SUMMARIES]
+        return [DomainSummary(**decode_notes(row)) for row in rows]
+    except UNREADABLE:
+        return None
+
+
+def add_work(news: Sequence[PeerNews]) -> dict[BackendServerId, InFlight]:
+    """Return the work that daemons have in flight together, by server."""
+    total: dict[BackendServerId, InFlight] = {}
+    for told in news:
+        for server, work in told.work.items():
+            known = total.get(server, InFlight())
+            total[server] = InFlight(
+                known.requests + work.requests,
+                known.prompt_tokens + work.prompt_tokens,
+            )
+    return total
+
+
+def join_parts(news: Sequence[PeerNews]) -> dict[BackendServerId, list[str]]:
+    """Return the prompt parts that servers began to read, each once."""
+    joined: dict[BackendServerId, dict[str, None]] = {}
+    for told in news:
+        for where, parts in told.fresh_parts.items():
+            joined.setdefault(where, {}).update(dict.fromkeys(parts))
+    return {server: list(found) for server, found in joined.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    summary: DomainSummary
+    at: float
+
+
+class SummaryBook:
+    """The last summary of each other failure domain."""
+
+    def __init__(self, clock: Clock, forget: Callable[[str], None]) -> None:
+        """Make a book that has heard nothing.
+
+        :param forget: told the source of summaries that another source goes on with.
+        """
+        self._clock = clock
+        self._forget = forget
+        self._heard: dict[FailureDomainId, _Heard] = {}
+        self._relayed_at = float('-inf')
+
+    def take(self, summary: DomainSummary) -> bool:
+        """Take in a summary; tell whether it is new."""
+        known = self._heard.get(summary.domain)
+        now = self._clock.monotonic()
+        if known is not None and known.summary.process == summary.process:
+            if summary.sequence <= known.summary.sequence:
+                return False
+        elif known is not None:
+            # Two sources of one domain count the same; only the last one holds.
+            self._forget(known.summary.source)
+            logger.bind(domain=summary.domain, relay=summary.relay).info(
+                'summaries from another relay'
+            )
+        self._heard[summary.domain] = _Heard(summary, now)
+        return True
+
+    def note_relayed(self) -> None:
+        """Note that the own domain's relay is heard."""
+        self._relayed_at = self._clock.monotonic()
+
+    def live(self) -> dict[FailureDomainId, DomainSummary]:
+        """Return the summaries that are not too old."""
+        now = self._clock.monotonic()
+        return {
+            domain: heard.summary
+            for domain, heard in self._heard.items()
+            if now - heard.at <= SILENT_SECONDS
+        }
+
+    def find_silent_domains(self) -> frozenset[FailureDomainId]:
+        """Return the failure domains that are probably cut off from here.
+
+        If none is heard it may be the own domain's relay that has ended; only while
+        that one is heard are all of them taken for cut off.
+        """
+        now = self._clock.monotonic()
+        silent = frozenset(
+            domain
+            for domain, heard in self._heard.items()
+            if now - heard.at > SUSPECT_SECONDS
+        )
+        if len(silent) < len(self._heard):
+            return silent
+        return silent if now - self._relayed_at <= SUSPECT_SECONDS else frozenset()
--- a/libs/serving/tests/test_beliefs.py
+++ b/libs/serving/tests/test_beliefs.py
@@ -1,12 +1,15 @@
 """Tests of what is taken for gone after a break with the store."""
 
+import asyncio
 import random
+from contextlib import suppress
 from datetime import timedelta
 
 from fireflyhitch_model.clock import ManualClock
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import Revision
 from fireflyhitch_model.states import Step
+from fireflyhitch_platform.keyvalue import KeyValue, Listing, WatchCompacted
 from fireflyhitch_serving.beliefs import BeliefEvents, StoreHealth, StoreView
 from fireflyhitch_serving.relays import Change
 
@@ -63,6 +66,60 @@
         assert (SERVER, None) not in scene.changes
 
 
+class ForgetfulStore:
+    """A store whose watch was cut, and whose list shows what it did not tell."""
+
+    def __init__(self) -> None:
+        self.listings = [
+            Listing(Revision(5), (KeyValue(SERVER, b'{}', Revision(5), Revision(5)),)),
+            Listing(Revision(9), (KeyValue(SERVER, b'[]', Revision(9), Revision(5)),)),
+        ]
+
+    async def list(self, prefix: str, *, stale: bool = False) -> Listing:
+        """Return the next list."""
+        if not self.listings:
+            raise asyncio.CancelledError
+        return self.listings.pop(0)
+
+    async def watch(self, prefix: str, after: Revision, seconds: float) -> None:
+        """Tell that the history is gone."""
+        raise WatchCompacted
+
+
+class NotedRelay:
+    """A relay of a daemon that watches, which notes what it is to pass on."""
+
+    def __init__(self) -> None:
+        self.passed: list[Change] = []
+
+    def watches(self) -> bool:
+        """Watch."""
+        return True
+
+    def pass_on(self, change: Change) -> None:
+        """Note a change."""
+        self.passed.append(change)
+
+
+class TestForgottenHistory:
+    def test_what_a_list_shows_after_a_gap_is_passed_on(self) -> None:
+        # The store forgets its history while a server begins to leave. The daemon that
+        # watches for its failure domain lists anew; its neighbours read a list that
+        # is seconds old, and went on sending to that server for 3.2 s.
+        relay = NotedRelay()
+        view = StoreView(
+            ForgetfulStore(),  # type: ignore[arg-type]
+            StoreHealth(ManualClock()),
+            'servers/',
+            BeliefEvents(lambda key, value, revision: None, lambda: None),
+            random.Random(1),  # noqa: S311
+            relay,  # type: ignore[arg-type]
+        )
+        with suppress(asyncio.CancelledError):
+            asyncio.run(view.run())
+        assert relay.passed == [Change(SERVER, b'[]', Revision(9))]
+
+
 class TestWitness:
     def test_a_process_that_has_just_started_vouches_for_nothing(self) -> None:
         # The store was away for all; a daemon that starts as it returns has seen no
--- a/libs/serving/tests/test_quotas.py
+++ b/libs/serving/tests/test_quotas.py
@@ -19,15 +19,23 @@
 TELL_SECONDS = 0.1
 
 
+NO_SLACK = QuotaSlack()
+
+
+def find_quota(customer: CustomerId) -> Quota:
+    """Return the one customer's quota."""
+    return CUSTOMER.quota
+
+
 class Fleet:
     """Daemons that tell each other their accounts ten times a second."""
 
     def __init__(
-        self, daemons: int, slack: QuotaSlack = QuotaSlack(), news: float = 0
+        self, daemons: int, slack: QuotaSlack = NO_SLACK, news: float = 0
     ) -> None:
         draw = random.Random(2)  # noqa: S311
         self.books = [
-            Quotas(slack, draw=draw.random, find_quota=lambda _: CUSTOMER.quota)
+            Quotas(slack, draw=draw.random, find_quota=find_quota)
             for _ in range(daemons)
         ]
         for book in self.books:
@@ -187,7 +195,7 @@
         # A customer takes half its rate at another daemon for a minute; then its first
         # request comes here. It was refused: this account had only been taken from,
         # and never filled, until a request of its own told the customer's rate.
-        here = Quotas(QuotaSlack(), find_quota=lambda _: CUSTOMER.quota)
+        here = Quotas(QuotaSlack(), find_quota=find_quota)
         there = Quotas(QuotaSlack())
         for second in range(60):
             there.take(CUSTOMER, RATE / 2, second)
