--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -101,7 +101,9 @@
                 await self._keep_counts(leadership)
             except PlatformError as error:
                 logger.bind(error=str(error)).warning('counts not kept')
-            await self._report_due()
+            if self._read_under == leadership.fencing:
+                # Without what a leader before kept, a report would lack it for good.
+                await self._report_due()
 
     async def _keep_counts(self, leadership: Leadership) -> None:
         """Read what a leader before kept, then keep what is known now and again."""
--- a/libs/serving/tests/test_reports.py
+++ b/libs/serving/tests/test_reports.py
@@ -2,12 +2,19 @@
 
 import asyncio
 
+from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import ABSENT, CustomerId, FencingNumber, Revision
-from fireflyhitch_platform.keyvalue import Listing, Written
+from fireflyhitch_model.states import Step
+from fireflyhitch_platform.keyvalue import KeyValue, Listing, Written
 from fireflyhitch_serving.duty_calls import CallResult
 from fireflyhitch_serving.leases import Leadership
 from fireflyhitch_serving.usage import UsageBook
-from fireflyhitch_serving.usage_reports import UsageReporter, UsageTerms
+from fireflyhitch_serving.usage_reports import (
+    SAVED_KEY,
+    SAVED_PREFIX,
+    UsageReporter,
+    UsageTerms,
+)
 
 BAKERY = CustomerId('bakery')
 
@@ -70,6 +77,55 @@
         assert alone.reported[1] == {BAKERY: 40}
 
 
+class UnreadableOnce(LeaderAlone):
+    """A leader whose first reads of the store fail."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.readable = False
+
+    async def list(self, prefix: str, *, stale: bool = False) -> Listing:
+        """Return what a leader before kept, or fail."""
+        if not self.readable:
+            raise PlatformError('slow', step=Step.STORE_READ)
+        if prefix != SAVED_PREFIX:
+            return Listing(ABSENT, ())
+        value = b'{"gone": {"1": {"bakery": 9}}}'
+        kept = KeyValue(SAVED_KEY, value, Revision(3), Revision(3))
+        return Listing(Revision(3), (kept,))
+
+
+class TestTakingOver:
+    def test_nothing_is_reported_before_kept_counts_are_read(self, monkeypatch) -> None:
+        # All daemons were killed; the first leader after that cannot read the store for
+        # a moment. What it reported then lacked all that the daemons before had
+        # counted, and the first report of a window is the only one that counts.
+        monkeypatch.setattr(f'{UsageReporter.__module__}.LOOK_SECONDS', 0)
+        alone = UnreadableOnce()
+        reporter = UsageReporter(
+            UsageBook('here', 5),
+            alone,  # type: ignore[arg-type]
+            alone,  # type: ignore[arg-type]
+            alone,  # type: ignore[arg-type]
+            lambda: 13.0,
+            lambda: True,
+            lambda: 0.1,
+            UsageTerms(5, 10),
+        )
+
+        async def script() -> None:
+            running = asyncio.create_task(reporter.run())
+            await asyncio.sleep(0.01)
+            assert not alone.reported
+            alone.readable = True
+            for _ in range(100):
+                await asyncio.sleep(0.001)
+            running.cancel()
+
+        asyncio.run(script())
+        assert alone.reported[1] == {BAKERY: 9}
+
+
 class NoLeader(LeaderAlone):
     """A daemon that does not lead."""
 
