--- a/libs/serving/fireflyhitch_serving/peers.py
+++ b/libs/serving/fireflyhitch_serving/peers.py
@@ -19,6 +19,7 @@
 from fireflyhitch_model.ids import FailureDomainId
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.peer_news import PeerNews, read_news, render_news
+from fireflyhitch_serving.stalls import StallWatch
 
 # A peer's view of a server is this old at most; engines take 0.2 s for a long prompt.
 SEND_SECONDS = 0.1
@@ -232,6 +233,7 @@
         take: Callable[[PeerNews], None],
         take_other: Callable[[bytes], bool],
         find_leader: Callable[[], str | None],
+        stalls: StallWatch,
         draw: random.Random,
     ) -> None:
         """Make a channel; ``run`` sends until cancelled.
@@ -240,6 +242,7 @@
         :param find_leader: returns the name of the daemon that leads.
         """
         self._find_leader = find_leader
+        self._stalls = stalls
         self._take_other = take_other
         self._book = book
         self._own_news = own_news
@@ -255,6 +258,8 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a message in."""
+        if self._stalls.is_behind():
+            return
         if self._take_other(data):
             return
         news = read_news(data)
@@ -271,6 +276,7 @@
     async def run(self) -> None:
         """Send this daemon's news until cancelled."""
         while True:
+            self._stalls.tick()
             near, far = self._book.part_by_domain()
             self.send([*near, *self._pick_far(far)])
             seconds = max(SEND_SECONDS, len(near) / MOST_NEAR_PER_SECOND)
--- a/libs/serving/fireflyhitch_serving/quotas.py
+++ b/libs/serving/fireflyhitch_serving/quotas.py
@@ -274,6 +274,10 @@
         for account in self._accounts.values():
             account.peers.pop(process, None)
 
+    def note_stall(self) -> None:
+        """Take all processes as heard for the first time when they are heard next."""
+        self._told.clear()
+
     def count_processes(self) -> int:
         """Return how many peers' processes are remembered."""
         return len(self._told)
