Fill accounts that came to be before the first configuration

It had heard peers before it read the configuration, and an account made then had no quota. The quota is looked up with each note now, so that a changed one holds at once too. Failing first: TestHearsay (before the first configuration).

--- a/libs/serving/fireflyhitch_serving/quotas.py
+++ b/libs/serving/fireflyhitch_serving/quotas.py
@@ -256,6 +256,8 @@
             account = _Account(note.left, now, self._find_quota(customer))
             self._accounts[customer] = account
             before = told[customer]
+        # It may have come to be before the first configuration, or have changed.
+        account.quota = self._find_quota(customer) or account.quota
         account.peers[process] = _PeerDemand(note.demand, now, near)
         # What was saved up until now must not make up for what is taken now.
         self._refill(account, now)
--- a/libs/serving/tests/test_quotas.py
+++ b/libs/serving/tests/test_quotas.py
@@ -232,6 +232,21 @@
                 here.take_note('there', customer, note, second)
         assert here.take(CUSTOMER, RATE, 60) is None
 
+    def test_an_account_from_before_the_first_configuration_fills_too(self) -> None:
+        # A process that has just started hears its peers before it has read the
+        # configuration. Its accounts were only taken from, for as long as no request of
+        # their customers came to it: one was at -158858 two seconds later.
+        known: list[Quota] = []
+        here = Quotas(QuotaSlack(), find_quota=lambda _: known[0] if known else None)
+        there = Quotas(QuotaSlack())
+        for second in range(60):
+            if second == 2:
+                known.append(CUSTOMER.quota)
+            there.take(CUSTOMER, RATE / 2, second)
+            for customer, note in there.notes(second).items():
+                here.take_note('there', customer, note, second)
+        assert here.take(CUSTOMER, RATE, 60) is None
+
 
 class TestCuts:
     def test_after_a_cut_a_customer_within_its_limit_is_not_refused(self) -> None:
