Part the demand meter from limits; tell kinds of datagrams without decoding them

Behaviour unchanged, and no assertion touched. Each datagram of news was decoded three times, of summaries twice; their first bytes tell them apart.

--- a/libs/serving/fireflyhitch_serving/quotas.py
+++ b/libs/serving/fireflyhitch_serving/quotas.py
@@ -21,13 +21,11 @@
 
 from fireflyhitch_model.ids import CustomerId
 from fireflyhitch_serving.catalog import Customer, Quota
+from fireflyhitch_serving.demand import DEMAND_SECONDS, DemandMeter
 
 # Peers' processes remembered, those heard last; one that was forgotten counts as heard
 # for the first time. Several times the daemons there may be.
 MOST_PROCESSES = 4096
-# Demand is averaged over about this long: shorter than the window that limits are
-# counted in, longer than the gap between two messages of a peer.
-DEMAND_SECONDS = 2.0
 # The platform counts a limit over any window of some seconds, as rate x window + burst.
 # This part of the burst fills anew over the window instead of being there at once; the
 # sum in any window stays the same. Customers that ask a little more than their rate for
@@ -46,28 +44,6 @@
 LEAST_SLACK_PART = 0.3
 
 
-@dataclass(slots=True)
-class DemandMeter:
-    """Units asked for a second, as an exponentially fading average.
-
-    Each unit counts as one in the end, however seldom a daemon is asked. With an average
-    that faded linearly, a request that came alone counted half: 75 daemons together
-    showed half of their customers' demand, and half of the servers were ordered.
-    """
-
-    rate: float = 0
-    at: float = 0
-
-    def add(self, units: float, now: float) -> None:
-        """Count units that were asked for."""
-        self.rate = self.read(now) + units / DEMAND_SECONDS
-        self.at = now
-
-    def read(self, now: float) -> float:
-        """Return units a second."""
-        return self.rate * math.exp((self.at - now) / DEMAND_SECONDS)
-
-
 @dataclass(frozen=True, slots=True)
 class CustomerNote:
     """What a process tells of a customer.
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -27,6 +27,9 @@
 # Datagrams of this many changes stay well below the largest.
 MOST_CHANGES = 50
 CHANGES = 'changes'
+# What such a datagram begins with: a map of one entry and its key. Most datagrams are
+# news, and need not be decoded to see that they are none of these.
+CHANGES_HEAD = cbor2.dumps({CHANGES: ()})[:-1]
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,8 @@
 
 def read_changes(data: bytes) -> list[Change] | None:
     """Read a datagram; nothing for one of another kind."""
+    if not data.startswith(CHANGES_HEAD):
+        return None
     try:
         rows = cbor2.loads(data)[CHANGES]
         return [Change(*row) for row in rows]
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -25,6 +25,8 @@
 from fireflyhitch_serving.servers import InFlight
 
 SUMMARIES = 'summaries'
+# What such a datagram begins with: a map of one entry and its key.
+SUMMARIES_HEAD = cbor2.dumps({SUMMARIES: ()})[:-1]
 # Some turns of the relays; a relay that ended is replaced within that time.
 SILENT_SECONDS = 2.0
 # A domain that was not heard for three turns may be cut off.
@@ -74,6 +76,8 @@
 
 def read_summaries(data: bytes) -> list[DomainSummary] | None:
     """Read a datagram; nothing for one of another kind."""
+    if not data.startswith(SUMMARIES_HEAD):
+        return None
     try:
         rows = cbor2.loads(data)[SUMMARIES]
         return [DomainSummary(**decode_notes(row)) for row in rows]
--- a/libs/serving/tests/test_quotas.py
+++ b/libs/serving/tests/test_quotas.py
@@ -6,10 +6,10 @@
 
 from fireflyhitch_model.ids import CustomerId
 from fireflyhitch_serving.catalog import Customer, Quota
+from fireflyhitch_serving.demand import DemandMeter
 from fireflyhitch_serving.quotas import (
     MOST_PROCESSES,
     CustomerNote,
-    DemandMeter,
     Quotas,
     QuotaSlack,
     find_slack_part,
