Soak real daemons under faults from outside

Cause: the soak so far runs the ledger and recovery libraries in passed time, no daemon of the users' platform. This one starts four daemons as processes of their own beside the stand-ins of store, duties' calls and servers, and plays by seed: stops, kills, freezes, reloads, links to the store that delay, reset, go silent or pass one way only, configurations, servers that leave or lose answers, a store that is away or forgets its history. Checked from what callers, servers and the platform see; the folder with logs is kept on a broken promise. Not there yet: callers' and servers' links through the proxy, streams, limits, many daemons, a shortened schedule.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv/installed
 BIN := .venv/bin
 
-.PHONY: demo test stack bench soak format lint types layers unit pins clean
+.PHONY: demo test stack bench soak faults format lint types layers unit pins clean
 
 $(VENV): requirements.txt $(wildcard libs/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv .venv
@@ -25,6 +25,9 @@
 soak: $(VENV)
 	@$(BIN)/python -m fireflyhitch_bench.soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),60)
 
+faults: $(VENV)
+	@$(BIN)/python -m fireflyhitch_bench.fault_soak --seed $(or $(SEED),1) --seeds $(or $(SEEDS),1) --seconds $(or $(SECONDS),20)
+
 test: lint types layers unit
 
 format: $(VENV)
--- /dev/null
+++ b/libs/bench/fireflyhitch_bench/fault_soak.py
@@ -0,0 +1,376 @@
+"""A randomised run of real daemons under faults from outside.
+
+``python -m fireflyhitch_bench.fault_soak --seed 1 --seconds 20`` prints one line of
+JSON a seed. Checked, from what callers and servers see:
+
+- a success is the caller's own whole answer, signed by a server;
+- a request that may not be repeated runs once at most;
+- a refusal that says "not run" is true, then and later;
+- a request reaches the server that it names, with its customer and without the key;
+- a process that served by a configuration serves no older one afterwards;
+- two reports of one window's usage hold the same counts, and fencing numbers grow;
+- when the faults are over, every daemon serves again.
+
+On a broken promise the folder with node files and logs is kept and named.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import shutil
+import signal
+import subprocess  # noqa: S404
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from pathlib import Path
+
+from loguru import logger
+
+from fireflyhitch_bench.loopback_proxy import LinkFault
+from fireflyhitch_bench.soak_site import (
+    GRACE_SECONDS,
+    KEY,
+    LEAST_DRAIN_SECONDS,
+    DaemonProcess,
+    SoakSite,
+)
+from fireflyhitch_serving.connections import connect
+from fireflyhitch_serving.errors import ServerError
+from fireflyhitch_serving.messages import find_header, render_request
+
+DAEMONS = 4
+CALLERS = 8
+CALL_SECONDS = 4.0
+PAUSE_SECONDS = 0.05
+# Between the begin of one fault and the next, so that some overlap.
+FAULT_PAUSE_SECONDS = (0.2, 1.2)
+FAULT_SECONDS = (0.5, 3.0)
+# In which a daemon is back after the last fault, on a busy machine too.
+RECOVERY_SECONDS = 30.0
+RETRY_SECONDS = 0.2
+NOT_RUN = frozenset(
+    (
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+    )
+)
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What a run saw.
+
+    :param broken: promises that were broken, with the request or daemon.
+    """
+
+    seed: int
+    answers: Counter[str] = field(default_factory=Counter)
+    faults: Counter[str] = field(default_factory=Counter)
+    broken: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got; no status if the connection ended without an answer."""
+
+    status: int | None
+    body: bytes = b''
+    signed: bool = False
+
+
+class FaultSoak:
+    """One run with one seed."""
+
+    def __init__(self, seed: int, site: SoakSite) -> None:
+        """Make a run on a site that is not started yet."""
+        self.verdict = Verdict(seed)
+        self._site = site
+        self._draw = random.Random(seed)  # noqa: S311
+        self._sent = 0
+        self._refused: set[str] = set()
+        self._bookings: set[str] = set()
+        self._over = False
+        self._faults: dict[str, Callable[[], Awaitable[None]]] = {
+            'stop': self._stop,
+            'kill': self._kill,
+            'freeze': self._freeze,
+            'reload': self._reload,
+            'link': self._break_link,
+            'configuration': self._change_configuration,
+            'server leaves': self._leave,
+            'answers lost': self._lose_answers,
+            'store away': self._take_store,
+            'history gone': self._forget_history,
+        }
+
+    async def run(self, seconds: float) -> Verdict:
+        """Play callers and faults, then check what was promised."""
+        await self._site.start(DAEMONS)
+        await self._wait_serving()
+        callers = [asyncio.create_task(self._call()) for _ in range(CALLERS)]
+        await self._play_faults(seconds)
+        self._over = True
+        await asyncio.gather(*callers)
+        await self._wait_serving()
+        self._check_runs()
+        self._check_duties()
+        return self.verdict
+
+    # Callers
+
+    async def _call(self) -> None:
+        while not self._over:
+            daemon = self._draw.choice(self._site.daemons)
+            await self._call_once(daemon, self._draw.choice(('read', 'book', 'probe')))
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _call_once(self, daemon: DaemonProcess, kind: str) -> None:
+        if kind == 'probe':
+            await self._probe(daemon)
+            return
+        request_id = self._make_id()
+        if kind == 'book':
+            self._bookings.add(request_id)
+        answer = await self._ask(daemon, f'/{kind}/1', request_id)
+        self.verdict.answers[str(answer.status)] += 1
+        if answer.status in NOT_RUN:
+            self._refused.add(request_id)
+        if answer.status == HTTPStatus.OK:
+            self._check_own(request_id, answer)
+        elif answer.status == HTTPStatus.NOT_FOUND:
+            self.verdict.broken.append(f'{daemon.name} denied /{kind}/')
+
+    async def _probe(self, daemon: DaemonProcess) -> None:
+        """Ask one process for the newest route, and then for the one before."""
+        version = self._site.version
+        process = daemon.started
+        newest = await self._ask(daemon, f'/v{version}/', self._make_id())
+        if newest.status != HTTPStatus.OK or version < 2:
+            return
+        before = await self._ask(daemon, f'/v{version - 1}/', self._make_id())
+        if before.status == HTTPStatus.OK and daemon.started == process:
+            self.verdict.broken.append(f'{daemon.name} went back to v{version - 1}')
+
+    def _make_id(self) -> str:
+        self._sent += 1
+        return f'r{self._sent}'
+
+    async def _ask(self, daemon: DaemonProcess, path: str, request_id: str) -> Answer:
+        headers = [
+            (b'Host', b'shop.example'),
+            (b'Request-Id', request_id.encode()),
+            (b'Deadline-Ms', b'3000'),
+            (b'Authorization', f'Bearer {KEY}'.encode()),
+        ]
+        request = render_request(b'GET', path.encode(), headers, b'')
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                return await _exchange(daemon, request)
+        except (ServerError, OSError, TimeoutError):
+            # Ended, frozen or cut: nothing is known of the request, and none is wrong.
+            return Answer(None)
+
+    def _check_own(self, request_id: str, answer: Answer) -> None:
+        if answer.body != request_id.encode() or not answer.signed:
+            self.verdict.broken.append(f'{request_id} got {answer.body!r}')
+
+    # Faults
+
+    async def _play_faults(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        running: list[asyncio.Task[None]] = []
+        while loop.time() < until:
+            name = self._draw.choice(sorted(self._faults))
+            self.verdict.faults[name] += 1
+            running.append(asyncio.create_task(self._play_fault(name)))
+            await asyncio.sleep(self._draw.uniform(*FAULT_PAUSE_SECONDS))
+        await asyncio.gather(*running)
+
+    async def _play_fault(self, name: str) -> None:
+        await self._faults[name]()
+
+    async def _hold(self) -> None:
+        await asyncio.sleep(self._draw.uniform(*FAULT_SECONDS))
+
+    def _pick(self) -> DaemonProcess:
+        return self._draw.choice(self._site.daemons)
+
+    async def _stop(self) -> None:
+        daemon = self._pick()
+        process = daemon.process
+        daemon.send_signal(signal.SIGTERM)
+        await asyncio.sleep(GRACE_SECONDS)
+        if process is not None and process.poll() is None:
+            process.kill()
+        await self._restart(daemon, process)
+
+    async def _kill(self) -> None:
+        daemon = self._pick()
+        process = daemon.process
+        daemon.send_signal(signal.SIGKILL)
+        await self._hold()
+        await self._restart(daemon, process)
+
+    async def _restart(
+        self, daemon: DaemonProcess, process: subprocess.Popen[bytes] | None
+    ) -> None:
+        """Start a daemon once a process of it has ended.
+
+        Another fault may have started it again meanwhile.
+        """
+        while process is not None and process.poll() is None:
+            await asyncio.sleep(RETRY_SECONDS)
+        daemon.start()
+
+    async def _freeze(self) -> None:
+        daemon = self._pick()
+        daemon.send_signal(signal.SIGSTOP)
+        await self._hold()
+        daemon.send_signal(signal.SIGCONT)
+
+    async def _reload(self) -> None:
+        daemon = self._pick()
+        text = daemon.node_file.read_text()
+        daemon.node_file.write_text(f'# changed\n{text}')
+        daemon.send_signal(signal.SIGHUP)
+
+    async def _break_link(self) -> None:
+        proxy = self._pick().proxy
+        faults = [fault for fault in LinkFault if fault is not LinkFault.NONE]
+        proxy.set_fault(self._draw.choice(faults))
+        await self._hold()
+        # Connections that were silent stay so; only a time limit of the daemon's ends them.
+        proxy.set_fault(LinkFault.NONE)
+
+    async def _change_configuration(self) -> None:
+        self._site.change_configuration()
+
+    async def _leave(self) -> None:
+        name = self._draw.choice(sorted(self._site.servers))
+        self._site.list_server(name, 'draining')
+        await asyncio.sleep(LEAST_DRAIN_SECONDS)
+        self._site.list_server(name)
+
+    async def _lose_answers(self) -> None:
+        """Have servers run requests and reset the connection instead of answering."""
+        server = self._draw.choice(list(self._site.servers.values()))
+        server.loses_answers = True
+        await self._hold()
+        server.loses_answers = False
+
+    async def _take_store(self) -> None:
+        self._site.store.down = True
+        await self._hold()
+        self._site.store.down = False
+
+    async def _forget_history(self) -> None:
+        self._site.store.forget_history()
+
+    # Promises
+
+    async def _wait_serving(self) -> None:
+        """Wait until each daemon answers a read; one that does not in time is a fault."""
+        for daemon in self._site.daemons:
+            try:
+                async with asyncio.timeout(RECOVERY_SECONDS):
+                    await self._wait_answer(daemon)
+            except TimeoutError:
+                self.verdict.broken.append(f'{daemon.name} does not serve again')
+
+    async def _wait_answer(self, daemon: DaemonProcess) -> None:
+        while True:
+            if not daemon.runs:
+                daemon.start()
+            answer = await self._ask(daemon, '/read/1', self._make_id())
+            if answer.status == HTTPStatus.OK:
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _check_runs(self) -> None:
+        runs = self._site.runs
+        broken = self.verdict.broken
+        broken.extend(
+            f'{one} ran twice' for one in self._bookings if runs.by_request[one] > 1
+        )
+        broken.extend(
+            f'{one} was refused and ran'
+            for one in self._refused & self._bookings
+            if runs.by_request[one]
+        )
+        broken.extend(f'{one} reached another server' for one in runs.wrong_server)
+        broken.extend(f'{one} lacked its customer' for one in runs.without_customer)
+
+    def _check_duties(self) -> None:
+        told: dict[int, object] = {}
+        highest = 0
+        for path, holder, fencing, body in self._site.duties.calls:
+            if path != '/usage':
+                continue
+            if told.setdefault(body['window'], body['counts']) != body['counts']:
+                self.verdict.broken.append(f'window {body["window"]} told twice')
+            if fencing < highest:
+                self.verdict.broken.append(f'{holder} acted with {fencing}')
+            highest = max(highest, fencing)
+
+
+async def _exchange(daemon: DaemonProcess, request: bytes) -> Answer:
+    connection = await connect(daemon.front, CALL_SECONDS)
+    try:
+        connection.send(request)
+        head = await connection.read_head()
+        parts: list[bytes] = []
+        while part := await connection.read_body():
+            parts.append(part)
+        signed = find_header(head.headers, b'response-stamp') is not None
+        return Answer(head.status, b''.join(parts), signed)
+    finally:
+        connection.close()
+
+
+def play_seed(seed: int, seconds: float) -> Verdict:
+    """Play one seed; the folder is kept if a promise was broken."""
+    folder = Path(tempfile.mkdtemp(prefix=f'fireflyhitch-soak-{seed}-'))
+    site = SoakSite(folder)
+    try:
+        verdict = asyncio.run(FaultSoak(seed, site).run(seconds))
+    finally:
+        site.stop()
+    if verdict.broken:
+        logger.bind(folder=str(folder), seed=seed).error('promises broken')
+    else:
+        shutil.rmtree(folder)
+    return verdict
+
+
+def main() -> int:
+    """Play seeds; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description='faults on real daemons')
+    parser.add_argument('--seed', type=int, default=1, help='the first seed')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--seconds', type=float, default=20, help='of faults a seed')
+    given = parser.parse_args()
+    failed = False
+    for seed in range(given.seed, given.seed + given.seeds):
+        verdict = play_seed(seed, given.seconds)
+        failed = failed or bool(verdict.broken)
+        line = {
+            'seed': seed,
+            'answers': dict(verdict.answers),
+            'faults': dict(verdict.faults),
+            'broken': verdict.broken,
+        }
+        sys.stdout.write(f'{json.dumps(line)}\n')
+        sys.stdout.flush()
+    return int(failed)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/libs/bench/tests/test_fault_soak.py
@@ -0,0 +1,54 @@
+"""A short run of the fault soak, and tests that its checks see broken promises."""
+
+from pathlib import Path
+
+import pytest
+
+from fireflyhitch_bench.fault_soak import Answer, FaultSoak, play_seed
+from fireflyhitch_bench.soak_site import SoakSite
+
+# Seeds that ever broke a promise are added here, each with a line on the cause.
+SEEDS = (1,)
+SHORT_SECONDS = 3.0
+
+
+class TestShortRun:
+    @pytest.mark.parametrize('seed', SEEDS)
+    def test_real_daemons_keep_their_promises_under_faults(self, seed: int) -> None:
+        verdict = play_seed(seed, SHORT_SECONDS)
+        assert not verdict.broken
+        assert verdict.answers['200']
+
+
+class TestChecks:
+    def test_a_booking_that_ran_twice_is_seen(self, tmp_path: Path) -> None:
+        soak = FaultSoak(1, SoakSite(tmp_path))
+        soak._bookings.add('r1')
+        soak._site.runs.by_request['r1'] = 2
+        soak._check_runs()
+        assert soak.verdict.broken == ['r1 ran twice']
+
+    def test_a_refusal_that_was_not_true_is_seen(self, tmp_path: Path) -> None:
+        soak = FaultSoak(1, SoakSite(tmp_path))
+        soak._bookings.add('r1')
+        soak._refused.add('r1')
+        soak._site.runs.by_request['r1'] = 1
+        soak._check_runs()
+        assert soak.verdict.broken == ['r1 was refused and ran']
+
+    def test_another_s_answer_is_seen(self, tmp_path: Path) -> None:
+        soak = FaultSoak(1, SoakSite(tmp_path))
+        soak._check_own('r1', Answer(200, b'r2', signed=True))
+        assert soak.verdict.broken
+
+    def test_two_reports_of_a_window_and_an_old_number_are_seen(
+        self, tmp_path: Path
+    ) -> None:
+        site = SoakSite(tmp_path)
+        site.duties.calls = [
+            ('/usage', 'd1', 7, {'window': 3, 'counts': {'bakery': 1}}),
+            ('/usage', 'd0', 5, {'window': 3, 'counts': {'bakery': 2}}),
+        ]
+        soak = FaultSoak(1, site)
+        soak._check_duties()
+        assert len(soak.verdict.broken) == 2
