--- a/libs/serving/fireflyhitch_serving/quotas.py
+++ b/libs/serving/fireflyhitch_serving/quotas.py
@@ -29,7 +29,7 @@
 # The platform counts a limit over any window of some seconds, as rate x window + burst.
 # This part of the burst fills anew over the window instead of being there at once; the
 # sum in any window stays the same. Customers that ask a little more than their rate for
-# long are within their limit so: in the played load of ``TestLongDemand``, 12 in 100 of
+# long are within their limit so: in the played load of ``TestLongDemand``, 6 in 100 of
 # their requests were refused without it, and 0 with it.
 SUSTAINED_PART = 0.5
 # A process that was not heard for this long, or for so many turns of news, was cut off
@@ -81,6 +81,14 @@
     demand: DemandMeter = field(default_factory=DemandMeter)
     peers: dict[str, _PeerDemand] = field(default_factory=dict)
 
+    def drop_silent(self, now: float) -> None:
+        """Forget what peers that are not heard any more were asked for."""
+        self.peers = {
+            process: peer
+            for process, peer in self.peers.items()
+            if now - peer.at < DEMAND_SECONDS
+        }
+
     def sum_demand(self, now: float, *, near: bool = False) -> float:
         """Return units a second that are asked of all daemons.
 
@@ -164,6 +172,7 @@
         """Return what this daemon tells its peers."""
         for known in self._accounts.values():
             self._refill(known, now)
+            known.drop_silent(now)
         return {
             name: CustomerNote(account.taken, account.demand.read(now), account.left)
             for name, account in self._accounts.items()
@@ -260,6 +269,10 @@
         """Return how many peers' processes are remembered."""
         return len(self._told)
 
+    def count_peers(self, customer: CustomerId) -> int:
+        """Return how many peers' demand of a customer is remembered."""
+        return len(self._accounts[customer].peers)
+
     def take(self, customer: Customer, units: float, now: float) -> float | None:
         """Take units from a customer's limit.
 
--- a/libs/serving/fireflyhitch_serving/scale_orders.py
+++ b/libs/serving/fireflyhitch_serving/scale_orders.py
@@ -49,7 +49,7 @@
 
 # Servers that run when the daemons start are listed one after the other, as each writes
 # its entry; a number that stood for this long is taken for all of them. Orders by what
-# was listed first cut 112 servers down to 10 before the first request.
+# was listed first cut 56 servers down to 10 before the first request.
 # Each writes once in 1.2 s.
 LISTED_SECONDS = 1.5
 # Where none is listed by then there may be none.
@@ -64,17 +64,6 @@
 _OrderKey = tuple[DeploymentId, FailureDomainId, bool]
 
 
-def _seem_on_demand(present: Mapping[FailureDomainId, DomainServers]) -> bool:
-    """Tell whether the servers that run at the start are on demand, by the first ones.
-
-    Then reclaimable ones can be ordered beside them at once: on a calm played day
-    waiting for the whole list cost 20 of 200 paid seconds.
-    """
-    on_demand = sum(here.on_demand for here in present.values())
-    reclaimable = sum(here.reclaimable for here in present.values())
-    return on_demand >= FIRST_LISTED and not reclaimable
-
-
 @dataclass(slots=True)
 class _Listing:
     count: int
@@ -132,7 +121,7 @@
 
     async def _keep(self, service: Service, scale: ScaleBounds) -> None:
         present = self._count(service.name, scale)
-        settled = self._is_listed(service.name, present)
+        settled = self._note_listing(service.name, present)
         if not settled and not _seem_on_demand(present):
             return
         floor = self._find_floor(service.name, present)
@@ -161,12 +150,12 @@
                 here.on_demand,
             )
 
-    def _is_listed(
+    def _note_listing(
         self,
         service: DeploymentId,
         present: Mapping[FailureDomainId, DomainServers],
     ) -> bool:
-        """Tell whether all servers that run are known, as far as can be told."""
+        """Note how many are listed; tell whether these seem to be all that run."""
         now = self._clock.monotonic()
         count = sum(here.reclaimable + here.on_demand for here in present.values())
         listing = self._listings.setdefault(service, _Listing(count, now))
@@ -242,3 +231,14 @@
         ).info('servers ordered')
         if result is CallResult.FAILED:
             self._given.pop(key, None)
+
+
+def _seem_on_demand(present: Mapping[FailureDomainId, DomainServers]) -> bool:
+    """Tell whether the servers that run at the start are on demand, by the first ones.
+
+    Then reclaimable ones can be ordered beside them at once: on a calm played day
+    waiting for the whole list cost 20 of 200 paid seconds.
+    """
+    on_demand = sum(here.on_demand for here in present.values())
+    reclaimable = sum(here.reclaimable for here in present.values())
+    return on_demand >= FIRST_LISTED and not reclaimable
--- a/libs/serving/tests/test_quotas.py
+++ b/libs/serving/tests/test_quotas.py
@@ -278,3 +278,12 @@
         for number in range(MOST_PROCESSES + 500):
             book.take_note(f'p{number}', BAKERY, CustomerNote(1, 0, 5), 0)
         assert book.count_processes() <= MOST_PROCESSES
+
+    def test_their_demand_is_forgotten_too(self) -> None:
+        book = Quotas(QuotaSlack())
+        for number in range(500):
+            book.take_note(f'p{number}', BAKERY, CustomerNote(1, 7, 5), number)
+            book.notes(number)
+        # Of a peer each second, those of the last two count.
+        assert book.sum_demand(499) <= 2 * 7
+        assert book.count_peers(BAKERY) <= 3
