--- a/libs/bench/fireflyhitch_bench/loopback_proxy.py
+++ b/libs/bench/fireflyhitch_bench/loopback_proxy.py
@@ -4,11 +4,16 @@
 from enum import Enum
 
 from fireflyhitch_serving.connections import Address
+from fireflyhitch_standins.users_formats import HOST
 
 CHUNK_BYTES = 65536
 # Longer than a daemon waits for the store's answer, so that both kinds of end are seen.
 DELAY_SECONDS = 0.4
-HOST = '127.0.0.1'
+
+
+def find_address(server: asyncio.Server) -> Address:
+    """Return where a server listens."""
+    return Address(HOST, server.sockets[0].getsockname()[1])
 
 
 class LinkFault(Enum):
@@ -34,7 +39,7 @@
     async def start(self) -> Address:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, HOST, 0)
-        return Address(HOST, self._server.sockets[0].getsockname()[1])
+        return find_address(self._server)
 
     def stop(self) -> None:
         """Stop to listen, and reset what is open."""
--- a/libs/bench/fireflyhitch_bench/soak_servers.py
+++ b/libs/bench/fireflyhitch_bench/soak_servers.py
@@ -4,9 +4,10 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from fireflyhitch_bench.loopback_proxy import find_address
 from fireflyhitch_serving.connections import Address
+from fireflyhitch_standins.users_formats import HOST
 
-HOST = '127.0.0.1'
 WORK_SECONDS = 0.02
 
 
@@ -37,7 +38,7 @@
     async def start(self) -> Address:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, HOST, 0)
-        return Address(HOST, self._server.sockets[0].getsockname()[1])
+        return find_address(self._server)
 
     def stop(self) -> None:
         """Stop to listen."""
--- a/libs/bench/fireflyhitch_bench/soak_site.py
+++ b/libs/bench/fireflyhitch_bench/soak_site.py
@@ -12,43 +12,24 @@
 from fireflyhitch_bench.loopback_proxy import LoopbackProxy
 from fireflyhitch_bench.soak_servers import Runs, SoakServer
 from fireflyhitch_serving.connections import Address
+from fireflyhitch_standins.users_formats import (
+    HOST,
+    Node,
+    render_configuration,
+    render_node_file,
+    render_route,
+    render_server,
+)
 from fireflyhitch_standins.users_store import UsersDuties, UsersStore
 
 ROOT = Path(__file__).resolve().parents[3]
 PROGRAM = ROOT / 'platform' / 'fireflyhitchd.py'
-HOST = '127.0.0.1'
 KEY = 'key-of-bakery'
 SERVERS = 4
+SLOTS = 64
 DOMAINS = ('gent', 'brugge')
 GRACE_SECONDS = 4
 LEAST_DRAIN_SECONDS = 2.0
-NODE_FILE = """
-node_name = "{name}"
-role = "daemon"
-ip = "127.0.0.1"
-zone = "{domain}"
-internal_ports = [{peer_port},{peer_port}]
-seeds = []
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-[limits]
-cpu_share = 1.0
-memory_mb = 300
-[bounds]
-grace_s = {grace}
-drain_ms = 2000
-budget_ratio = 0.2
-budget_slack = 54
-usage_window_s = 2
-usage_late_s = 30
-[platform]
-address = "{store}"
-ttl_min_ms = 1000
-[cloud]
-address = "{duties}"
-duties = ["usage"]
-"""
 
 
 def find_port() -> int:
@@ -146,17 +127,9 @@
 
     def list_server(self, name: str, state: str = 'ready') -> None:
         """Write a server's entry."""
-        entry = {
-            'service': 'planning',
-            'address': str(self.addresses[name]),
-            'zone': DOMAINS[0],
-            'version': 'v1',
-            'slots': 64,
-            'state': state,
-            'cold_remaining_ms': 0,
-            'sequence': 1,
-            'born': 1,
-        }
+        entry = render_server(
+            self.addresses[name], zone=DOMAINS[0], state=state, slots=SLOTS, born=1
+        )
         self.store.put(f'servers/{name}', entry)
 
     async def _add_server(self, name: str) -> None:
@@ -170,54 +143,26 @@
         name = f'd{number}'
         front = Address(HOST, find_port())
         path = self.folder / f'{name}.toml'
-        path.write_text(
-            NODE_FILE.format(
-                name=name,
-                domain=DOMAINS[number % len(DOMAINS)],
-                front=front.port,
-                ready=find_port(),
-                peer_port=find_port(),
-                grace=GRACE_SECONDS,
-                store=store,
-                duties=self.duties.address,
-            )
+        node = Node(
+            name,
+            front.port,
+            find_port(),
+            find_port(),
+            store,
+            self.duties.address,
+            DOMAINS[number % len(DOMAINS)],
+            GRACE_SECONDS,
         )
+        path.write_text(render_node_file(node))
         daemon = DaemonProcess(name, front, path, proxy)
         self.daemons.append(daemon)
         daemon.start()
 
 
 def _render_configuration(version: int) -> dict[str, object]:
-    route = {
-        'host': 'shop.example',
-        'timeout_ms': 3000,
-        'latency_target_ms': 500,
-        'priority': 1,
-        'service': 'planning',
-        'public': False,
-        'sticky': False,
-        'resumable': False,
-    }
-    kinds = (('read', 'idempotent', 2), ('book', 'non_idempotent', 1))
-    routes = [
-        {**route, 'name': name, 'prefix': f'/{name}/', 'kind': kind, 'attempts': most}
-        for name, kind, most in kinds
-    ]
-    newest = f'v{version}'
-    routes.append(
-        {**routes[0], 'name': newest, 'prefix': f'/{newest}/'},
+    routes = (
+        render_route('read'),
+        render_route('book', 'non_idempotent', attempts=1),
+        render_route(f'v{version}'),
     )
-    return {
-        'version': version,
-        'routes': routes,
-        'services': [
-            {'name': 'planning', 'health_path': '/health', 'max_connections': 100}
-        ],
-        'limits': {
-            'header_bytes': 2000,
-            'body_bytes': 5000,
-            'header_timeout_ms': 3000,
-            'idle_timeout_ms': 15000,
-        },
-        'tenants': [{'name': 'bakery', 'api_keys': [KEY], 'rate_per_s': 0}],
-    }
+    return render_configuration(version, KEY, routes)
--- /dev/null
+++ b/libs/standins/fireflyhitch_standins/users_formats.py
@@ -0,0 +1,127 @@
+"""What the users' platform writes: a daemon's settings file, and a configuration."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from fireflyhitch_serving.connections import Address
+
+HOST = '127.0.0.1'
+NODE_FILE = """
+node_name = "{node.name}"
+role = "daemon"
+ip = "{host}"
+zone = "{node.domain}"
+region = "vlaanderen"
+internal_ports = [{node.peer_port},{node.peer_port}]
+seeds = []
+new_field = "to be passed over"
+[listen]
+front = "{host}:{node.front}"
+ready = "{host}:{node.ready}"
+[limits]
+cpu_share = 0.5
+cores = 2
+memory_mb = 300
+[bounds]
+grace_s = {node.grace}
+drain_ms = 2000
+budget_ratio = 0.2
+budget_window_s = 10
+budget_slack = 54
+quota_slack = 0
+usage_window_s = 1
+usage_late_s = 30
+expose_share = 0.1
+expose_slack = 50
+rollback_ms = 5000
+lease_ms = 3000
+[platform]
+address = "{node.store}"
+ttl_min_ms = 1000
+[cloud]
+address = "{node.duties}"
+duties = ["usage","autoscaling"]
+"""
+LIMITS = {
+    'header_bytes': 2000,
+    'body_bytes': 5000,
+    'header_timeout_ms': 3000,
+    'idle_timeout_ms': 15000,
+}
+SERVICES = ({'name': 'planning', 'health_path': '/health', 'max_connections': 100},)
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """An instance that runs a daemon.
+
+    :param front: port for callers.
+    :param ready: port for the balancer's questions.
+    :param peer_port: for datagrams of other daemons.
+    :param store: address of the store as seen from here.
+    :param duties: address for the calls of one daemon at a time.
+    :param grace: seconds from the order to stop to the kill.
+    """
+
+    name: str
+    front: int
+    ready: int
+    peer_port: int
+    store: str | Address
+    duties: str
+    domain: str = 'gent'
+    grace: float = 8
+
+
+def render_node_file(node: Node) -> str:
+    """Return a daemon's settings file."""
+    return NODE_FILE.format(node=node, host=HOST)
+
+
+def render_route(
+    name: str, kind: str = 'idempotent', attempts: int = 2, prefix: str = ''
+) -> dict[str, Any]:
+    """Return a route to the one service, below a prefix of its own."""
+    return {
+        'name': name,
+        'host': 'shop.example',
+        'prefix': f'/{prefix or name}/',
+        'kind': kind,
+        'timeout_ms': 3000,
+        'latency_target_ms': 500,
+        'priority': 1,
+        'service': 'planning',
+        'attempts': attempts,
+        'public': False,
+        'sticky': False,
+        'resumable': False,
+    }
+
+
+def render_configuration(
+    version: int, key: str, routes: Sequence[Mapping[str, Any]]
+) -> dict[str, Any]:
+    """Return a configuration with one customer, whose key is given."""
+    return {
+        'version': version,
+        'routes': list(routes),
+        'services': list(SERVICES),
+        'limits': LIMITS,
+        'tenants': [{'name': 'bakery', 'api_keys': [key], 'rate_per_s': 0}],
+    }
+
+
+def render_server(address: Address, **changes: Any) -> dict[str, Any]:
+    """Return a server's entry."""
+    return {
+        'service': 'planning',
+        'address': str(address),
+        'zone': 'gent',
+        'version': 'v1',
+        'slots': 6,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'sequence': 1,
+        **changes,
+    }
--- a/tests/users_platform/site_of_daemons.py
+++ b/tests/users_platform/site_of_daemons.py
@@ -12,81 +12,26 @@
 
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.messages import render_request
+from fireflyhitch_standins.users_formats import (
+    Node,
+    render_configuration,
+    render_node_file,
+    render_route,
+    render_server,
+)
 from fireflyhitch_standins.users_store import UsersDuties, UsersStore
 from fireflyhitch_users_platform.program import Program
 
 KEY = 'key-of-bakery'
-NODE_FILE = """
-node_name = "{name}"
-role = "daemon"
-ip = "127.0.0.1"
-zone = "gent"
-region = "vlaanderen"
-internal_ports = [{peer_port},{peer_port}]
-seeds = []
-new_field = "to be passed over"
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-[limits]
-cpu_share = 0.5
-cores = 2
-memory_mb = 300
-[bounds]
-grace_s = {grace}
-drain_ms = 2000
-budget_ratio = 0.2
-budget_window_s = 10
-budget_slack = 54
-quota_slack = 0
-usage_window_s = 1
-usage_late_s = 30
-expose_share = 0.1
-expose_slack = 50
-rollback_ms = 5000
-lease_ms = 3000
-[platform]
-address = "{store}"
-ttl_min_ms = 1000
-[cloud]
-address = "{duties}"
-duties = ["usage","autoscaling"]
-"""
 
 
 def make_configuration(version: int = 4, **changes: Any) -> dict[str, Any]:
     """Return a configuration as the operators write it."""
-    route = {
-        'name': 'r-read',
-        'host': 'shop.example',
-        'prefix': '/read/',
-        'kind': 'idempotent',
-        'timeout_ms': 3000,
-        'latency_target_ms': 500,
-        'priority': 1,
-        'service': 'planning',
-        'attempts': 2,
-        'public': False,
-        'sticky': False,
-        'resumable': False,
-    }
-    booking = {**route, 'name': 'r-book', 'prefix': '/book/', 'attempts': 1}
-    booking['kind'] = 'non_idempotent'
-    return {
-        'version': version,
-        'routes': [route, booking],
-        'services': [
-            {'name': 'planning', 'health_path': '/health', 'max_connections': 100}
-        ],
-        'limits': {
-            'header_bytes': 2000,
-            'body_bytes': 5000,
-            'header_timeout_ms': 3000,
-            'idle_timeout_ms': 15000,
-        },
-        'tenants': [{'name': 'bakery', 'api_keys': [KEY], 'rate_per_s': 0}],
-        **changes,
-    }
+    routes = (
+        render_route('r-read', prefix='read'),
+        render_route('r-book', 'non_idempotent', attempts=1, prefix='book'),
+    )
+    return {**render_configuration(version, KEY, routes), **changes}
 
 
 def answer_signed(body: bytes = b'done', status: int = 200) -> Callable[..., Any]:
@@ -133,18 +78,16 @@
             name, (find_port(), find_port(), find_port())
         )
         path = self._folder / f'{name}.toml'
-        path.write_text(
-            NODE_FILE.format(
-                name=name,
-                front=front,
-                ready=ready,
-                peer_port=peer_port,
-                grace=grace,
-                store=self.store.address,
-                duties=self.duties.address,
-            )
-            + extra
+        node = Node(
+            name,
+            front,
+            ready,
+            peer_port,
+            self.store.address,
+            self.duties.address,
+            grace=grace,
         )
+        path.write_text(render_node_file(node) + extra)
         return path
 
     def start(self, name: str, grace: float = 8) -> Program:
@@ -193,17 +136,7 @@
 
     def list_server(self, name: str, address: Address, **changes: Any) -> None:
         """Write a server's entry."""
-        entry = {
-            'service': 'planning',
-            'address': str(address),
-            'zone': 'gent',
-            'version': 'v1',
-            'slots': 6,
-            'state': 'ready',
-            'cold_remaining_ms': 0,
-            'sequence': 1,
-        }
-        self.store.put(f'servers/{name}', {**entry, **changes})
+        self.store.put(f'servers/{name}', render_server(address, **changes))
 
     async def ask(
         self, daemon: str, path: str = '/read/1', method: str = 'GET', **more: Any
