--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -1,10 +1,9 @@
 """This daemon's lease in the store: its registration, and the duties while it leads.
 
 One daemon at a time leads: the one whose process stands under the leader's key. The
-key's revision is the fencing number. A leader stops a margin before its lease can have
-ended by any clock. One that is ordered to stop resigns: it writes so under the key, and
-another takes over at once. Its own instance may lead again only a whole lease later,
-so two turns of one instance, with another's between them, are at least that far apart.
+key's creation revision is the fencing number. A leader stops a margin before its
+lease can have ended by any clock, and never ends it early: so two turns of one
+instance, with another's between them, are at least a whole lease apart.
 """
 
 import asyncio
@@ -34,9 +33,6 @@
 # Daemons that see the leader's key go do not all write at once.
 CLAIM_SPREAD_SECONDS = 0.25
 RETRY_SECONDS = 0.5
-# A leader that stops tries this long to say so; else its lease lapses, as before.
-RESIGN_SECONDS = 1.0
-RESIGNED = b'resigned'
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +76,6 @@
         self._until = float('-inf')
         self._fencing: FencingNumber | None = None
         self._leader: bytes | None = None
-        self._leader_revision: Revision = ABSENT
-        self._own_resigned_at = float('-inf')
         self._registered: Revision = ABSENT
         self._is_registered = False
         self._listed = False
@@ -96,31 +90,11 @@
 
     def find_leader(self) -> str | None:
         """Return the name of the daemon that leads, as far as is known."""
-        if self._leader is None or self._leader.endswith(RESIGNED):
+        if self._leader is None:
             return None
         process = self._leader.decode().split(' ')[0]
         return process.rpartition('/')[0]
 
-    async def resign(self) -> None:
-        """Stop, and let another daemon lead at once if this one does.
-
-        While instances are stopped one after the other, each leader's lease lapsed
-        first: for 4 s of each stop nobody kept counts or replaced servers. On a played
-        day a window's counts were lost so.
-        """
-        leads = self.lead() is not None
-        self.stopping = True
-        if not leads:
-            return
-        mark = f'{self._process} '.encode() + RESIGNED
-        try:
-            async with asyncio.timeout(RESIGN_SECONDS):
-                await self._store.put([Put(LEADER_KEY, mark, self._leader_revision)])
-        except (PlatformError, TimeoutError) as error:
-            logger.bind(error=repr(error)).warning('not resigned')
-            return
-        logger.info('resigned')
-
     def take_listed(self) -> None:
         """Note that the store's keys are known now."""
         self._listed = True
@@ -130,10 +104,7 @@
         """Take in who stands under the leader's key."""
         was = self._leader
         self._leader = value
-        self._leader_revision = ABSENT if value is None else revision
         self._fencing = None
-        if value is not None and value.endswith(RESIGNED) and self._is_own(value):
-            self._own_resigned_at = self._clock()
         if value is not None and value == self._mark():
             self._fencing = FencingNumber(revision)
             logger.bind(fencing=revision).info('leading')
@@ -169,7 +140,7 @@
         await self._renew()
         if not self._is_registered:
             await self._register()
-        if self._listed and self._may_claim():
+        if self._listed and self._leader is None:
             await self._claim()
         try:
             async with asyncio.timeout(RENEW_SECONDS):
@@ -200,23 +171,11 @@
         self._registered = result.revision
         self._is_registered = True
 
-    def _may_claim(self) -> bool:
-        if self._leader is None:
-            return True
-        if not self._leader.endswith(RESIGNED):
-            return False
-        return self._clock() - self._own_resigned_at >= LEASE_SECONDS
-
-    def _is_own(self, mark: bytes) -> bool:
-        process = mark.decode().split(' ')[0]
-        return process.rpartition('/')[0] == self._process.rpartition('/')[0]
-
     async def _claim(self) -> None:
         await asyncio.sleep(CLAIM_SPREAD_SECONDS * self._draw.random())
-        if self._may_claim() and self._lease is not None:
+        if self._leader is None and self._lease is not None:
             # Whether this won is learned from the key, as anyone else learns it.
-            put = Put(LEADER_KEY, self._mark(), self._leader_revision, self._lease)
-            await self._store.put([put])
+            await self._store.put([Put(LEADER_KEY, self._mark(), ABSENT, self._lease)])
             await asyncio.sleep(CLAIM_SPREAD_SECONDS)
 
     def _mark(self) -> bytes:
