Read and write rows of datagrams in one place; one arrangement of reporters in tests

Changes and summaries each had their own way of naming, telling and reading a datagram of rows: render_rows and read_rows serve both. An account made by a peer's note looked its quota up twice. Three tests built the same reporter.

--- a/libs/serving/fireflyhitch_serving/peer_news.py
+++ b/libs/serving/fireflyhitch_serving/peer_news.py
@@ -1,8 +1,9 @@
 """What a daemon tells its peers: its present state, in one datagram."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, fields
-from typing import Any
+from functools import cache
+from typing import Any, TypeVar
 
 import cbor2
 
@@ -11,6 +12,7 @@
 from fireflyhitch_serving.servers import InFlight
 
 UNREADABLE = (cbor2.CBORDecodeError, KeyError, TypeError, ValueError, AttributeError)
+Row = TypeVar('Row')
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,3 +78,26 @@
     work = {key: InFlight(*counts) for key, counts in read['work'].items()}
     customers = {key: CustomerNote(*units) for key, units in read['customers'].items()}
     return {**read, 'work': work, 'customers': customers}
+
+
+def render_rows(kind: str, rows: Sequence[object]) -> bytes:
+    """Return a datagram of another kind: a map of one entry, its kind."""
+    return cbor2.dumps({kind: rows}, default=encode_note)
+
+
+def read_rows(kind: str, data: bytes, read: Callable[[Any], Row]) -> list[Row] | None:
+    """Read a datagram of a kind, row by row; nothing for one of another.
+
+    Its first bytes tell: most datagrams are news, and need not be decoded for that.
+    """
+    if not data.startswith(_find_head(kind)):
+        return None
+    try:
+        return [read(row) for row in cbor2.loads(data)[kind]]
+    except UNREADABLE:
+        return None
+
+
+@cache
+def _find_head(kind: str) -> bytes:
+    return cbor2.dumps({kind: ()})[:-1]
--- a/libs/serving/fireflyhitch_serving/quotas.py
+++ b/libs/serving/fireflyhitch_serving/quotas.py
@@ -238,10 +238,10 @@
         told[customer] = _Told(note.taken, now)
         account = self._accounts.get(customer)
         if account is None:
-            account = _Account(note.left, now, self._find_quota(customer))
+            account = _Account(note.left, now)
             self._accounts[customer] = account
             before = told[customer]
-        # It may have come to be before the first configuration, or have changed.
+        # It may be new, from before the first configuration, or have changed since.
         account.quota = self._find_quota(customer) or account.quota
         account.peers[process] = _PeerDemand(note.demand, now, near)
         # What was saved up until now must not make up for what is taken now.
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -10,11 +10,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import cbor2
-
 from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import Revision
-from fireflyhitch_serving.peer_news import UNREADABLE
+from fireflyhitch_serving.peer_news import read_rows, render_rows
 from fireflyhitch_serving.peers import PeerBook
 
 WATCHERS = 2
@@ -27,9 +25,6 @@
 # Datagrams of this many changes stay well below the largest.
 MOST_CHANGES = 50
 CHANGES = 'changes'
-# What such a datagram begins with: a map of one entry and its key. Most datagrams are
-# news, and need not be decoded to see that they are none of these.
-CHANGES_HEAD = cbor2.dumps({CHANGES: ()})[:-1]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,18 +39,12 @@
 def render_changes(changes: list[Change]) -> bytes:
     """Return a datagram."""
     rows = [(change.key, change.value, change.revision) for change in changes]
-    return cbor2.dumps({CHANGES: rows})
+    return render_rows(CHANGES, rows)
 
 
 def read_changes(data: bytes) -> list[Change] | None:
     """Read a datagram; nothing for one of another kind."""
-    if not data.startswith(CHANGES_HEAD):
-        return None
-    try:
-        rows = cbor2.loads(data)[CHANGES]
-        return [Change(*row) for row in rows]
-    except UNREADABLE:
-        return None
+    return read_rows(CHANGES, data, lambda row: Change(*row))
 
 
 class ChangeRelay:
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -10,23 +10,20 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, fields
 
-import cbor2
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.ids import BackendServerId, CustomerId, FailureDomainId
 from fireflyhitch_serving.peer_news import (
-    UNREADABLE,
     PeerNews,
     decode_notes,
-    encode_note,
+    read_rows,
+    render_rows,
 )
 from fireflyhitch_serving.quotas import CustomerNote
 from fireflyhitch_serving.servers import InFlight
 
 SUMMARIES = 'summaries'
-# What such a datagram begins with: a map of one entry and its key.
-SUMMARIES_HEAD = cbor2.dumps({SUMMARIES: ()})[:-1]
 # Some turns of the relays; a relay that ended is replaced within that time.
 SILENT_SECONDS = 2.0
 # A domain that was not heard for three turns may be cut off.
@@ -71,18 +68,12 @@
         {field.name: getattr(summary, field.name) for field in fields(summary)}
         for summary in summaries
     ]
-    return cbor2.dumps({SUMMARIES: rows}, default=encode_note)
+    return render_rows(SUMMARIES, rows)
 
 
 def read_summaries(data: bytes) -> list[DomainSummary] | None:
     """Read a datagram; nothing for one of another kind."""
-    if not data.startswith(SUMMARIES_HEAD):
-        return None
-    try:
-        rows = cbor2.loads(data)[SUMMARIES]
-        return [DomainSummary(**decode_notes(row)) for row in rows]
-    except UNREADABLE:
-        return None
+    return read_rows(SUMMARIES, data, lambda row: DomainSummary(**decode_notes(row)))
 
 
 def add_work(news: Sequence[PeerNews]) -> dict[BackendServerId, InFlight]:
--- a/libs/serving/tests/test_reports.py
+++ b/libs/serving/tests/test_reports.py
@@ -1,6 +1,7 @@
 """Tests of when a window's usage is reported, with a leader that has no network."""
 
 import asyncio
+from collections.abc import Callable
 
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import ABSENT, CustomerId, FencingNumber, Revision
@@ -45,6 +46,25 @@
         return CallResult.DONE
 
 
+def make_reporter(
+    alone: LeaderAlone,
+    book: UsageBook,
+    wall: Callable[[], float],
+    turn_seconds: float = 0.1,
+) -> UsageReporter:
+    """Return a reporter that hears all daemons."""
+    return UsageReporter(
+        book,
+        alone,  # type: ignore[arg-type]
+        alone,  # type: ignore[arg-type]
+        alone,  # type: ignore[arg-type]
+        wall,
+        lambda: True,
+        lambda: turn_seconds,
+        UsageTerms(5, 10),
+    )
+
+
 class TestSettling:
     def test_a_window_waits_for_the_counts_of_far_daemons(self, monkeypatch) -> None:
         # 75 daemons: a far one tells its counts each 1.9 s. Its last counts of a window
@@ -53,16 +73,7 @@
         alone = LeaderAlone()
         book = UsageBook('here', 5)
         clock = [10.0]
-        reporter = UsageReporter(
-            book,
-            alone,  # type: ignore[arg-type]
-            alone,  # type: ignore[arg-type]
-            alone,  # type: ignore[arg-type]
-            lambda: clock[0],
-            lambda: True,
-            lambda: 1.9,
-            UsageTerms(5, 10),
-        )
+        reporter = make_reporter(alone, book, lambda: clock[0], 1.9)
 
         async def script() -> None:
             running = asyncio.create_task(reporter.run())
@@ -102,16 +113,7 @@
         # counted, and the first report of a window is the only one that counts.
         monkeypatch.setattr(f'{UsageReporter.__module__}.LOOK_SECONDS', 0)
         alone = UnreadableOnce()
-        reporter = UsageReporter(
-            UsageBook('here', 5),
-            alone,  # type: ignore[arg-type]
-            alone,  # type: ignore[arg-type]
-            alone,  # type: ignore[arg-type]
-            lambda: 13.0,
-            lambda: True,
-            lambda: 0.1,
-            UsageTerms(5, 10),
-        )
+        reporter = make_reporter(alone, UsageBook('here', 5), lambda: 13.0)
 
         async def script() -> None:
             running = asyncio.create_task(reporter.run())
@@ -143,16 +145,7 @@
         alone = NoLeader()
         book = UsageBook('here', 5)
         clock = [10.0]
-        reporter = UsageReporter(
-            book,
-            alone,  # type: ignore[arg-type]
-            alone,  # type: ignore[arg-type]
-            alone,  # type: ignore[arg-type]
-            lambda: clock[0],
-            lambda: True,
-            lambda: 0.1,
-            UsageTerms(5, 10),
-        )
+        reporter = make_reporter(alone, book, lambda: clock[0])
 
         async def script() -> None:
             running = asyncio.create_task(reporter.run())
