One scripted server and one rendering of the platform's requests and answers for tests and soak

The soak's servers read requests by a loop of their own, as the scripted servers of the tests did: that server is a stand-in now, and both give it a script. A caller's request, a server's signed answer, a free port and a listener's address each stood twice; wire names leave the bench with them. Reading a whole body stood in the client and the soak: it is the connection's. The soak's wrapper around a fault and a second look for a running process go. The soak's servers tell their load as the tests' do, and callers name a port in Host.

--- a/libs/bench/fireflyhitch_bench/fault_soak.py
+++ b/libs/bench/fireflyhitch_bench/fault_soak.py
@@ -24,10 +24,11 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from pathlib import Path
+from typing import Any
 
 from loguru import logger
 
@@ -41,11 +42,13 @@
 )
 from fireflyhitch_serving.connections import connect
 from fireflyhitch_serving.errors import ServerError
-from fireflyhitch_serving.messages import find_header, render_request
+from fireflyhitch_serving.messages import find_header
+from fireflyhitch_standins.users_formats import render_call
 
 DAEMONS = 4
 CALLERS = 8
 CALL_SECONDS = 4.0
+DEADLINE_MS = 3000
 PAUSE_SECONDS = 0.05
 # Between the begin of one fault and the next, so that some overlap.
 FAULT_PAUSE_SECONDS = (0.2, 1.2)
@@ -97,7 +100,7 @@
         self._refused: set[str] = set()
         self._bookings: set[str] = set()
         self._over = False
-        self._faults: dict[str, Callable[[], Awaitable[None]]] = {
+        self._faults: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
             'stop': self._stop,
             'kill': self._kill,
             'freeze': self._freeze,
@@ -163,13 +166,7 @@
         return f'r{self._sent}'
 
     async def _ask(self, daemon: DaemonProcess, path: str, request_id: str) -> Answer:
-        headers = [
-            (b'Host', b'shop.example'),
-            (b'Request-Id', request_id.encode()),
-            (b'Deadline-Ms', b'3000'),
-            (b'Authorization', f'Bearer {KEY}'.encode()),
-        ]
-        request = render_request(b'GET', path.encode(), headers, b'')
+        request = render_call(path, KEY, request_id, deadline_ms=DEADLINE_MS)
         try:
             async with asyncio.timeout(CALL_SECONDS):
                 return await _exchange(daemon, request)
@@ -190,13 +187,10 @@
         while loop.time() < until:
             name = self._draw.choice(sorted(self._faults))
             self.verdict.faults[name] += 1
-            running.append(asyncio.create_task(self._play_fault(name)))
+            running.append(asyncio.create_task(self._faults[name]()))
             await asyncio.sleep(self._draw.uniform(*FAULT_PAUSE_SECONDS))
         await asyncio.gather(*running)
 
-    async def _play_fault(self, name: str) -> None:
-        await self._faults[name]()
-
     async def _hold(self) -> None:
         await asyncio.sleep(self._draw.uniform(*FAULT_SECONDS))
 
@@ -326,11 +320,9 @@
     try:
         connection.send(request)
         head = await connection.read_head()
-        parts: list[bytes] = []
-        while part := await connection.read_body():
-            parts.append(part)
+        body = await connection.read_whole_body()
         signed = find_header(head.headers, b'response-stamp') is not None
-        return Answer(head.status, b''.join(parts), signed)
+        return Answer(head.status, body, signed)
     finally:
         connection.close()
 
--- a/libs/bench/fireflyhitch_bench/loopback_proxy.py
+++ b/libs/bench/fireflyhitch_bench/loopback_proxy.py
@@ -4,18 +4,13 @@
 from enum import Enum
 
 from fireflyhitch_serving.connections import Address
-from fireflyhitch_standins.users_formats import HOST
+from fireflyhitch_standins.scripted_server import HOST, find_address
 
 CHUNK_BYTES = 65536
 # Longer than a daemon waits for the store's answer, so that both kinds of end are seen.
 DELAY_SECONDS = 0.4
 
 
-def find_address(server: asyncio.Server) -> Address:
-    """Return where a server listens."""
-    return Address(HOST, server.sockets[0].getsockname()[1])
-
-
 class LinkFault(Enum):
     """What a link does to bytes."""
 
@@ -78,7 +73,7 @@
                 group.create_task(self._pass(there_reader, writer, back=True))
         except* (OSError, asyncio.CancelledError):
             # One end is gone, and the other sees it below; or the run ends.
-            self._writers -= ends
+            pass
         finally:
             self._writers -= ends
             for end in ends:
--- a/libs/bench/fireflyhitch_bench/soak_servers.py
+++ b/libs/bench/fireflyhitch_bench/soak_servers.py
@@ -4,9 +4,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from fireflyhitch_bench.loopback_proxy import find_address
 from fireflyhitch_serving.connections import Address
-from fireflyhitch_standins.users_formats import HOST
+from fireflyhitch_standins.scripted_server import ScriptedServer, SeenRequest
+from fireflyhitch_standins.users_formats import render_signed
 
 WORK_SECONDS = 0.02
 
@@ -33,53 +33,25 @@
         self.name = name
         self.loses_answers = False
         self._runs = runs
-        self._server: asyncio.Server | None = None
+        self._server = ScriptedServer(name, self._answer)
 
     async def start(self) -> Address:
         """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
-        return find_address(self._server)
+        return await self._server.start()
 
     def stop(self) -> None:
         """Stop to listen."""
-        if self._server is not None:
-            self._server.close()
+        self._server.stop()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while True:
-                headers = await _read_headers(reader)
-                await reader.readexactly(int(headers.get('content-length', 0)))
-                await self._answer(headers, writer)
-        except (asyncio.IncompleteReadError, OSError):
-            # The daemon closed the connection or was killed, or the answer is lost.
-            writer.transport.abort()
-
-    async def _answer(
-        self, headers: dict[str, str], writer: asyncio.StreamWriter
-    ) -> None:
-        request_id = headers['request-id']
-        if headers.get('expect-instance') != self.name:
+    async def _answer(self, request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        request_id = request.find('request-id')
+        if request.find('expect-instance') != self.name:
             self._runs.wrong_server.append(request_id)
-        if 'authorization' in headers or not headers.get('tenant'):
+        if request.find('authorization') or not request.find('tenant'):
             self._runs.without_customer.append(request_id)
         self._runs.by_request[request_id] += 1
         await asyncio.sleep(WORK_SECONDS)
         if self.loses_answers:
-            raise ConnectionResetError
-        body = request_id.encode()
-        writer.write(
-            b'HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Stamp: %b\r\n'
-            b'Content-Length: %d\r\n\r\n%b'
-            % (body, self.name.encode(), len(body), body)
-        )
-        await writer.drain()
-
-
-async def _read_headers(reader: asyncio.StreamReader) -> dict[str, str]:
-    head = (await reader.readuntil(b'\r\n\r\n')).decode()
-    lines = head.split('\r\n')[1:]
-    pairs = (line.partition(':') for line in lines if line)
-    return {name.lower(): value.strip() for name, _, value in pairs}
+            writer.transport.abort()
+            return
+        writer.write(render_signed(request_id, self.name, request_id.encode()))
--- a/libs/bench/fireflyhitch_bench/soak_site.py
+++ b/libs/bench/fireflyhitch_bench/soak_site.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess  # noqa: S404
 import sys
 from dataclasses import dataclass, field
@@ -12,9 +11,10 @@
 from fireflyhitch_bench.loopback_proxy import LoopbackProxy
 from fireflyhitch_bench.soak_servers import Runs, SoakServer
 from fireflyhitch_serving.connections import Address
+from fireflyhitch_standins.scripted_server import HOST
 from fireflyhitch_standins.users_formats import (
-    HOST,
     Node,
+    find_port,
     render_configuration,
     render_node_file,
     render_route,
@@ -32,14 +32,6 @@
 LEAST_DRAIN_SECONDS = 2.0
 
 
-def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 @dataclass(slots=True)
 class DaemonProcess:
     """A daemon, its link to the store, and its present process.
@@ -77,7 +69,7 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to its own process only."""
-        if self.process is not None and self.process.poll() is None:
+        if self.process is not None and self.runs:
             self.process.send_signal(number)
 
 
--- a/libs/serving/fireflyhitch_serving/client.py
+++ b/libs/serving/fireflyhitch_serving/client.py
@@ -76,7 +76,4 @@
 async def _exchange(connection: ServerConnection, request: bytes) -> HttpAnswer:
     connection.send(request)
     head = await connection.read_head()
-    parts: list[bytes] = []
-    while part := await connection.read_body():
-        parts.append(part)
-    return HttpAnswer(head.status, b''.join(parts))
+    return HttpAnswer(head.status, await connection.read_whole_body())
--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -127,6 +127,16 @@
         assert isinstance(event, bytes)
         return event
 
+    async def read_whole_body(self) -> bytes:
+        """Return all that is left of the body.
+
+        :raises ServerError: if it breaks off.
+        """
+        parts: list[bytes] = []
+        while part := await self.read_body():
+            parts.append(part)
+        return b''.join(parts)
+
     def finish(self, now: float) -> bool:
         """End an exchange whose answer was read whole.
 
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -5,8 +5,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
-from scripted_servers import Script, ScriptedServer
-
 from fireflyhitch_model.clock import SystemClock
 from fireflyhitch_model.ids import (
     BackendServerId,
@@ -50,6 +48,7 @@
 from fireflyhitch_serving.servers import ServerBook, ServerEntry
 from fireflyhitch_serving.usage import UsageBook
 from fireflyhitch_serving.versions import VersionShares
+from fireflyhitch_standins.scripted_server import Script, ScriptedServer
 
 SERVICE = DeploymentId('bookings')
 HERE = FailureDomainId('gent')
--- a/libs/standins/fireflyhitch_standins/users_formats.py
+++ b/libs/standins/fireflyhitch_standins/users_formats.py
@@ -1,12 +1,14 @@
 """What the users' platform writes: a daemon's settings file, and a configuration."""
 
+import socket
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 from fireflyhitch_serving.connections import Address
+from fireflyhitch_serving.messages import Headers, render_head, render_request
+from fireflyhitch_standins.scripted_server import HOST
 
-HOST = '127.0.0.1'
 NODE_FILE = """
 node_name = "{node.name}"
 role = "daemon"
@@ -52,6 +54,14 @@
 SERVICES = ({'name': 'planning', 'health_path': '/health', 'max_connections': 100},)
 
 
+def find_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
 @dataclass(frozen=True, slots=True)
 class Node:
     """An instance that runs a daemon.
@@ -125,3 +135,40 @@
         'sequence': 1,
         **changes,
     }
+
+
+def render_call(
+    path: str,
+    key: str,
+    request_id: str,
+    *,
+    method: str = 'GET',
+    deadline_ms: int = 2500,
+    more: Headers | None = None,
+    body: bytes = b'',
+) -> bytes:
+    """Return a caller's request.
+
+    :param more: headers besides those that each request has.
+    """
+    headers = [
+        (b'Host', b'shop.example:80'),
+        (b'Request-Id', request_id.encode()),
+        (b'Deadline-Ms', b'%d' % deadline_ms),
+        (b'Authorization', f'Bearer {key}'.encode()),
+        *(more or ()),
+    ]
+    return render_request(method.encode(), path.encode(), headers, body)
+
+
+def render_signed(
+    request_id: str, signature: str, body: bytes, status: int = 200
+) -> bytes:
+    """Return a server's whole answer with its signature and load."""
+    headers = [
+        (b'Request-Id', request_id.encode()),
+        (b'Response-Stamp', signature.encode()),
+        (b'Server-Load', b'1,0,6'),
+        (b'Content-Length', b'%d' % len(body)),
+    ]
+    return render_head(status, headers) + body
--- a/tests/users_platform/site_of_daemons.py
+++ b/tests/users_platform/site_of_daemons.py
@@ -1,23 +1,24 @@
 """Daemons of the users' platform beside stand-ins of it, in one process."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
 
 from scene import Received, exchange
-from scripted_servers import ScriptedServer, SeenRequest
 
 from fireflyhitch_serving.connections import Address
-from fireflyhitch_serving.messages import render_request
+from fireflyhitch_standins.scripted_server import ScriptedServer, SeenRequest
 from fireflyhitch_standins.users_formats import (
     Node,
+    find_port,
+    render_call,
     render_configuration,
     render_node_file,
     render_route,
     render_server,
+    render_signed,
 )
 from fireflyhitch_standins.users_store import UsersDuties, UsersStore
 from fireflyhitch_users_platform.program import Program
@@ -38,11 +39,8 @@
     """Return a script of a server that answers as the platform's do."""
 
     async def script(request: SeenRequest, writer: asyncio.StreamWriter) -> None:
-        writer.write(
-            b'HTTP/1.1 %d Status\r\nRequest-Id: %b\r\nResponse-Stamp: s.1\r\n'
-            b'Server-Load: 1,0,6\r\nContent-Length: %d\r\n\r\n%b'
-            % (status, request.find('request-id').encode(), len(body), body)
-        )
+        request_id = request.find('request-id')
+        writer.write(render_signed(request_id, 's.1', body, status))
 
     return script
 
@@ -142,15 +140,14 @@
         self, daemon: str, path: str = '/read/1', method: str = 'GET', **more: Any
     ) -> Received:
         """Send a request to a daemon, once it listens."""
-        headers = [
-            (b'Host', b'shop.example:80'),
-            (b'Request-Id', more.get('request_id', 'r1').encode()),
-            (b'Deadline-Ms', b'2500'),
-            (b'Authorization', f'Bearer {more.get("key", KEY)}'.encode()),
-            *more.get('headers', ()),
-        ]
-        body = more.get('body', b'')
-        request = render_request(method.encode(), path.encode(), headers, body)
+        request = render_call(
+            path,
+            more.get('key', KEY),
+            more.get('request_id', 'r1'),
+            method=method,
+            more=more.get('headers'),
+            body=more.get('body', b''),
+        )
         return await exchange(Address('127.0.0.1', self._ports[daemon][0]), request)
 
     async def is_ready(self, daemon: str) -> bool:
@@ -178,11 +175,3 @@
     """Wait until something is so."""
     while not is_so():
         await asyncio.sleep(0.02)
-
-
-def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        port: int = sock.getsockname()[1]
-        return port
