Keep no empty evidence of peers' processes

Each process of a peer that ever told that it has no evidence was kept for as long as this one lives, and gone through with each answer of an untried version; limits and usage already forget theirs. Failing first: test_processes_without_evidence_are_not_kept (501 kept).

--- a/libs/serving/fireflyhitch_serving/moves.py
+++ b/libs/serving/fireflyhitch_serving/moves.py
@@ -171,8 +171,15 @@
         return self._counts
 
     def take_evidence(self, process: str, counts: Mapping[str, Counts]) -> None:
-        """Take in a peer's counts."""
-        self._told[process] = counts
+        """Take in a peer's counts; none are kept of a process that has none."""
+        if counts:
+            self._told[process] = counts
+        else:
+            self._told.pop(process, None)
+
+    def count_tellers(self) -> int:
+        """Return how many peers' counts are kept."""
+        return len(self._told)
 
     def sum_evidence(self, order: MoveOrder) -> MoveEvidence:
         """Return what all daemons saw of a move."""
--- a/tests/users_platform/test_moves.py
+++ b/tests/users_platform/test_moves.py
@@ -90,3 +90,14 @@
         book.take_order(MoveOrder(PLANNING, 'v3', 60, Revision(20)))
         book.count(PLANNING, 'v2', 'r', failed=False, seconds=0.1)
         assert list(book.evidence()) == ['planning|20|v2|r']
+
+    def test_processes_without_evidence_are_not_kept(self) -> None:
+        # Every process of a peer tells its counts, mostly none. Each was remembered
+        # for as long as this one lives, and added up with each untried answer.
+        book, _ = make_running()
+        book.take_evidence('early', {'planning|9|v2|r': [1, 0, 0]})
+        for number in range(500):
+            book.take_evidence(f'd{number}', {})
+        assert book.count_tellers() == 1
+        book.take_evidence('early', {})
+        assert not book.count_tellers()
