Reset connections that are given up, so that no order of a former leader arrives late

Cause: a leader that is cut off writes an order, gives the call up at its lease's margin and closes the connection without a reset. A call's time also began only after its connection was open, up to 0.5 s into the margin of 0.7 s. Ruled out: a former leader that acts after its lease (lead() stops it), a process that was killed (it cannot write), the resigning leader (its number would be higher). Change: SO_LINGER of zero on connections to the platform and to servers; the call's time includes opening. The scripted server sees a reset as the end of a connection.

--- a/libs/serving/fireflyhitch_serving/client.py
+++ b/libs/serving/fireflyhitch_serving/client.py
@@ -50,13 +50,10 @@
         """
         host = (b'Host', str(self.address).encode())
         request = render_request(method, target, [host, *(headers or ())], body)
-        kept = self._pool.take(self._clock.monotonic())
-        connection = kept or await connect(self.address, CONNECT_SECONDS)
-        whole = False
         try:
+            # Opening a connection counts: a leader's call has to end before its lease.
             async with asyncio.timeout(timeout):
-                answer = await _exchange(connection, request)
-            whole = True
+                return await self._call(request)
         except TimeoutError as error:
             raise ServerError(
                 f'no answer in {timeout:.1f} s',
@@ -64,6 +61,14 @@
                 peer=str(self.address),
                 outcome=Outcome.UNKNOWN,
             ) from error
+
+    async def _call(self, request: bytes) -> HttpAnswer:
+        kept = self._pool.take(self._clock.monotonic())
+        connection = kept or await connect(self.address, CONNECT_SECONDS)
+        whole = False
+        try:
+            answer = await _exchange(connection, request)
+            whole = True
         finally:
             if whole:
                 self._pool.give_back(connection, self._clock.monotonic())
--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -15,7 +15,7 @@
 from fireflyhitch_model.states import Outcome, Step
 from fireflyhitch_serving.errors import ServerError
 from fireflyhitch_serving.messages import Headers, find_header
-from fireflyhitch_serving.sockets import probe_peer, send_at_once
+from fireflyhitch_serving.sockets import probe_peer, reset_on_close, send_at_once
 
 # A peer that acknowledges nothing for this long is taken for cut off. Links are
 # at most some ms long; a retransmission after a lost packet takes 0.2 to 0.8 s.
@@ -168,6 +168,7 @@
         self._transport = transport
         send_at_once(transport, SILENT_MS)
         probe_peer(transport, KEEPALIVE_SECONDS, KEEPALIVE_PROBES)
+        reset_on_close(transport)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes in."""
--- a/libs/serving/fireflyhitch_serving/sockets.py
+++ b/libs/serving/fireflyhitch_serving/sockets.py
@@ -1,7 +1,11 @@
-"""Socket options by which a peer that went away without a word is found."""
+"""Socket options for peers that went away without a word, and for what they get late."""
 
 import asyncio
 import socket
+import struct
+
+# On, and zero seconds to wait.
+_RESET_AT_ONCE = struct.pack('ii', 1, 0)
 
 
 def find_socket(transport: asyncio.Transport) -> socket.socket | None:
@@ -33,3 +37,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, seconds)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, seconds)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
+
+
+def reset_on_close(transport: asyncio.Transport) -> None:
+    """Have the connection reset when it is closed, also by the end of the process.
+
+    Otherwise the kernel goes on sending what was written, and a request that was given
+    up in a cut runs once the cut has healed, seconds after another process took over.
+    A reset drops what the peer has not acknowledged.
+    """
+    sock = find_socket(transport)
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_ONCE)
--- a/libs/standins/fireflyhitch_standins/scripted_server.py
+++ b/libs/standins/fireflyhitch_standins/scripted_server.py
@@ -86,6 +86,7 @@
 
 
 async def _watch_end(reader: asyncio.StreamReader, request: SeenRequest) -> None:
-    while not reader.at_eof():
+    # A connection that is reset ends with an error instead of its last byte.
+    while not reader.at_eof() and reader.exception() is None:
         await asyncio.sleep(LOOK_SECONDS)
     request.closed.set()
