Order servers by how busy engines are, learned from their answers

Change: Workloads learns the seconds that a prompt token keeps an engine busy (a least squares line over first events) and the part of customers' units that engines read; the leader orders for the peak of busy engines, at most 0.65 of the time. Peaks are kept by service.

--- a/libs/serving/fireflyhitch_serving/admission.py
+++ b/libs/serving/fireflyhitch_serving/admission.py
@@ -125,6 +125,7 @@
                 )
             )
         exchange.charged = units
+        self._parts.workloads.note_units(units)
 
     def refuse_for_now(self, code: str, message: str) -> RefusedError:
         """Return the error for a request that did not run and may come back."""
--- a/libs/serving/fireflyhitch_serving/parts.py
+++ b/libs/serving/fireflyhitch_serving/parts.py
@@ -16,6 +16,7 @@
 from fireflyhitch_serving.servers import ServerBook
 from fireflyhitch_serving.usage import UsageBook
 from fireflyhitch_serving.versions import VersionShares
+from fireflyhitch_serving.workloads import Workloads
 
 
 class CountAnswer(Protocol):
@@ -72,6 +73,7 @@
     quotas: Quotas
     budget: RepeatBudget
     usage: UsageBook
+    workloads: Workloads
     versions: VersionShares
     count_answer: CountAnswer
     fresh_parts: FreshParts
--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -129,6 +129,7 @@
         )
         record.requests += 1
         record.prompt_tokens += placement.fresh_tokens
+        self._parts.workloads.note_read(exchange.service, placement.fresh_tokens)
         exchange.reading = placement.fresh_tokens
         record.note_parts(exchange.facts.parts, self._clock.monotonic())
         self._parts.fresh_parts.add(record.server.server_id, exchange.facts.parts)
@@ -244,12 +245,21 @@
         _end_reading(exchange, placement.record)
         if exchange.first_event_at is None:
             exchange.first_event_at = self._clock.monotonic()
+            self._note_pace(exchange, placement)
         if exchange.counted:
             return
         exchange.counted = True
         if exchange.customer is not None:
             self._parts.usage.count(exchange.customer.name, self._parts.wall())
 
+    def _note_pace(self, exchange: Exchange, placement: Placement) -> None:
+        if exchange.facts.prompt_tokens is None or exchange.first_event_at is None:
+            return
+        self._parts.workloads.pace_of(exchange.service).note(
+            placement.queued_tokens + placement.fresh_tokens,
+            exchange.first_event_at - exchange.attempt_began,
+        )
+
     def _note_answer(
         self, exchange: Exchange, placement: Placement, facts: AnswerFacts
     ) -> None:
--- a/libs/serving/fireflyhitch_serving/scale_orders.py
+++ b/libs/serving/fireflyhitch_serving/scale_orders.py
@@ -20,6 +20,7 @@
 from fireflyhitch_serving.duty_calls import CallResult, DutyCalls, ServerOrder
 from fireflyhitch_serving.leases import DaemonLease
 from fireflyhitch_serving.servers import ServerBook
+from fireflyhitch_serving.workloads import Workloads
 
 LOOK_SECONDS = 0.5
 # An order is given again if the servers are not there by then: starting takes some
@@ -33,10 +34,9 @@
 # back may not be had again for 15 s after a reclaim. With half in 12 s, 28 of 58 were
 # given back just before one on a played day.
 PEAK_KEPT = 0.985
-# Tokens a second that one engine carries with first tokens well within a second; it
-# reads some 50,000, and half of that keeps the queue of prompts short: a third of the
-# engines are slower, requests come in clumps, and some are read twice.
-TOKENS_PER_SERVER = 28_000.0
+# Part of the time for which an engine may be busy reading: requests come in clumps, and
+# with more the queue of prompts grows.
+BUSY_PART = 0.65
 
 # A leader that has seen no load yet takes the servers that there are for what is needed,
 # but for this part: ordering by a load of nothing left 8 of 56 servers at the first
@@ -77,6 +77,23 @@
     at: float
 
 
+@dataclass(slots=True)
+class _Peak:
+    """The most load of a service lately.
+
+    :param busy: engines that its prompts keep busy all the time.
+    :param requests: in flight.
+    """
+
+    busy: float = 0
+    requests: float = 0
+
+    def raise_to(self, busy: float, requests: float) -> None:
+        """Take in the present load; an earlier one that was higher fades."""
+        self.busy = max(self.busy * PEAK_KEPT, busy)
+        self.requests = max(self.requests * PEAK_KEPT, requests)
+
+
 class ScaleKeeper:
     """Orders servers; a new leader begins from what there is."""
 
@@ -85,6 +102,7 @@
         catalog: Callable[[], Catalog | None],
         servers: ServerBook,
         demand: Callable[[], float],
+        workloads: Workloads,
         lease: DaemonLease,
         calls: DutyCalls,
         clock: Clock,
@@ -96,12 +114,12 @@
         self._catalog = catalog
         self._servers = servers
         self._demand = demand
+        self._workloads = workloads
         self._lease = lease
         self._calls = calls
         self._clock = clock
         self._given: dict[_OrderKey, _Given] = {}
-        self._peak = 0.0
-        self._busiest = 0.0
+        self._peaks: dict[DeploymentId, _Peak] = {}
         self._floors: dict[DeploymentId, float] = {}
         self._listings: dict[DeploymentId, _Listing] = {}
 
@@ -109,7 +127,6 @@
         """Order servers until cancelled."""
         while True:
             await asyncio.sleep(LOOK_SECONDS)
-            self._peak = max(self._peak * PEAK_KEPT, self._demand())
             catalog = self._catalog()
             if catalog is None or self._lease.lead() is None:
                 self._given.clear()
@@ -186,16 +203,19 @@
 
     def _count_needed(self, service: Service) -> int:
         """Return how many servers carry the present load, read and generated."""
-        by_tokens = math.ceil(self._peak / TOKENS_PER_SERVER)
         now = self._clock.monotonic()
         requests = sum(
             record.total(now).requests
             for record in self._servers.of_service(service.name)
         )
+        peak = self._peaks.setdefault(service.name, _Peak())
+        peak.raise_to(
+            self._workloads.find_busy_seconds(service.name, self._demand()), requests
+        )
         batch = service.engine.batch if service.engine else 1
-        self._busiest = max(self._busiest * PEAK_KEPT, requests)
-        by_places = math.ceil(self._busiest / (batch * BATCH_PART))
-        return max(LEAST_NEEDED, by_tokens, by_places)
+        by_reading = math.ceil(peak.busy / BUSY_PART)
+        by_places = math.ceil(peak.requests / (batch * BATCH_PART))
+        return max(LEAST_NEEDED, by_reading, by_places)
 
     def _count(
         self, service: DeploymentId, scale: ScaleBounds
@@ -227,6 +247,9 @@
             reclaimable=order.reclaimable,
             count=order.count,
             present=present,
+            busy=round(self._peaks[order.service].busy, 2),
+            in_flight=round(self._peaks[order.service].requests),
+            floor=round(self._floors.get(order.service, 0), 1),
             result=result.value,
         ).info('servers ordered')
         if result is CallResult.FAILED:
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -48,6 +48,7 @@
 from fireflyhitch_serving.servers import ServerBook, ServerEntry
 from fireflyhitch_serving.usage import UsageBook
 from fireflyhitch_serving.versions import VersionShares
+from fireflyhitch_serving.workloads import Workloads
 from fireflyhitch_standins.scripted_server import Script, ScriptedServer
 
 SERVICE = DeploymentId('bookings')
@@ -179,6 +180,7 @@
                 quotas=self.quotas,
                 budget=self.budget,
                 usage=self.usage,
+                workloads=Workloads(),
                 versions=self.versions,
                 count_answer=self._count,
                 fresh_parts=FreshParts(),
--- a/libs/serving/tests/test_client.py
+++ b/libs/serving/tests/test_client.py
@@ -102,12 +102,11 @@
     @staticmethod
     def test_opening_a_connection_counts_into_a_call_s_time() -> None:
         """Else a leader's call could go out when its lease has little left."""
-        error = asyncio.run(_call_unreached())
-        assert 'no answer in 0.1 s' in str(error)
+        asyncio.run(_call_unreached())
 
 
-async def _call_unreached() -> ServerError:
-    """Return how a call ends to an address that accepts nothing."""
+async def _call_unreached() -> None:
+    """Make a call to an address that accepts nothing."""
     with socket.socket() as silent:
         silent.bind(('127.0.0.1', 0))
         silent.listen(0)
@@ -117,8 +116,7 @@
             filler.setblocking(False)
             filler.connect_ex(silent.getsockname())
         client = HttpClient(Address(*silent.getsockname()), SystemClock())
-        with pytest.raises(ServerError) as caught:
+        with pytest.raises(ServerError, match=r'no answer in 0\.1 s'):
             await client.call(b'POST', b'/orders', timeout=GIVEN_UP_SECONDS)
         for filler in fillers:
             filler.close()
-        return caught.value
--- a/libs/serving/tests/test_scale.py
+++ b/libs/serving/tests/test_scale.py
@@ -14,6 +14,7 @@
 from fireflyhitch_serving.leases import Leadership
 from fireflyhitch_serving.scale_orders import ScaleKeeper
 from fireflyhitch_serving.servers import ServerBook, ServerEntry
+from fireflyhitch_serving.workloads import Workloads
 
 DOMAINS = {FailureDomainId(name): 1.0 for name in ('a', 'b', 'c', 'd')}
 SCALED = Service(
@@ -51,6 +52,7 @@
             lambda: catalog,
             self.book,
             lambda: demand,
+            Workloads(),
             self.leader,  # type: ignore[arg-type]
             self.leader,  # type: ignore[arg-type]
             self.clock,
