Leave a silent engine after what its answers usually take

Change: patience is twice the learned time to a first event plus 0.2 s, at least half of the target.

--- a/libs/serving/fireflyhitch_serving/attempts.py
+++ b/libs/serving/fireflyhitch_serving/attempts.py
@@ -27,11 +27,6 @@
 MOST_STRAY_ANSWERS = 2
 SERVER_FAULT = 500
 FIRST_ERROR = 300
-# A silent server is given this many times its expected time, and at least so many
-# seconds, before a repeatable request goes elsewhere: mute servers say nothing at
-# all, while a busy one that is this late has missed the aim anyway.
-PATIENCE_FACTOR = 4.0
-LEAST_PATIENCE_SECONDS = 0.4
 # In mid stream, in gap targets: later than this the answer counts as late.
 GAP_PATIENCE_FACTOR = 1.5
 
--- a/libs/serving/fireflyhitch_serving/choices.py
+++ b/libs/serving/fireflyhitch_serving/choices.py
@@ -1,7 +1,6 @@
 """Which server an attempt goes to, and whether there may be another attempt."""
 
 from fireflyhitch_model.states import Outcome
-from fireflyhitch_serving.attempts import LEAST_PATIENCE_SECONDS, PATIENCE_FACTOR
 from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
 from fireflyhitch_serving.health import Ending
 from fireflyhitch_serving.parts import PathParts
@@ -14,6 +13,15 @@
 )
 from fireflyhitch_serving.servers import ServerRecord
 
+# A silent server is given this many times its expected time and some on top, before a
+# repeatable request goes elsewhere. Mute servers say nothing at all, and one in some
+# hundred that are well is this late.
+PATIENCE_FACTOR = 2.0
+PATIENCE_SECONDS = 0.2
+LEAST_PATIENCE_SECONDS = 0.4
+# But at least this part of the latency target: there is time for another server then,
+# and a busy one that answers meanwhile has done its work for somebody.
+TARGET_PART = 0.5
 # Sends beyond a route's attempts that were told "not run"; each costs a round trip.
 EXTRA_SENDS = 2
 
@@ -64,8 +72,15 @@
         route = exchange.route
         if not route.repeatable or exchange.runs + 1 >= route.attempts:
             return None
-        expected = max(placement.wait * PATIENCE_FACTOR, route.target)
-        return max(expected, LEAST_PATIENCE_SECONDS)
+        if exchange.facts.prompt_tokens is None:
+            return max(route.target, LEAST_PATIENCE_SECONDS)
+        pace = self._parts.workloads.pace_of(exchange.service)
+        expected = pace.expect(placement.queued_tokens + placement.fresh_tokens)
+        return max(
+            expected * PATIENCE_FACTOR + PATIENCE_SECONDS,
+            route.target * TARGET_PART,
+            LEAST_PATIENCE_SECONDS,
+        )
 
     def may_leave(self, exchange: Exchange) -> bool:
         """Take a repeat for a request whose server is silent, if it may have one."""
