Tell daemons without the store what changes, find lost messages, and pause watches

Change: messages of changes are numbered, news tell how many were sent, and a daemon that misses one reads the list anew; two daemons pass changes on to those that do not hear the store; watches pause 0.25 s after a change, also where all daemons watch (each change cost a call at each). While it hears no store, a daemon takes its peers' word that a server is gone. Ruled out: a stuck watch (both watchers listed anew at 1.85 s), stalls (the four served on).

--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -105,9 +105,11 @@
         no entry of a living server lapse: peers that heard the store all the while
         tell it. Holding such entries all the same gave a server that had left without
         notice a request 2.1 s after the store knew, where 2 s are allowed.
+
+        While it does not hear the store, its peers' word alone counts.
         """
         if self._failing_since is not None:
-            return False
+            return self.others_settled()
         return self._has_lasted(self._returned_at) or self.others_settled()
 
     def vouches(self) -> bool:
@@ -191,11 +193,24 @@
         """Read now and again, while others watch."""
         while not self._watches():
             seconds = LOOK_SECONDS if self._missing else READ_SECONDS
-            await asyncio.sleep(seconds * self._draw.uniform(LEAST_WAIT, 1))
+            lost = await self._wait_for_loss(
+                seconds * self._draw.uniform(LEAST_WAIT, 1)
+            )
             self._drop_missing()
-            listing = await self._store.list(self._prefix, stale=True)
+            listing = await self._store.list(self._prefix, stale=not lost)
             self._take_listing(listing)
 
+    async def _wait_for_loss(self, seconds: float) -> bool:
+        """Wait; tell whether a message of those who watch was lost meanwhile."""
+        assert self._relay is not None
+        try:
+            async with asyncio.timeout(seconds):
+                await self._relay.lost.wait()
+        except TimeoutError:
+            return False
+        self._relay.lost.clear()
+        return True
+
     def _take_listing(self, listing: Listing) -> list[Change]:
         """Take in all keys, and return what has changed since the last time."""
         self._note_current()
--- a/libs/serving/fireflyhitch_serving/peer_news.py
+++ b/libs/serving/fireflyhitch_serving/peer_news.py
@@ -32,6 +32,7 @@
     :param hears_store: whether the store answers it.
     :param store_settled: whether it has done so for some seconds.
     :param stopping: whether it is about to go.
+    :param relayed: messages of changes that it has passed on to its neighbours.
     """
 
     daemon: str
@@ -47,6 +48,7 @@
     hears_store: bool = True
     store_settled: bool = True
     stopping: bool = False
+    relayed: int = 0
 
 
 def render_news(news: PeerNews) -> bytes:
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -7,12 +7,17 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from cachetools import LRUCache
+from loguru import logger
+
+from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import Revision
-from fireflyhitch_serving.peer_news import read_rows, render_rows
+from fireflyhitch_serving.peer_news import PeerNews, read_rows, render_rows
 from fireflyhitch_serving.peers import PeerBook
 
 WATCHERS = 2
@@ -25,6 +30,15 @@
 # Datagrams of this many changes stay well below the largest.
 MOST_CHANGES = 50
 CHANGES = 'changes'
+# Both datagrams of a message have come by then, or were lost.
+ARRIVAL_SECONDS = 0.25
+# Peers' processes whose messages are counted, those heard last.
+MOST_SENDERS = 256
+# Number of messages that are not for all of a failure domain.
+UNCOUNTED = 0
+# What a daemon may have missed before it noticed that it does not hear the store: a
+# silent connection is found after 1.5 s.
+RECENT_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,34 +50,118 @@
     revision: Revision
 
 
-def render_changes(changes: list[Change]) -> bytes:
+@dataclass(frozen=True, slots=True)
+class ChangeMessage:
+    """Changes passed on in one datagram.
+
+    :param sender: the process that passes them on.
+    :param number: of its messages, from 1; a lost one leaves a gap.
+    """
+
+    sender: str
+    number: int
+    changes: list[Change]
+
+
+def render_changes(message: ChangeMessage) -> bytes:
     """Return a datagram."""
-    rows = [(change.key, change.value, change.revision) for change in changes]
+    rows: list[object] = [(message.sender, message.number)]
+    rows.extend(
+        (change.key, change.value, change.revision) for change in message.changes
+    )
     return render_rows(CHANGES, rows)
 
 
-def read_changes(data: bytes) -> list[Change] | None:
+def read_changes(data: bytes) -> ChangeMessage | None:
     """Read a datagram; nothing for one of another kind."""
-    return read_rows(CHANGES, data, lambda row: Change(*row))
+    rows = read_rows(CHANGES, data, tuple)
+    if not rows:
+        return None
+    (sender, number), *changes = rows
+    return ChangeMessage(sender, number, [Change(*row) for row in changes])
+
+
+@dataclass(slots=True)
+class _Sender:
+    settled: int
+    told: int = 0
+    told_at: float = 0
+    got: set[int] = field(default_factory=set)
+
+
+class RelayGaps:
+    """Which peers' messages of changes were lost on the way here.
+
+    Both datagrams of a message are lost where an instance's link is full for a moment,
+    and a daemon that does not watch then sends to leaving servers for seconds: reads
+    that may be old do not show it in time while the store's copies are behind. Each
+    peer tells in its news how many messages it has sent, so a loss shows soon.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        """Make gaps of peers that were not heard yet."""
+        self._clock = clock
+        self._senders: LRUCache[str, _Sender] = LRUCache(MOST_SENDERS)
+
+    def note_message(self, message: ChangeMessage) -> None:
+        """Take in that a message has come."""
+        sender = self._senders.get(message.sender)
+        if sender is not None:
+            sender.got.add(message.number)
+
+    def is_lost(self, process: str, sent: int) -> bool:
+        """Take in how many messages a peer has sent; tell whether one was lost.
+
+        A loss is told once, and only after both datagrams had their time.
+        """
+        now = self._clock.monotonic()
+        sender = self._senders.get(process)
+        if sender is None:
+            self._senders[process] = _Sender(settled=sent)
+            return False
+        if sent <= sender.settled:
+            return False
+        if sender.told <= sender.settled:
+            sender.told = sent
+            sender.told_at = now
+        if now - sender.told_at < ARRIVAL_SECONDS:
+            return False
+        expected = set(range(sender.settled + 1, sender.told + 1))
+        lost = not expected <= sender.got
+        sender.settled = sender.told
+        sender.got -= expected
+        return lost
 
 
 class ChangeRelay:
-    """Passes changes on to the daemons of the own failure domain."""
+    """Passes changes on to daemons that do not watch, or cannot."""
 
     def __init__(
         self,
         peers: PeerBook,
         own: str,
+        process: str,
+        clock: Clock,
         send: Callable[[bytes, list[str]], None],
     ) -> None:
         """Make a relay with nothing to pass on.
 
+        :param own: this daemon's name.
+        :param process: names this process alone.
         :param send: a datagram to daemons by name.
         """
+        self.sent = 0
         self._peers = peers
         self._own = own
+        self._process = process
+        self._clock = clock
         self._send = send
+        self._gaps = RelayGaps(clock)
         self._waiting: list[Change] = []
+        self._recent: deque[tuple[float, Change]] = deque()
+        self._deaf: set[str] = set()
+        # Set when the list has to be read anew, since a message was lost.
+        self.lost = asyncio.Event()
 
     def watches(self) -> bool:
         """Tell whether this daemon is one of those that watch.
@@ -78,10 +176,13 @@
 
         The second watcher only helps out when the first is stuck or just gone.
         """
-        watchers = self._find_watchers()
-        if len(self._peers.heard_near()) < WATCHERS:
-            return 0
-        return FIRST_PAUSE_SECONDS if watchers[0] == self._own else SECOND_PAUSE_SECONDS
+        if self._find_watchers()[0] == self._own:
+            return FIRST_PAUSE_SECONDS
+        return SECOND_PAUSE_SECONDS if self._passes_on() else FIRST_PAUSE_SECONDS
+
+    def _passes_on(self) -> bool:
+        """Tell whether there are more daemons near than watch."""
+        return len(self._peers.heard_near()) >= WATCHERS
 
     def _find_watchers(self) -> list[str]:
         near = [
@@ -97,15 +198,62 @@
             asyncio.get_running_loop().call_soon(self._flush)
         self._waiting.append(change)
 
+    def note_message(self, message: ChangeMessage) -> None:
+        """Take in that a peer's message has come."""
+        self._gaps.note_message(message)
+
+    def note_news(self, news: PeerNews) -> None:
+        """Take in whether a peer hears the store, and what it has passed on."""
+        if not news.hears_store:
+            self._tell_deaf(news.daemon)
+        else:
+            self._deaf.discard(news.daemon)
+        is_near = news.failure_domain == self._peers.own_domain
+        if is_near and self._gaps.is_lost(news.process, news.relayed):
+            logger.bind(peer=news.daemon).warning('changes lost on the way')
+            self.lost.set()
+
     def _flush(self) -> None:
-        near = list(self._peers.heard_near())
         changes = self._waiting
         self._waiting = []
-        # With no more daemons than watchers all watch.
-        if len(near) < WATCHERS:
+        now = self._clock.monotonic()
+        self._recent.extend((now, change) for change in changes)
+        self._drop_old(now)
+        near = list(self._peers.heard_near()) if self._passes_on() else []
+        # Those who wait for the store's word in vain get it from the others.
+        deaf = [daemon for daemon in self._find_deaf() if daemon not in near]
+        for start in range(0, len(changes), MOST_CHANGES):
+            some = changes[start : start + MOST_CHANGES]
+            if near:
+                self.sent += 1
+                self._send_twice(self.sent, some, near)
+            if deaf:
+                self._send_twice(UNCOUNTED, some, deaf)
+
+    def _find_deaf(self) -> list[str]:
+        """Return the daemons that do not hear the store, if this one helps them."""
+        heard = self._peers.heard()
+        hearing = [daemon for daemon, news in heard.items() if news.hears_store]
+        if self._own not in rank_by_hash('help', [self._own, *hearing])[:WATCHERS]:
+            return []
+        return [daemon for daemon, news in heard.items() if not news.hears_store]
+
+    def _tell_deaf(self, daemon: str) -> None:
+        """Tell a daemon that has lost the store what it may just have missed."""
+        if daemon in self._deaf:
             return
+        self._deaf.add(daemon)
+        self._drop_old(self._clock.monotonic())
+        recent = [change for _, change in self._recent]
+        if recent and daemon in self._find_deaf():
+            self._send_twice(UNCOUNTED, recent[-MOST_CHANGES:], [daemon])
+
+    def _send_twice(self, number: int, changes: list[Change], to: list[str]) -> None:
+        data = render_changes(ChangeMessage(self._process, number, changes))
+        self._send(data, to)
         loop = asyncio.get_running_loop()
-        for start in range(0, len(changes), MOST_CHANGES):
-            data = render_changes(changes[start : start + MOST_CHANGES])
-            self._send(data, near)
-            loop.call_later(AGAIN_SECONDS, self._send, data, near)
+        loop.call_later(AGAIN_SECONDS, self._send, data, to)
+
+    def _drop_old(self, now: float) -> None:
+        while self._recent and now - self._recent[0][0] > RECENT_SECONDS:
+            self._recent.popleft()
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -31,6 +31,7 @@
     """What daemons tell each other of.
 
     :param stopping: whether this daemon is about to go.
+    :param relayed: messages of changes that it has passed on.
     """
 
     clock: Clock
@@ -44,6 +45,7 @@
     fresh_parts: FreshParts
     health: StoreHealth
     stopping: Callable[[], bool]
+    relayed: Callable[[], int]
 
 
 class SharedState:
@@ -86,6 +88,7 @@
             hears_store=parts.health.answers,
             store_settled=parts.health.vouches(),
             stopping=parts.stopping(),
+            relayed=parts.relayed(),
         )
 
     def take_news(self, news: PeerNews) -> None:
--- /dev/null
+++ b/libs/serving/tests/test_relays.py
@@ -0,0 +1,134 @@
+"""Tests of changes that daemons pass on to each other."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from fireflyhitch_model.clock import ManualClock
+from fireflyhitch_model.ids import FailureDomainId, Revision
+from fireflyhitch_serving.connections import Address
+from fireflyhitch_serving.peer_news import PeerNews
+from fireflyhitch_serving.peers import PeerBook
+from fireflyhitch_serving.relays import (
+    Change,
+    ChangeMessage,
+    ChangeRelay,
+    RelayGaps,
+    read_changes,
+    render_changes,
+)
+
+HERE = FailureDomainId('gent')
+THERE = FailureDomainId('aalst')
+LEAVING = Change('servers/i-1', b'{"state":"draining"}', Revision(9))
+PEER = 'gent-2/a1'
+
+
+def tell(
+    daemon: str, domain: FailureDomainId, *, hears_store: bool, sequence: int = 1
+) -> PeerNews:
+    """Return a daemon's news."""
+    return PeerNews(
+        daemon=daemon,
+        process=f'{daemon}/a1',
+        failure_domain=domain,
+        sequence=sequence,
+        wall=0,
+        work={},
+        customers={},
+        usage={},
+        fresh_parts={},
+        evidence={},
+        hears_store=hears_store,
+    )
+
+
+class Watcher:
+    """A daemon that watches, with peers that it hears."""
+
+    def __init__(self, *peers: PeerNews) -> None:
+        self.told: dict[str, list[Change]] = {}
+        self.clock = ManualClock()
+        self.book = PeerBook('gent-1', HERE, self.clock, float)
+        for number, news in enumerate(peers):
+            self.book.register(news.daemon, Address('127.0.0.1', 1 + number))
+            self.book.take(news)
+        self.relay = ChangeRelay(
+            self.book, 'gent-1', 'gent-1/a1', self.clock, self._send
+        )
+
+    def play(self, script: Callable[[], None]) -> None:
+        """Do something, and let what follows from it be sent."""
+
+        async def run() -> None:
+            script()
+            await asyncio.sleep(0.01)
+
+        asyncio.run(run())
+
+    def _send(self, data: bytes, daemons: list[str]) -> None:
+        message = read_changes(data)
+        assert message is not None
+        for daemon in daemons:
+            self.told.setdefault(daemon, []).extend(message.changes)
+
+
+class TestDaemonsWithoutTheStore:
+    """The callers of one daemon get 502 for requests that ran at nobody's.
+
+    The store turns that daemon away and serves the others. A server leaves; all but
+    that daemon learn of it, which goes on sending there until the server is gone.
+    """
+
+    def test_they_get_changes_from_those_who_hear_it(self) -> None:
+        watcher = Watcher(tell('aalst-1', THERE, hears_store=False))
+        watcher.play(lambda: watcher.relay.pass_on(LEAVING))
+        assert watcher.told == {'aalst-1': [LEAVING]}
+
+    def test_they_get_what_came_before_anybody_knew(self) -> None:
+        watcher = Watcher(tell('aalst-1', THERE, hears_store=True))
+        watcher.play(lambda: watcher.relay.pass_on(LEAVING))
+        assert not watcher.told
+        deaf = tell('aalst-1', THERE, hears_store=False, sequence=2)
+        watcher.book.take(deaf)
+        watcher.play(lambda: watcher.relay.note_news(deaf))
+        assert watcher.told == {'aalst-1': [LEAVING]}
+
+    def test_those_who_hear_it_watch_themselves(self) -> None:
+        watcher = Watcher(tell('gent-2', HERE, hears_store=True))
+        watcher.play(lambda: watcher.relay.pass_on(LEAVING))
+        assert not watcher.told
+
+
+class TestLostMessages:
+    """A caller's request reaches a server four seconds after it began to leave.
+
+    Two daemons of a failure domain watch, and pass changes on by datagrams. The link of
+    a third is full for a moment, and all copies are lost. What it reads itself may be
+    old, and is six seconds behind while the store forgets its history.
+    """
+
+    def test_a_loss_shows_with_the_sender_s_next_news(self) -> None:
+        clock = ManualClock()
+        gaps = RelayGaps(clock)
+        assert not gaps.is_lost(PEER, 3)
+        gaps.note_message(ChangeMessage(PEER, 4, [LEAVING]))
+        assert not gaps.is_lost(PEER, 5)
+        clock.advance(timedelta(seconds=0.3))
+        assert gaps.is_lost(PEER, 5)
+        clock.advance(timedelta(seconds=0.3))
+        assert not gaps.is_lost(PEER, 5)
+
+    def test_messages_that_have_come_are_not_missed(self) -> None:
+        clock = ManualClock()
+        gaps = RelayGaps(clock)
+        assert not gaps.is_lost(PEER, 0)
+        for number in range(1, 20):
+            assert not gaps.is_lost(PEER, number)
+            gaps.note_message(ChangeMessage(PEER, number, [LEAVING]))
+            clock.advance(timedelta(seconds=0.1))
+        assert not gaps.is_lost(PEER, 20)
+
+    def test_a_message_is_read_as_it_was_written(self) -> None:
+        message = ChangeMessage(PEER, 7, [LEAVING, Change('a', None, Revision(8))])
+        assert read_changes(render_changes(message)) == message
