Place prompts at two servers agreed by hash, others only for much less waiting

Hypothesis: what a daemon knows of the others' work is 0.1 s old with 7 of them and 0.4 to 0.7 s with 67, so all send to the server that was idle then, and each shared part is read at many. Change: a prompt's last shared part belongs to two servers by rendezvous hash; another without that part is chosen only if a caller waits 0.4 of the latency target longer there. The time that waiting tokens take is the learned pace instead of 50,000 tokens a second.

--- a/libs/serving/fireflyhitch_serving/choices.py
+++ b/libs/serving/fireflyhitch_serving/choices.py
@@ -64,7 +64,12 @@
         place = Place(self._parts.own_domain, self._parts.silent_domains())
         if facts.prompt_tokens is None:
             return place_plain(candidates, place, now)
-        need = PromptNeed(facts.prompt_tokens, facts.parts)
+        need = PromptNeed(
+            facts.prompt_tokens,
+            facts.parts,
+            exchange.route.target,
+            self._parts.workloads.pace_of(exchange.service).seconds_per_token,
+        )
         return place_prompt(need, candidates, place, now)
 
     def find_patience(self, exchange: Exchange, placement: Placement) -> float | None:
--- a/libs/serving/fireflyhitch_serving/placing.py
+++ b/libs/serving/fireflyhitch_serving/placing.py
@@ -14,9 +14,6 @@
 from fireflyhitch_serving.messages import PromptPart
 from fireflyhitch_serving.servers import ServerRecord
 
-# What an engine reads a second until it was measured; engines of the size that the
-# operators run read 40,000 to 60,000.
-READ_TOKENS_PER_SECOND = 50_000.0
 # What each running request adds to another's first token, from the step time that
 # grows by 0.09 to 0.12 ms a request over some steps of reading.
 SECONDS_PER_RUNNING = 0.002
@@ -31,6 +28,13 @@
 # Nobody is known to have these parts; the server that all daemons would pick by hash
 # is preferred by this part of what its cache would save.
 AGREED_PART = 0.5
+# A prompt's parts belong to so many servers by hash, and another is chosen only where a
+# caller would wait this part of the latency target longer at all of them. What is known
+# of other daemons' work is some tenths of a second old: choosing among all servers, each
+# daemon sends to the one that was idle then, and reads shared parts once more there.
+AGREED_SERVERS = 2
+STRANGER_PART = 0.4
+MOST_STRANGER_SECONDS = 0.5
 # A leaving or returning server's own account of waiting requests is believed this long.
 LOAD_SECONDS = 0.5
 # A request to a failure domain that is cut off waits for a connection's time limit, or
@@ -42,10 +46,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PromptNeed:
-    """What an engine has to read for a request."""
+    """What an engine has to read for a request.
+
+    :param target: seconds in which its first token is due.
+    :param seconds_per_token: that engines of the service take to read.
+    """
 
     tokens: int
     parts: tuple[PromptPart, ...]
+    target: float
+    seconds_per_token: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,15 +97,18 @@
     best: Placement | None = None
     least = float('inf')
     for record in records:
-        fresh = need.tokens - count_cached(need.parts, record, now)
+        cached = count_cached(need.parts, record, now)
+        fresh = need.tokens - cached
         weighed = fresh
-        if record is agreed:
+        if agreed and record is agreed[0]:
             weighed = min(fresh, need.tokens - int(AGREED_PART * _shared(need.parts)))
         work = record.total(now)
-        wait = (work.prompt_tokens + weighed) / READ_TOKENS_PER_SECOND
+        wait = (work.prompt_tokens + weighed) * need.seconds_per_token
         wait += work.requests * SECONDS_PER_RUNNING
         wait += _wait_for_slot(record, work.requests)
         cost = wait + _weigh_place(record, place)
+        if agreed and not cached and record not in agreed:
+            cost += min(need.target * STRANGER_PART, MOST_STRANGER_SECONDS)
         if cost < least:
             least = cost
             best = Placement(record, wait, fresh, *work)
@@ -139,12 +152,13 @@
 
 def _find_agreed(
     parts: Sequence[PromptPart], records: Sequence[ServerRecord]
-) -> ServerRecord | None:
-    """Return the server that all daemons would choose for a prompt's parts."""
-    if len(parts) < 2 or not records:
-        return None
+) -> list[ServerRecord]:
+    """Return the servers that all daemons would choose among for a prompt's parts."""
+    if len(parts) < 2:
+        return []
     by_id = {record.server.server_id: record for record in records}
-    return by_id[rank_by_hash(parts[-2].part_id, by_id)[0]]
+    ranked = rank_by_hash(parts[-2].part_id, by_id)
+    return [by_id[server] for server in ranked[:AGREED_SERVERS]]
 
 
 def _wait_for_slot(record: ServerRecord, requests: int) -> float:
--- a/libs/serving/tests/test_placing.py
+++ b/libs/serving/tests/test_placing.py
@@ -112,7 +112,8 @@
         own = PromptPart(
             f'own{asked}', draw.choice((500, 2000, 12000 if long else 900))
         )
-        need = PromptNeed(shared.tokens + own.tokens, (shared, own))
+        tokens = shared.tokens + own.tokens
+        need = PromptNeed(tokens, (shared, own), 0.6, 1 / READ_PER_SECOND)
         record = choose(need, engines.records, now)
         asked += 1
         within += engines.send(need, record, now) <= 0.6
