Plan for three failure domains' reclaims at once

Hypothesis: waves take three domains one after the other, and reclaimable servers cost 0.15 to 0.18 of the others; so many of them that one domain carries the load cost less than what is bought on demand when the third goes, and come without a start's wait.

--- a/libs/serving/fireflyhitch_serving/scale_orders.py
+++ b/libs/serving/fireflyhitch_serving/scale_orders.py
@@ -28,7 +28,7 @@
 REPEAT_SECONDS = 2.5
 # Reclaims come domain by domain, and a second one may come before the first domain's
 # servers are replaced.
-DOMAINS_LOST = 2
+DOMAINS_LOST = 3
 LEAST_NEEDED = 3
 # A peak is forgotten by half in 23 s: bursts come again, and reclaimable servers given
 # back may not be had again for 15 s after a reclaim. With half in 12 s, 28 of 58 were
