--- a/libs/fleet/fireflyhitch_fleet/spread.py
+++ b/libs/fleet/fireflyhitch_fleet/spread.py
@@ -74,12 +74,29 @@
         more = _buy_in_room(bought[strained], short, bounds, present[strained])
         bought[strained] += more
         short -= more
+    kept = _find_kept(each, present)
     return {
-        where: DomainServers(min(each, bounds.most - on_demand), on_demand)
+        where: DomainServers(min(kept[where], bounds.most - on_demand), on_demand)
         for where, on_demand in bought.items()
     }
 
 
+def _find_kept(
+    each: int, present: Mapping[FailureDomainId, DomainServers]
+) -> dict[FailureDomainId, int]:
+    """Return the reclaimable servers of each domain.
+
+    While one domain lacks some, no other gives any back: they may not be had again, and
+    the next domain may go. A leader that has just taken over knows little of the load,
+    and had given back half of them when the last two domains went.
+    """
+    scarce = any(here.reclaimable < each for here in present.values())
+    return {
+        domain: max(each, here.reclaimable) if scarce else each
+        for domain, here in present.items()
+    }
+
+
 def _buy_beside(
     each: int, short: int, bounds: SpreadBounds, here: DomainServers
 ) -> int:
--- a/libs/fleet/tests/test_spread.py
+++ b/libs/fleet/tests/test_spread.py
@@ -137,6 +137,27 @@
         assert sum(here.on_demand for here in present.values()) == 0
 
 
+class TestScarcity:
+    """Callers find a quarter of the servers that there were a second before.
+
+    Two domains' reclaimable servers go, and none are to be had anywhere. A leader that
+    has just taken over sees little load, and gives back those of the other two that it
+    seems not to need. Then these two domains go as well.
+    """
+
+    def test_nothing_is_given_back_while_a_domain_lacks_servers(self) -> None:
+        domains = sorted(PRICES)
+        wave = {domain: DomainServers(5, 0) for domain in domains}
+        wave[domains[0]] = NOTHING
+        target = spread_servers(NEED, BOUNDS, PRICES, wave)
+        assert all(target[domain].reclaimable == 5 for domain in domains[1:])
+
+    def test_with_all_there_what_is_too_many_goes(self) -> None:
+        calm = {domain: DomainServers(5, 0) for domain in PRICES}
+        target = spread_servers(NEED, BOUNDS, PRICES, calm)
+        assert all(here.reclaimable == 2 for here in target.values())
+
+
 class TestLasting:
     def test_what_a_plan_made_is_read_as_the_need_it_was_made_for(self) -> None:
         # A new leader reads the need from the servers that the former one ordered.
--- a/libs/serving/fireflyhitch_serving/peer_roll.py
+++ b/libs/serving/fireflyhitch_serving/peer_roll.py
@@ -72,9 +72,10 @@
         domains: dict[str, FailureDomainId] = {}
         for item in listing.items:
             daemon = item.key.removeprefix(DAEMONS_PREFIX)
-            address, _, *more = item.value.decode().split(' ')
+            address, _, domain, link = item.value.decode().split(' ')
             listed[daemon] = Address.parse(address)
-            domains.update({daemon: FailureDomainId(domain) for domain in more})
+            domains[daemon] = FailureDomainId(domain)
+            self._peers.note_link(daemon, float(link))
             self._lease.take_registration(item)
         known = self._peers.listed()
         if not self._health.is_settled():
--- a/libs/serving/fireflyhitch_serving/peers.py
+++ b/libs/serving/fireflyhitch_serving/peers.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from statistics import median
 from typing import cast
@@ -16,6 +16,7 @@
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import FailureDomainId
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.peer_news import PeerNews, read_news, render_news
@@ -46,6 +47,8 @@
 # In which a summary has come from any daemon to any other: two turns of near news and
 # two of the relays.
 SUMMARY_TURN_SECONDS = 0.7
+# An instance is as able as the best if its link carries at least this part.
+ABLE_PART = 0.5
 # A leader needs every daemon's counts; those far away tell it this often.
 LEADER_SECONDS = 0.5
 
@@ -75,6 +78,7 @@
         self._heard: dict[str, _Heard] = {}
         self._registered: dict[str, Address] = {}
         self._domains: dict[str, FailureDomainId] = {}
+        self._links: dict[str, float] = {}
         self.own_news: PeerNews | None = None
 
     @property
@@ -96,11 +100,28 @@
             self._registered.pop(daemon, None)
             self._heard.pop(daemon, None)
             self._domains.pop(daemon, None)
+            self._links.pop(daemon, None)
             return
         self._registered[daemon] = address
         if domain is not None:
             self._domains[daemon] = domain
 
+    def note_link(self, daemon: str, megabits: float) -> None:
+        """Take in what a daemon's link carries, in a second."""
+        self._links[daemon] = megabits
+
+    def rank(self, duty: str, daemons: Iterable[str]) -> list[str]:
+        """Order daemons for a duty towards the others: by hash, the able ones first.
+
+        A relay sends some hundred kB a second. On an instance whose link carries little
+        its callers' first tokens came later by as much as the link was full.
+        """
+        ranked = rank_by_hash(duty, daemons)
+        best = max(self._links.get(daemon, 0) for daemon in ranked)
+        return sorted(
+            ranked, key=lambda daemon: self._links.get(daemon, 0) < best * ABLE_PART
+        )
+
     def listed(self) -> dict[str, Address]:
         """Return the daemons that the store lists."""
         return dict(self._registered)
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -15,7 +15,6 @@
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import Revision
 from fireflyhitch_serving.peer_news import PeerNews, read_rows, render_rows
 from fireflyhitch_serving.peers import PeerBook
@@ -190,7 +189,7 @@
             for daemon, news in self._peers.heard_near().items()
             if news.hears_store
         ]
-        return rank_by_hash('watch', [self._own, *near])[:WATCHERS]
+        return self._peers.rank('watch', [self._own, *near])[:WATCHERS]
 
     def pass_on(self, change: Change) -> None:
         """Send a change to the daemons that do not watch."""
@@ -234,7 +233,7 @@
         """Return the daemons that do not hear the store, if this one helps them."""
         heard = self._peers.heard()
         hearing = [daemon for daemon, news in heard.items() if news.hears_store]
-        if self._own not in rank_by_hash('help', [self._own, *hearing])[:WATCHERS]:
+        if self._own not in self._peers.rank('help', [self._own, *hearing])[:WATCHERS]:
             return []
         return [daemon for daemon, news in heard.items() if not news.hears_store]
 
--- a/libs/serving/fireflyhitch_serving/summary_relay.py
+++ b/libs/serving/fireflyhitch_serving/summary_relay.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Callable
 
-from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import FailureDomainId
 from fireflyhitch_serving.peer_news import PeerNews
 from fireflyhitch_serving.peers import PeerBook
@@ -74,7 +73,7 @@
             for daemon, news in self._peers.heard_near().items()
             if not news.stopping
         ]
-        return rank_by_hash('relay', [self._own, *near])[0] == self._own
+        return self._peers.rank('relay', [self._own, *near])[0] == self._own
 
     def tell_others(self) -> None:
         """Send the own domain's summary to the relays of the others."""
@@ -84,7 +83,7 @@
         live = self._book.live()
         daemons: list[str] = []
         for domain, listed in self._peers.group_far().items():
-            likely = rank_by_hash('relay', listed)[:LIKELY_RELAYS]
+            likely = self._peers.rank('relay', listed)[:LIKELY_RELAYS]
             known = live.get(domain)
             if known is not None and known.relay not in likely:
                 likely.append(known.relay)
--- a/libs/serving/tests/test_relays.py
+++ b/libs/serving/tests/test_relays.py
@@ -132,3 +132,26 @@
     def test_a_message_is_read_as_it_was_written(self) -> None:
         message = ChangeMessage(PEER, 7, [LEAVING, Change('a', None, Revision(8))])
         assert read_changes(render_changes(message)) == message
+
+
+class TestUnequalInstances:
+    """The callers of one instance wait longer for each first token than all others.
+
+    Its link carries a twentieth of what others' do, and it was first by hash: it relays
+    for its failure domain, and its callers' answers wait behind the messages.
+    """
+
+    def test_duties_go_to_instances_whose_links_carry_them(self) -> None:
+        watcher = Watcher()
+        names = [f'gent-{number}' for number in range(1, 16)]
+        for name in names:
+            watcher.book.note_link(name, 200 if name in {'gent-4', 'gent-9'} else 10)
+        for duty in ('relay', 'watch', 'help'):
+            ranked = watcher.book.rank(duty, names)
+            assert set(ranked[:2]) == {'gent-4', 'gent-9'}
+            assert sorted(ranked) == sorted(names)
+
+    def test_without_able_instances_the_others_do_them(self) -> None:
+        watcher = Watcher()
+        names = ['gent-1', 'gent-2', 'gent-3']
+        assert sorted(watcher.book.rank('relay', names)) == names
