--- a/libs/fleet/fireflyhitch_fleet/spread.py
+++ b/libs/fleet/fireflyhitch_fleet/spread.py
@@ -104,7 +104,6 @@
 
     A domain without reclaimable servers gets its least on demand at once, whatever the
     others have: the next domain may go before a server ordered then has started.
-    Without it a played day of four waves had worth 0.44 instead of 0.67.
     """
     least = max(bounds.least - here.reclaimable, 0)
     room = max(bounds.most - each, 0)
@@ -117,8 +116,8 @@
     """Return more servers on demand, in the room of reclaimable ones that are away.
 
     That is with more domains away than was planned for. A part is left, in which they
-    come back. Keeping room for all of them left 46 of 52 servers short for twelve
-    seconds when three domains went.
+    come back. Keeping room for all of them would leave callers short of servers for as
+    long as these are away.
     """
     coming = max(here.reclaimable, math.ceil(bounds.most * RETURNING_PART))
     return min(short, max(bounds.most - coming - bought, 0))
--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -103,8 +103,8 @@
 
         A break that this daemon had alone, by a cut or as the store turned it away, let
         no entry of a living server lapse: peers that heard the store all the while
-        tell it. Holding such entries all the same gave a server that had left without
-        notice a request 2.1 s after the store knew, where 2 s are allowed.
+        tell it. Holding such entries all the same gives a server that left without
+        notice requests for longer than is allowed.
 
         While it does not hear the store, its peers' word alone counts.
         """
@@ -178,8 +178,8 @@
         found = self._take_listing(listing)
         if not is_first:
             # What a watch missed while the store forgot its history; neighbours that do
-            # not watch read a list that is seconds old then, and one of them sent a
-            # request to a server 3.2 s after it had begun to leave.
+            # not watch read a list that is seconds old then, and would go on sending to
+            # servers that leave.
             self._pass_on(found)
         if self._watches():
             await self._watch(listing.revision)
--- a/libs/serving/fireflyhitch_serving/quotas.py
+++ b/libs/serving/fireflyhitch_serving/quotas.py
@@ -29,8 +29,7 @@
 # The platform counts a limit over any window of some seconds, as rate x window + burst.
 # This part of the burst fills anew over the window instead of being there at once; the
 # sum in any window stays the same. Customers that ask a little more than their rate for
-# long are within their limit so: in the played load of ``TestLongDemand``, 6 in 100 of
-# their requests were refused without it, and 0 with it.
+# long are within their limit so, and are not refused (``TestLongDemand``).
 SUSTAINED_PART = 0.5
 # A process that was not heard for this long, or for so many turns of news, was cut off
 # or frozen; some messages lost in a row are not yet a cut.
@@ -228,8 +227,7 @@
 
         What it took before it was first heard is in what it thinks is left. So it is
         for one that was cut off: it kept to its own part of the limit meanwhile, and
-        taking all of that from this account at once refused requests for two seconds
-        after a cut of six.
+        taking all of that from this account at once would refuse callers for seconds.
         """
         told = self._told.setdefault(process, {})
         before = told.get(customer)
@@ -320,8 +318,8 @@
 
         What other daemons take is known only some tenths of a second later. With 75 of
         them, a customer that asks for several times its limit would be admitted at
-        each, until all have heard of all: in the played load of ``TestManyDaemons``
-        1.5 times its limit. So no more is admitted than the account holds until then.
+        each, until all have heard of all (``TestManyDaemons``). So no more is admitted
+        than the account holds until then.
         """
         asked = account.sum_demand(now) * self._news_seconds
         if not asked:
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -1,9 +1,8 @@
 """Changes of the server list, passed on in a failure domain by those who watch it.
 
-A watch that returns wakes a daemon and costs a call for each change: with 75 daemons
-and servers that come and go, 13,000 to 18,000 calls in a minute. So two daemons of each
-failure domain watch, and pass changes on at once; the others read the list every few
-seconds, by reads that may be old and cost a tenth, for what a lost datagram held.
+A watch that returns wakes a daemon and costs a call for each change. So where there are
+many, two daemons of each failure domain watch, and pass changes on at once; the others
+read the list every few seconds, by reads that may be old and cost a tenth.
 """
 
 import asyncio
--- a/libs/serving/fireflyhitch_serving/scale_orders.py
+++ b/libs/serving/fireflyhitch_serving/scale_orders.py
@@ -26,31 +26,28 @@
 # An order is given again if the servers are not there by then: starting takes some
 # seconds, and servers that were taken away are not replaced unasked.
 REPEAT_SECONDS = 2.5
-# Reclaims come domain by domain, and a second one may come before the first domain's
-# servers are replaced.
+# Reclaims come domain by domain, and others may come before the first domain's servers
+# are replaced. Reclaimable servers to spare cost less than those bought on demand for
+# the last of them, and do not have to start first.
 DOMAINS_LOST = 3
 LEAST_NEEDED = 3
 # A peak is forgotten by half in 23 s: bursts come again, and reclaimable servers given
-# back may not be had again for 15 s after a reclaim. With half in 12 s, 28 of 58 were
-# given back just before one on a played day.
+# back may not be had again for some time after a reclaim.
 PEAK_KEPT = 0.985
 # Part of the time for which an engine may be busy reading: requests come in clumps, and
 # with more the queue of prompts grows.
 BUSY_PART = 0.65
 
 # A leader that has seen no load yet takes the servers that there are for what is needed,
-# but for this part: ordering by a load of nothing left 8 of 56 servers at the first
-# request, and a fifth of the first seconds' callers were served in time.
+# but for this part: orders by a load of nothing would leave the first callers a few.
 KNOWN_PART = 0.6
 # The same for a leader that takes over while there is load: the former one knew it, and
-# what is given back now may not be had again. On a played day with 75 daemons 24 of 78
-# servers were given back so, just before none were to be had for 12 s.
+# what is given back now may not be had again.
 HANDED_PART = 0.85
 
 # Servers that run when the daemons start are listed one after the other, as each writes
-# its entry; a number that stood for this long is taken for all of them. Orders by what
-# was listed first cut 56 servers down to 10 before the first request.
-# Each writes once in 1.2 s.
+# its entry, once in 1.2 s; a number that stood for this long is taken for all of them.
+# Orders by what is listed first would have the others given back.
 LISTED_SECONDS = 1.5
 # Where none is listed by then there may be none.
 EMPTY_SECONDS = 6.0
@@ -259,8 +256,8 @@
 def _seem_on_demand(present: Mapping[FailureDomainId, DomainServers]) -> bool:
     """Tell whether the servers that run at the start are on demand, by the first ones.
 
-    Then reclaimable ones can be ordered beside them at once: on a calm played day
-    waiting for the whole list cost 20 of 200 paid seconds.
+    Then reclaimable ones can be ordered beside them at once, and the dear ones given back
+    sooner.
     """
     on_demand = sum(here.on_demand for here in present.values())
     reclaimable = sum(here.reclaimable for here in present.values())
--- a/libs/serving/fireflyhitch_serving/stalls.py
+++ b/libs/serving/fireflyhitch_serving/stalls.py
@@ -1,10 +1,9 @@
 """Finds that this process was frozen, and keeps old messages from being taken for new.
 
 Messages of peers wait in the socket while an instance is frozen or suspended. Read all
-at once afterwards they tell of seconds of work as if it were done in one moment: on a
-played day 47 callers within their limits were refused in the three seconds after a
-freeze of five. Peers tell their state again within a tenth of a second, so that what
-waited is dropped.
+at once afterwards they tell of seconds of work as if it were done in one moment, and
+callers within their limits are refused for seconds. Peers tell their state again within
+a tenth of a second, so that what waited is dropped.
 """
 
 from collections.abc import Callable
--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -22,7 +22,7 @@
 # Not below the watched prefix: only a new leader reads it.
 USAGE_PREFIX = 'fireflyhitch-usage/'
 # Peers' last counts of a window are here some turns of messages after its end, a lost one
-# included. With 75 daemons a turn takes 1.9 s, and reports after 1.5 s lacked 14 in 100.
+# included. With many daemons a turn takes seconds, and an earlier report lacks requests.
 SETTLE_SECONDS = 1.5
 SETTLE_TURNS = 2.0
 # A daemon that is not heard may come back with its counts; longer than this the
@@ -30,8 +30,8 @@
 LATEST_PART = 0.6
 LOOK_SECONDS = 0.5
 # All daemons may be killed at once, and their counts with them. The leader keeps what it
-# has heard in the store this often: on a played day a window's report was off by 94 of
-# 234 requests without it. Only a new leader reads it, so nobody's watch wakes up.
+# has heard in the store this often, or a window's report would lack most of its requests.
+# Only a new leader reads it, so nobody's watch wakes up.
 SAVE_SECONDS = 1.0
 SAVED_PREFIX = 'fireflyhitch-counts/'
 SAVED_KEY = f'{SAVED_PREFIX}recent'
