--- a/libs/serving/fireflyhitch_serving/scale_orders.py
+++ b/libs/serving/fireflyhitch_serving/scale_orders.py
@@ -36,7 +36,7 @@
 PEAK_KEPT = 0.985
 # Part of the time for which an engine may be busy reading: requests come in clumps, and
 # with more the queue of prompts grows.
-BUSY_PART = 0.65
+BUSY_PART = 0.5
 
 # A leader that has seen no load yet takes the servers that there are for what is needed,
 # but for this part: orders by a load of nothing would leave the first callers a few.
