--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -16,7 +16,8 @@
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import Revision
 from fireflyhitch_platform.keyvalue import Listing, WatchCompacted
-from fireflyhitch_serving.relays import Change, ChangeRelay
+from fireflyhitch_serving.changes import Change
+from fireflyhitch_serving.relays import ChangeRelay
 from fireflyhitch_serving.store import AsyncStore, WatchResult
 
 # A waiting watch counts as one call; a silent connection is found by its keep-alive
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -8,15 +8,14 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
-from cachetools import LRUCache
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.ids import Revision
-from fireflyhitch_serving.peer_news import PeerNews, read_rows, render_rows
+from fireflyhitch_serving.changes import Change, ChangeMessage, render_changes
+from fireflyhitch_serving.peer_news import PeerNews
 from fireflyhitch_serving.peers import PeerBook
+from fireflyhitch_serving.relay_gaps import RelayGaps
 
 WATCHERS = 2
 # Servers come and go by the dozen, and each change that is asked for by itself costs a
@@ -27,11 +26,6 @@
 AGAIN_SECONDS = 0.06
 # Datagrams of this many changes stay well below the largest.
 MOST_CHANGES = 50
-CHANGES = 'changes'
-# Both datagrams of a message have come by then, or were lost.
-ARRIVAL_SECONDS = 0.25
-# Peers' processes whose messages are counted, those heard last.
-MOST_SENDERS = 256
 # Number of messages that are not for all of a failure domain.
 UNCOUNTED = 0
 # What a daemon may have missed before it noticed that it does not hear the store: a
@@ -39,98 +33,6 @@
 RECENT_SECONDS = 3.0
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
-    """A key's new value; none if it is gone."""
-
-    key: str
-    value: bytes | None
-    revision: Revision
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeMessage:
-    """Changes passed on in one datagram.
-
-    :param sender: the process that passes them on.
-    :param number: of its messages, from 1; a lost one leaves a gap.
-    """
-
-    sender: str
-    number: int
-    changes: list[Change]
-
-
-def render_changes(message: ChangeMessage) -> bytes:
-    """Return a datagram."""
-    rows: list[object] = [(message.sender, message.number)]
-    rows.extend(
-        (change.key, change.value, change.revision) for change in message.changes
-    )
-    return render_rows(CHANGES, rows)
-
-
-def read_changes(data: bytes) -> ChangeMessage | None:
-    """Read a datagram; nothing for one of another kind."""
-    rows = read_rows(CHANGES, data, tuple)
-    if not rows:
-        return None
-    (sender, number), *changes = rows
-    return ChangeMessage(sender, number, [Change(*row) for row in changes])
-
-
-@dataclass(slots=True)
-class _Sender:
-    settled: int
-    told: int = 0
-    told_at: float = 0
-    got: set[int] = field(default_factory=set)
-
-
-class RelayGaps:
-    """Which peers' messages of changes were lost on the way here.
-
-    Both datagrams of a message are lost where an instance's link is full for a moment,
-    and a daemon that does not watch then sends to leaving servers for seconds: reads
-    that may be old do not show it in time while the store's copies are behind. Each
-    peer tells in its news how many messages it has sent, so a loss shows soon.
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        """Make gaps of peers that were not heard yet."""
-        self._clock = clock
-        self._senders: LRUCache[str, _Sender] = LRUCache(MOST_SENDERS)
-
-    def note_message(self, message: ChangeMessage) -> None:
-        """Take in that a message has come."""
-        sender = self._senders.get(message.sender)
-        if sender is not None:
-            sender.got.add(message.number)
-
-    def is_lost(self, process: str, sent: int) -> bool:
-        """Take in how many messages a peer has sent; tell whether one was lost.
-
-        A loss is told once, and only after both datagrams had their time.
-        """
-        now = self._clock.monotonic()
-        sender = self._senders.get(process)
-        if sender is None:
-            self._senders[process] = _Sender(settled=sent)
-            return False
-        if sent <= sender.settled:
-            return False
-        if sender.told <= sender.settled:
-            sender.told = sent
-            sender.told_at = now
-        if now - sender.told_at < ARRIVAL_SECONDS:
-            return False
-        expected = set(range(sender.settled + 1, sender.told + 1))
-        lost = not expected <= sender.got
-        sender.settled = sender.told
-        sender.got -= expected
-        return lost
-
-
 class ChangeRelay:
     """Passes changes on to daemons that do not watch, or cannot."""
 
@@ -157,7 +59,7 @@
         self._gaps = RelayGaps(clock)
         self._waiting: list[Change] = []
         self._recent: deque[tuple[float, Change]] = deque()
-        self._deaf: set[str] = set()
+        self._without_store: set[str] = set()
         # Set when the list has to be read anew, since a message was lost.
         self.lost = asyncio.Event()
 
@@ -203,9 +105,9 @@
     def note_news(self, news: PeerNews) -> None:
         """Take in whether a peer hears the store, and what it has passed on."""
         if not news.hears_store:
-            self._tell_deaf(news.daemon)
+            self._tell_recent(news.daemon)
         else:
-            self._deaf.discard(news.daemon)
+            self._without_store.discard(news.daemon)
         is_near = news.failure_domain == self._peers.own_domain
         if is_near and self._gaps.is_lost(news.process, news.relayed):
             logger.bind(peer=news.daemon).warning('changes lost on the way')
@@ -219,16 +121,18 @@
         self._drop_old(now)
         near = list(self._peers.heard_near()) if self._passes_on() else []
         # Those who wait for the store's word in vain get it from the others.
-        deaf = [daemon for daemon in self._find_deaf() if daemon not in near]
+        lacking = [
+            daemon for daemon in self._find_without_store() if daemon not in near
+        ]
         for start in range(0, len(changes), MOST_CHANGES):
             some = changes[start : start + MOST_CHANGES]
             if near:
                 self.sent += 1
                 self._send_twice(self.sent, some, near)
-            if deaf:
-                self._send_twice(UNCOUNTED, some, deaf)
+            if lacking:
+                self._send_twice(UNCOUNTED, some, lacking)
 
-    def _find_deaf(self) -> list[str]:
+    def _find_without_store(self) -> list[str]:
         """Return the daemons that do not hear the store, if this one helps them."""
         heard = self._peers.heard()
         hearing = [daemon for daemon, news in heard.items() if news.hears_store]
@@ -236,14 +140,14 @@
             return []
         return [daemon for daemon, news in heard.items() if not news.hears_store]
 
-    def _tell_deaf(self, daemon: str) -> None:
+    def _tell_recent(self, daemon: str) -> None:
         """Tell a daemon that has lost the store what it may just have missed."""
-        if daemon in self._deaf:
+        if daemon in self._without_store:
             return
-        self._deaf.add(daemon)
+        self._without_store.add(daemon)
         self._drop_old(self._clock.monotonic())
         recent = [change for _, change in self._recent]
-        if recent and daemon in self._find_deaf():
+        if recent and daemon in self._find_without_store():
             self._send_twice(UNCOUNTED, recent[-MOST_CHANGES:], [daemon])
 
     def _send_twice(self, number: int, changes: list[Change], to: list[str]) -> None:
--- a/libs/serving/tests/test_beliefs.py
+++ b/libs/serving/tests/test_beliefs.py
@@ -11,7 +11,7 @@
 from fireflyhitch_model.states import Step
 from fireflyhitch_platform.keyvalue import KeyValue, Listing, WatchCompacted
 from fireflyhitch_serving.beliefs import BeliefEvents, StoreHealth, StoreView
-from fireflyhitch_serving.relays import Change
+from fireflyhitch_serving.changes import Change
 
 SERVER = 'servers/i-1'
 
--- a/libs/serving/tests/test_relays.py
+++ b/libs/serving/tests/test_relays.py
@@ -6,17 +6,17 @@
 
 from fireflyhitch_model.clock import ManualClock
 from fireflyhitch_model.ids import FailureDomainId, Revision
-from fireflyhitch_serving.connections import Address
-from fireflyhitch_serving.peer_news import PeerNews
-from fireflyhitch_serving.peers import PeerBook
-from fireflyhitch_serving.relays import (
+from fireflyhitch_serving.changes import (
     Change,
     ChangeMessage,
-    ChangeRelay,
-    RelayGaps,
     read_changes,
     render_changes,
 )
+from fireflyhitch_serving.connections import Address
+from fireflyhitch_serving.peer_news import PeerNews
+from fireflyhitch_serving.peers import PeerBook
+from fireflyhitch_serving.relay_gaps import RelayGaps
+from fireflyhitch_serving.relays import ChangeRelay
 
 HERE = FailureDomainId('gent')
 THERE = FailureDomainId('aalst')
@@ -89,9 +89,9 @@
         watcher = Watcher(tell('aalst-1', THERE, hears_store=True))
         watcher.play(lambda: watcher.relay.pass_on(LEAVING))
         assert not watcher.told
-        deaf = tell('aalst-1', THERE, hears_store=False, sequence=2)
-        watcher.book.take(deaf)
-        watcher.play(lambda: watcher.relay.note_news(deaf))
+        without = tell('aalst-1', THERE, hears_store=False, sequence=2)
+        watcher.book.take(without)
+        watcher.play(lambda: watcher.relay.note_news(without))
         assert watcher.told == {'aalst-1': [LEAVING]}
 
     def test_those_who_hear_it_watch_themselves(self) -> None:
