Write and read registrations in one place; one that cannot be read stops nothing

A registration without a link, as an older version writes it while instances are replaced one by one, would have ended the task that follows the daemons.

--- a/libs/fleet/fireflyhitch_fleet/spread.py
+++ b/libs/fleet/fireflyhitch_fleet/spread.py
@@ -88,7 +88,7 @@
 
     While one domain lacks some, no other gives any back: they may not be had again, and
     the next domain may go. A leader that has just taken over knows little of the load,
-    and had given back half of them when the last two domains went.
+    and would give back what callers need a moment later.
     """
     scarce = any(here.reclaimable < each for here in present.values())
     return {
--- a/libs/serving/fireflyhitch_serving/peer_roll.py
+++ b/libs/serving/fireflyhitch_serving/peer_roll.py
@@ -16,6 +16,7 @@
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.leases import DAEMONS_PREFIX, DaemonLease
 from fireflyhitch_serving.peers import PeerBook
+from fireflyhitch_serving.registrations import read_registration
 from fireflyhitch_serving.store import AsyncStore
 
 # A daemon that has ended is in the list until its lease lapses, some 4 s.
@@ -72,10 +73,16 @@
         domains: dict[str, FailureDomainId] = {}
         for item in listing.items:
             daemon = item.key.removeprefix(DAEMONS_PREFIX)
-            address, _, domain, link = item.value.decode().split(' ')
-            listed[daemon] = Address.parse(address)
-            domains[daemon] = FailureDomainId(domain)
-            self._peers.note_link(daemon, float(link))
+            try:
+                told = read_registration(item.value)
+            except ValueError as error:
+                logger.bind(peer=daemon, error=str(error)).warning(
+                    'registration not readable'
+                )
+                continue
+            listed[daemon] = told.address
+            domains[daemon] = told.failure_domain
+            self._peers.note_link(daemon, told.link_mbps)
             self._lease.take_registration(item)
         known = self._peers.listed()
         if not self._health.is_settled():
