--- a/libs/serving/tests/test_scale.py
+++ b/libs/serving/tests/test_scale.py
@@ -131,6 +131,27 @@
         assert order_at_start(5, monkeypatch) == 12
 
 
+class TestLongAnswers:
+    def test_servers_are_ordered_for_the_places_that_answers_take(
+        self, monkeypatch
+    ) -> None:
+        # Prompts of a few tokens with answers of many: engines read nothing, and their
+        # batches are full. Orders by reading alone would leave callers waiting for a
+        # place; 120 requests in batches of 12, half full, need 20 servers.
+        monkeypatch.setattr(f'{ScaleKeeper.__module__}.LOOK_SECONDS', 0)
+        start = Start(demand=1)
+        start.list_servers(range(4))
+        for record in start.book.all().values():
+            record.requests = 30
+        asyncio.run(start.pass_seconds(1))
+        ordered = {
+            order.failure_domain: order.count
+            for order in start.leader.orders
+            if order.reclaimable
+        }
+        assert min(ordered.values()) >= 20
+
+
 class TestTakingOver:
     def test_a_new_leader_keeps_what_the_former_one_ordered(self, monkeypatch) -> None:
         # The leader is killed under load. The next has seen less of the day's load, and
