Compare agreed servers by id; one choice by time in the tests of placing

Placing compared whole server records, field by field, for each engine that is not agreed. The ids decide the same. by_time stood in two test files.

--- a/libs/serving/fireflyhitch_serving/placing.py
+++ b/libs/serving/fireflyhitch_serving/placing.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from fireflyhitch_model.hashing import rank_by_hash
-from fireflyhitch_model.ids import FailureDomainId
+from fireflyhitch_model.ids import BackendServerId, FailureDomainId
 from fireflyhitch_serving.messages import PromptPart
 from fireflyhitch_serving.servers import ServerRecord
 
@@ -100,14 +100,14 @@
         cached = count_cached(need.parts, record, now)
         fresh = need.tokens - cached
         weighed = fresh
-        if agreed and record is agreed[0]:
+        if agreed and record.server.server_id == agreed[0]:
             weighed = min(fresh, need.tokens - int(AGREED_PART * _shared(need.parts)))
         work = record.total(now)
         wait = (work.prompt_tokens + weighed) * need.seconds_per_token
         wait += work.requests * SECONDS_PER_RUNNING
         wait += _wait_for_slot(record, work.requests)
         cost = wait + _weigh_place(record, place)
-        if agreed and not cached and record not in agreed:
+        if agreed and not cached and record.server.server_id not in agreed:
             cost += min(need.target * STRANGER_PART, MOST_STRANGER_SECONDS)
         if cost < least:
             least = cost
@@ -152,13 +152,12 @@
 
 def _find_agreed(
     parts: Sequence[PromptPart], records: Sequence[ServerRecord]
-) -> list[ServerRecord]:
+) -> list[BackendServerId]:
     """Return the servers that all daemons would choose among for a prompt's parts."""
     if len(parts) < 2:
         return []
-    by_id = {record.server.server_id: record for record in records}
-    ranked = rank_by_hash(parts[-2].part_id, by_id)
-    return [by_id[server] for server in ranked[:AGREED_SERVERS]]
+    servers = (record.server.server_id for record in records)
+    return rank_by_hash(parts[-2].part_id, servers)[:AGREED_SERVERS]
 
 
 def _wait_for_slot(record: ServerRecord, requests: int) -> float:
--- a/libs/serving/tests/test_placing_late_news.py
+++ b/libs/serving/tests/test_placing_late_news.py
@@ -4,11 +4,11 @@
 import random
 from collections.abc import Callable
 
-from test_placing import make_server
+from test_placing import by_time, make_server
 
 from fireflyhitch_model.ids import FailureDomainId
 from fireflyhitch_serving.messages import PromptPart
-from fireflyhitch_serving.placing import Place, PromptNeed, place_prompt
+from fireflyhitch_serving.placing import PromptNeed
 from fireflyhitch_serving.servers import InFlight, ServerRecord
 
 HERE = FailureDomainId('gent')
@@ -23,13 +23,6 @@
 Choose = Callable[[PromptNeed, list[ServerRecord], float], ServerRecord]
 
 
-def by_time(need: PromptNeed, records: list[ServerRecord], now: float) -> ServerRecord:
-    """Choose as the daemon does."""
-    placement = place_prompt(need, records, Place(HERE), now)
-    assert placement is not None
-    return placement.record
-
-
 def by_least_wait(
     need: PromptNeed, records: list[ServerRecord], now: float
 ) -> ServerRecord:
