Tell in the lines how each change of a server came to be known, who watches, and who passed on what

A request reached a server 3.3 s after it began to leave, as one daemon did not know. The three hypotheses (messages lost, roles that differ, a watch that hangs) give the same lines: 'server changed', late. Now the line names its source, a daemon tells when it begins to watch or to read, and those who pass changes on tell how many, up to which revision, and to how many daemons.

--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from loguru import logger
 
@@ -40,6 +41,15 @@
 MOST_GONE = 1000
 
 
+class Source(Enum):
+    """By what way a change came to be known here, other than from a peer."""
+
+    WATCH = 'watch'
+    LIST = 'list'
+    OLD_LIST = 'old list'
+    BREAK_OVER = 'break over'
+
+
 @dataclass(frozen=True, slots=True)
 class BeliefEvents:
     """Whom the view tells; each returns at once.
@@ -176,13 +186,17 @@
     async def _follow(self) -> None:
         is_first = not self.current and not self._known
         listing = await self._store.list(self._prefix)
-        found = self._take_listing(listing)
+        found = self._take_listing(listing, Source.LIST)
         if not is_first:
             # What a watch missed while the store forgot its history; neighbours that do
             # not watch read a list that is seconds old then, and would go on sending to
             # servers that leave.
             self._pass_on(found)
-        if self._watches():
+        watches = self._watches()
+        logger.bind(
+            prefix=self._prefix, watches=watches, revision=listing.revision
+        ).info('following')
+        if watches:
             await self._watch(listing.revision)
         else:
             await self._read_again()
@@ -199,7 +213,7 @@
             )
             self._drop_missing()
             listing = await self._store.list(self._prefix, stale=not lost)
-            self._take_listing(listing)
+            self._take_listing(listing, Source.LIST if lost else Source.OLD_LIST)
 
     async def _wait_for_loss(self, seconds: float) -> bool:
         """Wait; tell whether a message of those who watch was lost meanwhile."""
@@ -212,7 +226,7 @@
         self._relay.lost.clear()
         return True
 
-    def _take_listing(self, listing: Listing) -> list[Change]:
+    def _take_listing(self, listing: Listing, source: Source) -> list[Change]:
         """Take in all keys, and return what has changed since the last time."""
         self._note_current()
         present = {item.key for item in listing.items}
@@ -224,7 +238,7 @@
         gone = self._known.keys() - present
         found.extend(Change(key, None, listing.revision) for key in sorted(gone))
         for change in found:
-            self.take_change(change)
+            self.take_change(change, source.value)
         self._events.listed()
         return found
 
@@ -240,7 +254,7 @@
                 for event in result.events
             ]
             for change in changes:
-                self.take_change(change)
+                self.take_change(change, Source.WATCH.value)
             self._pass_on(changes)
             if changes and self._relay is not None:
                 await asyncio.sleep(self._relay.find_pause())
@@ -272,14 +286,18 @@
         if self._waiting is not None:
             self._waiting.cancel()
 
-    def take_change(self, change: Change) -> None:
-        """Take in a change that was watched here or passed on by a peer."""
+    def take_change(self, change: Change, source: str) -> None:
+        """Take in a change that was watched here or passed on by a peer.
+
+        :param source: by what way it came, for the lines that tell of it.
+        """
         if not change.key.startswith(self._prefix):
             return
-        if change.value is None:
-            self._lose(change.key, change.revision)
-        else:
-            self._take(change.key, change.value, change.revision)
+        with logger.contextualize(source=source):
+            if change.value is None:
+                self._lose(change.key, change.revision)
+            else:
+                self._take(change.key, change.value, change.revision)
 
     def _take(self, key: str, value: bytes, revision: Revision) -> None:
         if not self._is_news(key, revision):
@@ -310,8 +328,9 @@
     def _drop_missing(self) -> None:
         if not self._missing or not self._health.is_settled():
             return
-        for key, revision in self._missing.items():
-            self._forget(key, revision)
+        with logger.contextualize(source=Source.BREAK_OVER.value):
+            for key, revision in self._missing.items():
+                self._forget(key, revision)
         self._missing = {}
 
     def _note_current(self) -> None:
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -124,6 +124,12 @@
         lacking = [
             daemon for daemon in self._find_without_store() if daemon not in near
         ]
+        logger.bind(
+            changes=len(changes),
+            newest=max(change.revision for change in changes),
+            near=len(near),
+            lacking=len(lacking),
+        ).info('changes passed on')
         for start in range(0, len(changes), MOST_CHANGES):
             some = changes[start : start + MOST_CHANGES]
             if near:
--- a/libs/serving/tests/test_beliefs.py
+++ b/libs/serving/tests/test_beliefs.py
@@ -5,6 +5,8 @@
 from contextlib import suppress
 from datetime import timedelta
 
+from loguru import logger
+
 from fireflyhitch_model.clock import ManualClock
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import Revision
@@ -35,7 +37,7 @@
             events,
             random.Random(1),  # noqa: S311
         )
-        self.view.take_change(Change(SERVER, b'{}', Revision(5)))
+        self.view.take_change(Change(SERVER, b'{}', Revision(5)), 'watch')
         health.note_failure(PlatformError('cut', step=Step.STORE_WATCH))
         self.clock.advance(timedelta(seconds=10))
         health.note_answer()
@@ -43,7 +45,7 @@
 
     def remove(self) -> None:
         """Have the store tell that the server's entry is gone."""
-        self.view.take_change(Change(SERVER, None, Revision(9)))
+        self.view.take_change(Change(SERVER, None, Revision(9)), 'watch')
 
 
 class TestMissingServers:
@@ -62,7 +64,7 @@
         scene = Break(others_settled=False)
         scene.remove()
         assert scene.changes[-1] == (SERVER, b'{}')
-        scene.view.take_change(Change(SERVER, b'{}', Revision(12)))
+        scene.view.take_change(Change(SERVER, b'{}', Revision(12)), 'watch')
         assert (SERVER, None) not in scene.changes
 
 
@@ -120,6 +122,34 @@
         assert relay.passed == [Change(SERVER, b'[]', Revision(9))]
 
 
+class TestSources:
+    def test_the_lines_of_a_change_tell_how_it_came_to_be_known(self) -> None:
+        """Guards against a late change whose way nobody can tell afterwards."""
+        sources: list[object] = []
+        number = logger.add(
+            lambda line: sources.append(line.record['extra'].get('source'))
+        )
+        view = StoreView(
+            ForgetfulStore(),  # type: ignore[arg-type]
+            StoreHealth(ManualClock()),
+            'servers/',
+            BeliefEvents(
+                lambda key, *rest: logger.info('server changed'), lambda: None
+            ),
+            random.Random(1),  # noqa: S311
+        )
+        view.take_change(Change('servers/i-2', b'{}', Revision(1)), 'peer gent-2/a1')
+        with suppress(asyncio.CancelledError):
+            asyncio.run(view.run())
+        logger.remove(number)
+        assert [source for source in sources if source] == [
+            'peer gent-2/a1',
+            'list',
+            'list',
+            'list',
+        ]
+
+
 class TestWitness:
     def test_a_process_that_has_just_started_vouches_for_nothing(self) -> None:
         # The store was away for all; a daemon that starts as it returns has seen no
