--- /dev/null
+++ b/libs/serving/tests/test_leaving_servers.py
@@ -0,0 +1,101 @@
+"""Tests that every daemon knows of a leaving server before its drain time is over."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from daemons_scene import Daemons, is_change
+from virtual_time import play
+
+# The shortest drain time that deployments have.
+DRAIN_SECONDS = 2.0
+SERVER = 'i-1'
+SEEDS = 5
+# How old reads are that may be old, while the store's copies are behind.
+BEHIND_SECONDS = 6.0
+
+Fault = Callable[[Daemons], Awaitable[None]]
+
+
+async def lose_messages_of_watchers_that_end(scene: Daemons) -> None:
+    """Lose all that tells a daemon of the change, and end those who passed it on."""
+    watchers = scene.find_watchers('gent')
+    missed = next(name for name in scene.daemons if name not in watchers)
+    scene.net.loses = lambda sender, to, data: to == missed and is_change(data)
+    scene.leave(SERVER)
+    await asyncio.sleep(0.1)
+    for name in watchers:
+        scene.kill(name)
+
+
+async def cut_watchers_off_from_the_store(scene: Daemons) -> None:
+    """Have the store answer none of a failure domain's watchers."""
+    scene.store.silent_to.update(scene.find_watchers('gent'))
+    scene.leave(SERVER)
+
+
+async def keep_watches_without_answers(scene: Daemons) -> None:
+    """Have the waiting watches of a failure domain never get their answer."""
+    scene.store.deaf.update(scene.find_watchers('gent'))
+    scene.leave(SERVER)
+
+
+async def end_both_watchers(scene: Daemons) -> None:
+    """End a failure domain's watchers just before the change."""
+    for name in scene.find_watchers('gent'):
+        scene.kill(name)
+    scene.leave(SERVER)
+
+
+async def start_unheard(scene: Daemons) -> None:
+    """Start a daemon that its neighbours do not hear until after the change."""
+    scene.net.loses = lambda sender, to, data: sender == 'gent-9'
+    scene.start('gent-9')
+    await asyncio.sleep(0.05)
+    scene.leave(SERVER)
+    await asyncio.sleep(0.5)
+    scene.net.loses = lambda sender, to, data: False
+
+
+RED = pytest.mark.xfail(strict=True, reason='listed in KNOWN-RED.txt')
+
+
+class TestLateKnowledge:
+    @pytest.mark.parametrize(
+        'fault',
+        [
+            pytest.param(lose_messages_of_watchers_that_end, marks=RED),
+            pytest.param(cut_watchers_off_from_the_store, marks=RED),
+            pytest.param(keep_watches_without_answers, marks=RED),
+            pytest.param(end_both_watchers, marks=RED),
+            start_unheard,
+        ],
+    )
+    def test_nobody_sends_to_a_server_that_has_drained(self, fault: Fault) -> None:
+        """Guards against requests to leaving servers by daemons that missed the word."""
+        for near, far in ((8, 4), (3, 3)):
+            for seed in range(SEEDS):
+                assert not find_unaware(fault, near, far, seed), (near, far, seed)
+
+
+def find_unaware(fault: Fault, near: int, far: int, seed: int) -> list[str]:
+    """Play a fault; return who sends to a server after its drain time.
+
+    Daemons that the store does not answer are left out.
+    """
+    unaware: list[str] = []
+
+    async def script() -> None:
+        scene = Daemons(seed, gent=near, aalst=far)
+        await scene.start_all()
+        await asyncio.sleep(seed / 3)
+        scene.store.stale_seconds = BEHIND_SECONDS
+        await fault(scene)
+        await asyncio.sleep(DRAIN_SECONDS)
+        silent = scene.store.silent_to
+        unaware.extend(
+            name for name in scene.find_unaware(SERVER) if name not in silent
+        )
+
+    play(script())
+    return unaware
