Note that the store answers when it does, not when the lease's loop comes round

Callers of a daemon that had just lost the store got requests sent to servers that left: its peers took it for one that hears the store, and did not tell it of changes. The lease's loop noted an answer after each round, up to a second after its last call, or without any; a failure of another call in between was taken back by it. Now each answered call is noted as its answer comes.

--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -8,8 +8,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from loguru import logger
 
@@ -34,6 +35,8 @@
 CLAIM_SPREAD_SECONDS = 0.25
 RETRY_SECONDS = 0.5
 
+Answer = TypeVar('Answer')
+
 
 @dataclass(frozen=True, slots=True)
 class Leadership:
@@ -129,7 +132,6 @@
         while not self.stopping:
             try:
                 await self._step()
-                self._health.note_answer()
             except PlatformError as error:
                 # Logged there once for each outage, with what failed.
                 self._health.note_failure(error)
@@ -153,17 +155,17 @@
         if self._lease is not None:
             if asked < self._until - LEASE_SECONDS + RENEW_SECONDS / 2:
                 return
-            if await self._store.keep_lease(self._lease):
+            if await self._ask(self._store.keep_lease(self._lease)):
                 self._until = asked + LEASE_SECONDS
                 return
             logger.warning('lease lapsed')
         self._is_registered = False
-        self._lease = await self._store.grant_lease(LEASE_SECONDS)
+        self._lease = await self._ask(self._store.grant_lease(LEASE_SECONDS))
         self._until = asked + LEASE_SECONDS
 
     async def _register(self) -> None:
         put = Put(self._daemon_key, self._registration, self._registered, self._lease)
-        result = await self._store.put([put])
+        result = await self._ask(self._store.put([put]))
         if isinstance(result, Conflict):
             current = result.current
             self._registered = current.revision if current else ABSENT
@@ -175,8 +177,15 @@
         await asyncio.sleep(CLAIM_SPREAD_SECONDS * self._draw.random())
         if self._leader is None and self._lease is not None:
             # Whether this won is learned from the key, as anyone else learns it.
-            await self._store.put([Put(LEADER_KEY, self._mark(), ABSENT, self._lease)])
+            put = Put(LEADER_KEY, self._mark(), ABSENT, self._lease)
+            await self._ask(self._store.put([put]))
             await asyncio.sleep(CLAIM_SPREAD_SECONDS)
 
+    async def _ask(self, call: Awaitable[Answer]) -> Answer:
+        """Make a call, and note that the store has answered."""
+        answer = await call
+        self._health.note_answer()
+        return answer
+
     def _mark(self) -> bytes:
         return f'{self._process} {self._lease}'.encode()
--- /dev/null
+++ b/libs/serving/tests/test_leases.py
@@ -0,0 +1,42 @@
+"""Tests of a daemon's lease and of what its calls say of the store."""
+
+import asyncio
+import random
+
+from virtual_store import StoreClient, VirtualStore
+from virtual_time import LoopClock, play
+
+from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.states import Step
+from fireflyhitch_serving.beliefs import StoreHealth
+from fireflyhitch_serving.leases import DaemonLease
+
+
+class TestHealth:
+    def test_a_lease_that_waits_does_not_vouch_for_the_store(self) -> None:
+        """Guards against a daemon that is cut off and tells that it hears the store."""
+
+        async def script() -> None:
+            store = VirtualStore()
+            clock = LoopClock()
+            health = StoreHealth(clock)
+            lease = DaemonLease(
+                StoreClient(store, 'gent-1'),
+                clock.monotonic,
+                'gent-1',
+                'gent-1/a1',
+                b'here',
+                random.Random(1),  # noqa: S311
+                health,
+            )
+            keeping = asyncio.create_task(lease.run())
+            await asyncio.sleep(0.3)
+            assert health.answers
+            store.silent_to.add('gent-1')
+            health.note_failure(PlatformError('no answer', step=Step.STORE_WATCH))
+            for _ in range(30):
+                await asyncio.sleep(0.1)
+                assert not health.answers
+            keeping.cancel()
+
+        play(script())
