Keep the load's peak at all daemons, not only at the one that leads

Callers after a burst in which the leader ended found servers given back: a daemon raised and faded its peak of the load only while it led, so a new leader began without the peak that it could have seen, and one that led again with an old one, not faded.

--- a/libs/serving/fireflyhitch_serving/scale_orders.py
+++ b/libs/serving/fireflyhitch_serving/scale_orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from loguru import logger
@@ -125,13 +125,19 @@
         while True:
             await asyncio.sleep(LOOK_SECONDS)
             catalog = self._catalog()
-            if catalog is None or self._lease.lead() is None:
-                self._given.clear()
-                self._floors.clear()
-                continue
-            for service in catalog.services.values():
-                if service.scale is not None:
-                    await self._keep(service, service.scale)
+            if catalog is not None:
+                await self._look(catalog.services.values())
+
+    async def _look(self, services: Collection[Service]) -> None:
+        for service in services:
+            self._note_load(service.name)
+        if self._lease.lead() is None:
+            self._given.clear()
+            self._floors.clear()
+            return
+        for service in services:
+            if service.scale is not None:
+                await self._keep(service, service.scale)
 
     async def _keep(self, service: Service, scale: ScaleBounds) -> None:
         present = self._count(service.name, scale)
@@ -198,17 +204,21 @@
         self._floors[service] = floor
         return floor
 
-    def _count_needed(self, service: Service) -> int:
-        """Return how many servers carry the present load, read and generated."""
+    def _note_load(self, service: DeploymentId) -> None:
+        """Take in the present load, also while another daemon leads.
+
+        One that begins to lead in a burst would else order for less than there was.
+        """
         now = self._clock.monotonic()
         requests = sum(
-            record.total(now).requests
-            for record in self._servers.of_service(service.name)
-        )
-        peak = self._peaks.setdefault(service.name, _Peak())
-        peak.raise_to(
-            self._workloads.find_busy_seconds(service.name, self._demand()), requests
+            record.total(now).requests for record in self._servers.of_service(service)
         )
+        busy = self._workloads.find_busy_seconds(service, self._demand())
+        self._peaks.setdefault(service, _Peak()).raise_to(busy, requests)
+
+    def _count_needed(self, service: Service) -> int:
+        """Return how many servers carry the most load lately."""
+        peak = self._peaks[service.name]
         batch = service.engine.batch if service.engine else 1
         by_reading = math.ceil(peak.busy / BUSY_PART)
         by_places = math.ceil(peak.requests / (batch * BATCH_PART))
--- a/libs/serving/tests/test_scale.py
+++ b/libs/serving/tests/test_scale.py
@@ -27,10 +27,11 @@
 
     def __init__(self) -> None:
         self.orders: list[ServerOrder] = []
+        self.leads = True
 
-    def lead(self) -> Leadership:
-        """Lead."""
-        return Leadership(FencingNumber(7), 3)
+    def lead(self) -> Leadership | None:
+        """Lead, unless another daemon does."""
+        return Leadership(FencingNumber(7), 3) if self.leads else None
 
     async def order_servers(
         self, leadership: Leadership, order: ServerOrder
@@ -168,3 +169,24 @@
             if order.reclaimable
         }
         assert sum(first.values()) >= 0.8 * 56
+
+    def test_it_orders_by_the_load_that_it_saw_before_it_led(self, monkeypatch) -> None:
+        """Guards against servers given back right after a burst, as the leader ended."""
+        monkeypatch.setattr(f'{ScaleKeeper.__module__}.LOOK_SECONDS', 0)
+        start = Start(demand=1)
+        start.list_servers(range(4))
+        start.leader.leads = False
+        for record in start.book.all().values():
+            record.requests = 30
+
+        async def script() -> None:
+            await start.pass_seconds(1)
+            assert not start.leader.orders
+            for record in start.book.all().values():
+                record.requests = 0
+            start.leader.leads = True
+            await start.pass_seconds(0.01)
+
+        asyncio.run(script())
+        ordered = [order.count for order in start.leader.orders if order.reclaimable]
+        assert max(ordered) >= 15
