Tell no revision of a removal that only a list showed, and pass on lists only while watching

A list without a key shows that it was removed at some time, at a revision that is the list's own and newer than any change. Told as the newest change it has all daemons that are complete read the list anew, 0.4 s later and at once. And a daemon that reads anew as it was behind passed all on to its neighbours, which read for themselves. Found by reading; the test of the first failed before.

--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -212,12 +212,13 @@
         listing = await self._store.list(self.prefix)
         self._take_listing(listing, Source.LIST)
         self._progress.note_whole(listing.revision)
-        if not is_first:
+        watches = self._watches()
+        if watches and not is_first:
             # What a watch missed while the store forgot its history; neighbours that do
             # not watch read a list that is seconds old then, and would go on sending to
             # servers that leave.
             self._pass_on(self._find_span(listing, since))
-        if self._watches():
+        if watches:
             self._note_role(watches=True)
             await self._watch(listing.revision)
         self._note_role(watches=False)
@@ -362,7 +363,9 @@
 
     def take_change(self, change: Change, source: str) -> None:
         """Take in a change below the prefix that was read, watched or passed on."""
-        self._progress.note_change(change.revision)
+        if change.value is not None or source == Source.WATCH.value:
+            # That a list lacks a key tells no more than that it was removed before.
+            self._progress.note_change(change.revision)
         with logger.contextualize(source=source):
             if change.value is None:
                 self._lose(change.key, change.revision)
--- a/libs/serving/tests/test_progress.py
+++ b/libs/serving/tests/test_progress.py
@@ -75,6 +75,39 @@
         self.passed.append(span)
 
 
+def make_view(store: VirtualStore, relay: TurningRelay) -> StoreView:
+    """Return a view of the servers."""
+    return StoreView(
+        StoreClient(store, 'gent-1'),
+        StoreHealth(LoopClock()),
+        'servers/',
+        BeliefEvents(lambda key, value, revision: None, lambda: None),
+        random.Random(1),  # noqa: S311
+        ViewProgress(LoopClock()),
+        lambda prefix: ABSENT,
+        relay,  # type: ignore[arg-type]
+    )
+
+
+class TestRemovedKeys:
+    def test_a_list_without_a_key_is_no_change_that_others_lack(self) -> None:
+        """Guards against all daemons reading anew for what each of them knows."""
+
+        async def script() -> None:
+            store = VirtualStore(stale_seconds=0)
+            known = store.put('servers/i-1', b'ready')
+            view = make_view(store, TurningRelay())
+            following = asyncio.create_task(view.run())
+            await asyncio.sleep(0.1)
+            store.put('servers/i-1', None)
+            store.put('others/a', b'')
+            await asyncio.sleep(3)
+            following.cancel()
+            assert view.newest == known
+
+        play(script())
+
+
 class TestNewWatcher:
     def test_what_it_knew_already_is_passed_on_too(self) -> None:
         """Guards against a claim to have told all changes, but for those it had read."""
@@ -84,16 +117,7 @@
             store.put('servers/i-1', b'ready')
             store.put('servers/i-2', b'ready')
             relay = TurningRelay()
-            view = StoreView(
-                StoreClient(store, 'gent-1'),
-                StoreHealth(LoopClock()),
-                'servers/',
-                BeliefEvents(lambda key, value, revision: None, lambda: None),
-                random.Random(1),  # noqa: S311
-                ViewProgress(LoopClock()),
-                lambda prefix: ABSENT,
-                relay,  # type: ignore[arg-type]
-            )
+            view = make_view(store, relay)
             following = asyncio.create_task(view.run())
             await asyncio.sleep(0.1)
             leaving = store.put('servers/i-1', b'draining')
