Test that a configuration which peers know is read although the watch's answer was lost

The same cause elsewhere: a watch of op/ whose answer is lost waited for 30 s, and callers were handled by an old configuration (2 to 4 s are allowed).

--- a/libs/serving/tests/test_progress.py
+++ b/libs/serving/tests/test_progress.py
@@ -75,20 +75,43 @@
         self.passed.append(span)
 
 
-def make_view(store: VirtualStore, relay: TurningRelay) -> StoreView:
-    """Return a view of the servers."""
+def make_view(
+    store: VirtualStore,
+    relay: TurningRelay | None = None,
+    told: Revision = ABSENT,
+    prefix: str = 'servers/',
+) -> StoreView:
+    """Return a view; its peers know changes up to a revision."""
     return StoreView(
         StoreClient(store, 'gent-1'),
         StoreHealth(LoopClock()),
-        'servers/',
+        prefix,
         BeliefEvents(lambda key, value, revision: None, lambda: None),
         random.Random(1),  # noqa: S311
         ViewProgress(LoopClock()),
-        lambda prefix: ABSENT,
+        lambda _: told,
         relay,  # type: ignore[arg-type]
     )
 
 
+class TestWatchWithoutAnswer:
+    def test_a_configuration_that_peers_know_is_read(self) -> None:
+        """Guards against an old configuration in force, as a watch's answer was lost."""
+
+        async def script() -> None:
+            store = VirtualStore(deaf={'gent-1'})
+            store.put('op/config', b'4')
+            view = make_view(store, told=Revision(2), prefix='op/')
+            following = asyncio.create_task(view.run())
+            await asyncio.sleep(0.1)
+            changed = store.put('op/config', b'5')
+            await asyncio.sleep(1)
+            following.cancel()
+            assert view.newest == changed
+
+        play(script())
+
+
 class TestRemovedKeys:
     def test_a_list_without_a_key_is_no_change_that_others_lack(self) -> None:
         """Guards against all daemons reading anew for what each of them knows."""
