Pass on what a watch tells, also if another watcher told it first

A watcher that had a change from the other one claimed nothing new and passed nothing on, so daemons that do not hear the store, which only this one helps, were not told. Each watch now follows its own chain of revisions. Found by reading; the test failed before.

--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -288,6 +288,7 @@
         self._events.listed()
 
     async def _watch(self, revision: Revision) -> None:
+        since = revision
         while self._watches():
             self._drop_missing()
             seconds = LOOK_SECONDS if self._missing else WATCH_SECONDS
@@ -297,12 +298,12 @@
             self._health.note_answer()
             revision = result.revision
             if result.events:
-                self._take_events(result)
+                self._take_events(result, since)
+                since = result.events[-1].revision
                 if self._relay is not None:
                     await asyncio.sleep(self._relay.find_pause())
 
-    def _take_events(self, result: WatchResult) -> None:
-        since = self._progress.unchanged_since
+    def _take_events(self, result: WatchResult, since: Revision) -> None:
         changes = [
             Change(event.key, event.value, event.revision) for event in result.events
         ]
@@ -313,7 +314,7 @@
         self._pass_on(span)
 
     def _pass_on(self, span: ChangeSpan) -> None:
-        if self._relay is not None and span.upto > span.after:
+        if self._relay is not None:
             self._relay.pass_on(span)
 
     async def _wait(self, revision: Revision, seconds: float) -> WatchResult | None:
--- a/libs/serving/tests/test_progress.py
+++ b/libs/serving/tests/test_progress.py
@@ -74,6 +74,10 @@
         """Note what is passed on."""
         self.passed.append(span)
 
+    def find_pause(self) -> float:
+        """Return the first watcher's pause."""
+        return 0.25
+
 
 def make_view(
     store: VirtualStore,
@@ -156,3 +160,24 @@
             assert relay.passed == [ChangeSpan('servers/', changes, Revision(2), gone)]
 
         play(script())
+
+    def test_what_another_watcher_told_first_is_passed_on_too(self) -> None:
+        """Guards against daemons without the store that only this one tells."""
+
+        async def script() -> None:
+            store = VirtualStore()
+            listed = store.put('servers/i-1', b'ready')
+            relay = TurningRelay()
+            relay.turn = True
+            view = make_view(store, relay)
+            following = asyncio.create_task(view.run())
+            await asyncio.sleep(0.1)
+            leaving = store.put('servers/i-1', b'draining')
+            change = Change('servers/i-1', b'draining', leaving)
+            span = ChangeSpan('servers/', [change], listed, leaving)
+            view.take_span(span, 'peer gent-2/a1')
+            await asyncio.sleep(0.1)
+            following.cancel()
+            assert relay.passed == [span]
+
+        play(script())
