Have the first watcher of each failure domain help daemons that the store turns away

Not mended: with more than 20 daemons a domain of which none hears the store is not heard by the other domains at all.

--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -116,11 +116,13 @@
             self._tell_recent(news.daemon)
 
     def _find_without_store(self) -> list[str]:
-        """Return the daemons that do not hear the store, if this one helps them."""
-        heard = self._peers.heard()
-        hearing = [daemon for daemon, news in heard.items() if news.hears_store]
-        if self._own not in self._peers.rank('help', [self._own, *hearing])[:WATCHERS]:
+        """Return the daemons that do not hear the store, if this one helps them.
+
+        The first watcher of each failure domain does: others have nothing to tell.
+        """
+        if self._find_watchers()[0] != self._own:
             return []
+        heard = self._peers.heard()
         return [daemon for daemon, news in heard.items() if not news.hears_store]
 
     def _tell_recent(self, daemon: str) -> None:
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -224,10 +224,14 @@
         """Return who watches for a failure domain, as the daemons see it."""
         return [
             name
-            for name, daemon in self.daemons.items()
-            if name.startswith(domain) and daemon.relay.watches()
+            for name in self.find_daemons(domain)
+            if self.daemons[name].relay.watches()
         ]
 
+    def find_daemons(self, domain: str) -> list[str]:
+        """Return a failure domain's daemons."""
+        return [name for name in self.daemons if name.startswith(domain)]
+
     def leave(self, server: str) -> None:
         """Have a server begin to leave."""
         self.store.put(f'{SERVERS}{server}', LEAVING)
--- a/libs/serving/tests/test_leaving_servers.py
+++ b/libs/serving/tests/test_leaving_servers.py
@@ -75,6 +75,26 @@
             for seed in range(seeds):
                 assert not find_unaware(fault, near, far, seed), (near, far, seed)
 
+    @pytest.mark.parametrize('names', [('kranj', 'aalst'), ('gent', 'aalst')])
+    def test_a_failure_domain_that_the_store_turns_away_is_told(
+        self, names: tuple[str, str]
+    ) -> None:
+        """Guards against daemons without the store that are helped by nobody."""
+        hearing, silent = names
+        unaware: list[str] = []
+
+        async def script() -> None:
+            scene = Daemons(0, **{hearing: 7, silent: 5})
+            await scene.start_all()
+            scene.store.silent_to.update(scene.find_daemons(silent))
+            await asyncio.sleep(3)
+            scene.leave(SERVER)
+            await asyncio.sleep(DRAIN_SECONDS)
+            unaware.extend(scene.find_unaware(SERVER))
+
+        play(script())
+        assert not unaware
+
 
 def find_unaware(fault: Fault, near: int, far: int, seed: int) -> list[str]:
     """Play a fault; return who sends to a server after its drain time.
