--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -212,12 +212,13 @@
         listing = await self._store.list(self.prefix)
         self._take_listing(listing, Source.LIST)
         self._progress.note_whole(listing.revision)
-        if not is_first:
+        watches = self._watches()
+        if watches and not is_first:
             # What a watch missed while the store forgot its history; neighbours that do
             # not watch read a list that is seconds old then, and would go on sending to
             # servers that leave.
             self._pass_on(self._find_span(listing, since))
-        if self._watches():
+        if watches:
             self._note_role(watches=True)
             await self._watch(listing.revision)
         self._note_role(watches=False)
@@ -287,6 +288,7 @@
         self._events.listed()
 
     async def _watch(self, revision: Revision) -> None:
+        since = revision
         while self._watches():
             self._drop_missing()
             seconds = LOOK_SECONDS if self._missing else WATCH_SECONDS
@@ -296,12 +298,12 @@
             self._health.note_answer()
             revision = result.revision
             if result.events:
-                self._take_events(result)
+                self._take_events(result, since)
+                since = result.events[-1].revision
                 if self._relay is not None:
                     await asyncio.sleep(self._relay.find_pause())
 
-    def _take_events(self, result: WatchResult) -> None:
-        since = self._progress.unchanged_since
+    def _take_events(self, result: WatchResult, since: Revision) -> None:
         changes = [
             Change(event.key, event.value, event.revision) for event in result.events
         ]
@@ -312,7 +314,7 @@
         self._pass_on(span)
 
     def _pass_on(self, span: ChangeSpan) -> None:
-        if self._relay is not None and span.upto > span.after:
+        if self._relay is not None:
             self._relay.pass_on(span)
 
     async def _wait(self, revision: Revision, seconds: float) -> WatchResult | None:
@@ -362,7 +364,9 @@
 
     def take_change(self, change: Change, source: str) -> None:
         """Take in a change below the prefix that was read, watched or passed on."""
-        self._progress.note_change(change.revision)
+        if change.value is not None or source == Source.WATCH.value:
+            # That a list lacks a key tells no more than that it was removed before.
+            self._progress.note_change(change.revision)
         with logger.contextualize(source=source):
             if change.value is None:
                 self._lose(change.key, change.revision)
--- a/libs/serving/tests/test_progress.py
+++ b/libs/serving/tests/test_progress.py
@@ -74,6 +74,66 @@
         """Note what is passed on."""
         self.passed.append(span)
 
+    def find_pause(self) -> float:
+        """Return the first watcher's pause."""
+        return 0.25
+
+
+def make_view(
+    store: VirtualStore,
+    relay: TurningRelay | None = None,
+    told: Revision = ABSENT,
+    prefix: str = 'servers/',
+) -> StoreView:
+    """Return a view; its peers know changes up to a revision."""
+    return StoreView(
+        StoreClient(store, 'gent-1'),
+        StoreHealth(LoopClock()),
+        prefix,
+        BeliefEvents(lambda key, value, revision: None, lambda: None),
+        random.Random(1),  # noqa: S311
+        ViewProgress(LoopClock()),
+        lambda _: told,
+        relay,  # type: ignore[arg-type]
+    )
+
+
+class TestWatchWithoutAnswer:
+    def test_a_configuration_that_peers_know_is_read(self) -> None:
+        """Guards against an old configuration in force, as a watch's answer was lost."""
+
+        async def script() -> None:
+            store = VirtualStore(deaf={'gent-1'})
+            store.put('op/config', b'4')
+            view = make_view(store, told=Revision(2), prefix='op/')
+            following = asyncio.create_task(view.run())
+            await asyncio.sleep(0.1)
+            changed = store.put('op/config', b'5')
+            await asyncio.sleep(1)
+            following.cancel()
+            assert view.newest == changed
+
+        play(script())
+
+
+class TestRemovedKeys:
+    def test_a_list_without_a_key_is_no_change_that_others_lack(self) -> None:
+        """Guards against all daemons reading anew for what each of them knows."""
+
+        async def script() -> None:
+            store = VirtualStore(stale_seconds=0)
+            known = store.put('servers/i-1', b'ready')
+            view = make_view(store, TurningRelay())
+            following = asyncio.create_task(view.run())
+            await asyncio.sleep(0.1)
+            store.put('servers/i-1', None)
+            store.put('others/a', b'')
+            await asyncio.sleep(3)
+            following.cancel()
+            assert view.newest == known
+
+        play(script())
+
 
 class TestNewWatcher:
     def test_what_it_knew_already_is_passed_on_too(self) -> None:
@@ -84,16 +144,7 @@
             store.put('servers/i-1', b'ready')
             store.put('servers/i-2', b'ready')
             relay = TurningRelay()
-            view = StoreView(
-                StoreClient(store, 'gent-1'),
-                StoreHealth(LoopClock()),
-                'servers/',
-                BeliefEvents(lambda key, value, revision: None, lambda: None),
-                random.Random(1),  # noqa: S311
-                ViewProgress(LoopClock()),
-                lambda prefix: ABSENT,
-                relay,  # type: ignore[arg-type]
-            )
+            view = make_view(store, relay)
             following = asyncio.create_task(view.run())
             await asyncio.sleep(0.1)
             leaving = store.put('servers/i-1', b'draining')
@@ -109,3 +160,24 @@
             assert relay.passed == [ChangeSpan('servers/', changes, Revision(2), gone)]
 
         play(script())
+
+    def test_what_another_watcher_told_first_is_passed_on_too(self) -> None:
+        """Guards against daemons without the store that only this one tells."""
+
+        async def script() -> None:
+            store = VirtualStore()
+            listed = store.put('servers/i-1', b'ready')
+            relay = TurningRelay()
+            relay.turn = True
+            view = make_view(store, relay)
+            following = asyncio.create_task(view.run())
+            await asyncio.sleep(0.1)
+            leaving = store.put('servers/i-1', b'draining')
+            change = Change('servers/i-1', b'draining', leaving)
+            span = ChangeSpan('servers/', [change], listed, leaving)
+            view.take_span(span, 'peer gent-2/a1')
+            await asyncio.sleep(0.1)
+            following.cancel()
+            assert relay.passed == [span]
+
+        play(script())
