--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -7,17 +7,18 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any
 
 from virtual_store import StoreClient, VirtualStore
 from virtual_time import LoopClock
 
-from fireflyhitch_model.ids import ABSENT, FailureDomainId, Revision
+from fireflyhitch_model.ids import FailureDomainId, Revision
 from fireflyhitch_serving.beliefs import BeliefEvents, StoreHealth, StoreView
+from fireflyhitch_serving.budgets import RepeatBounds, RepeatBudget
 from fireflyhitch_serving.changes import read_changes
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.leases import DaemonLease
+from fireflyhitch_serving.moves import MoveBook
+from fireflyhitch_serving.parts import FreshParts
 from fireflyhitch_serving.peer_news import PeerNews
 from fireflyhitch_serving.peer_roll import PeerRoll
 from fireflyhitch_serving.peers import PeerBook, PeerChannel
@@ -25,14 +26,19 @@
 from fireflyhitch_serving.quotas import Quotas, QuotaSlack
 from fireflyhitch_serving.registrations import Registration
 from fireflyhitch_serving.relays import ChangeRelay
+from fireflyhitch_serving.servers import ServerBook
+from fireflyhitch_serving.shared_state import SharedParts, SharedState
 from fireflyhitch_serving.stalls import StallWatch
-from fireflyhitch_serving.summaries import SummaryBook, read_summaries
+from fireflyhitch_serving.summaries import SummaryBook
 from fireflyhitch_serving.summary_relay import SummaryRelay
+from fireflyhitch_serving.usage import UsageBook
+from fireflyhitch_serving.versions import VersionShares
 
 SERVERS = 'servers/'
 READY = b'ready'
 LEAVING = b'draining'
 LINK_SECONDS = 0.001
+USAGE_WINDOW_SECONDS = 5
 
 
 class _Transport:
@@ -67,18 +73,121 @@
             channel.datagram_received(data, (sender.host, sender.port))
 
 
-@dataclass(slots=True)
 class Daemon:
-    """One daemon and what it believes of the servers."""
+    """One daemon's parts that follow the servers, and what it believes of these."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        net: Net,
+        store: VirtualStore,
+        draw: random.Random,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.believes: dict[str, bytes | None] = {}
+        self._draw = draw
+        self._clock = LoopClock()
+        self._process = f'{name}/{address.port}'
+        self._domain = FailureDomainId(name.partition('-')[0])
+        self._store = StoreClient(store, name)
+        self._health = StoreHealth(self._clock)
+        self._peers = PeerBook(name, self._domain, self._clock, self._clock.monotonic)
+        self._summaries = SummaryBook(self._clock, lambda source: None)
+        self._shared = SharedState(name, self._process, self._make_parts())
+        self._channel = self._make_channel()
+        self._channel.connection_made(_Transport(net, address))  # type: ignore[arg-type]
+        net.names[address] = name
+        net.channels[address] = self._channel
+        self.relay = ChangeRelay(
+            self._peers, name, self._process, self._clock, self._channel.send_to
+        )
+        self.view = self._make_view()
+        self._tasks = self._start()
+
+    def kill(self) -> None:
+        """End without a word."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _make_parts(self) -> SharedParts:
+        return SharedParts(
+            clock=self._clock,
+            peers=self._peers,
+            summaries=self._summaries,
+            servers=ServerBook(),
+            quotas=Quotas(QuotaSlack()),
+            usage=UsageBook(self._process, USAGE_WINDOW_SECONDS),
+            budget=RepeatBudget(RepeatBounds()),
+            moves=MoveBook(VersionShares(), 0.1),
+            fresh_parts=FreshParts(),
+            health=self._health,
+            stopping=bool,
+            newest=lambda: {SERVERS: self.view.newest},
+        )
+
+    def _make_channel(self) -> PeerChannel:
+        return PeerChannel(
+            self._peers,
+            self._shared.make_news,
+            self._take_news,
+            self._take_other,
+            lambda: None,
+            StallWatch(self._clock.monotonic, lambda: None),
+            self._draw,
+        )
+
+    def _make_view(self) -> StoreView:
+        return StoreView(
+            self._store,
+            self._health,
+            SERVERS,
+            BeliefEvents(self._take_change, lambda: None),
+            self._draw,
+            ViewProgress(self._clock),
+            self._shared.find_newest,
+            self.relay,
+        )
+
+    def _start(self) -> list[asyncio.Task[None]]:
+        registration = Registration(self.address, self._process, self._domain, 10)
+        lease = DaemonLease(
+            self._store,
+            self._clock.monotonic,
+            self.name,
+            self._process,
+            registration.render(),
+            self._draw,
+            self._health,
+        )
+        summary_relay = SummaryRelay(
+            self.name,
+            self._peers,
+            self._summaries,
+            Quotas(QuotaSlack()),
+            self._clock.monotonic,
+            self._channel.send_to,
+            self._draw,
+        )
+        roll = PeerRoll(self._store, self._peers, lease, self._health, self._draw)
+        loop = asyncio.get_running_loop()
+        parts = (self.view, lease, roll, self._channel, summary_relay)
+        return [loop.create_task(part.run()) for part in parts]
 
-    name: str
-    peers: PeerBook
-    relay: ChangeRelay
-    view: StoreView
-    health: StoreHealth
-    address: Address
-    tasks: list[asyncio.Task[Any]]
-    believes: dict[str, bytes | None]
+    def _take_news(self, news: PeerNews) -> None:
+        self._shared.take_news(news)
+        self.relay.note_news(news)
+
+    def _take_other(self, data: bytes) -> bool:
+        message = read_changes(data)
+        if message is None:
+            return self._shared.take_summaries(data)
+        self.view.take_span(message.span, f'peer {message.sender}')
+        return True
+
+    def _take_change(self, key: str, value: bytes | None, revision: Revision) -> None:
+        self.believes[key] = value
 
 
 class Daemons:
@@ -106,119 +215,17 @@
         self.store.put(f'{SERVERS}i-2', READY)
         await asyncio.sleep(3)
 
-    def start(self, name: str) -> Daemon:
+    def start(self, name: str) -> None:
         """Start a daemon."""
-        clock = LoopClock()
-        domain = FailureDomainId(name.partition('-')[0])
         self._starts += 1
         address = Address('127.0.0.1', self._starts)
-        process = f'{name}/{self._starts}'
-        peers = PeerBook(name, domain, clock, clock.monotonic)
-        health = StoreHealth(clock)
-        store = StoreClient(self.store, name)
-        lease = DaemonLease(
-            store,
-            clock.monotonic,
-            name,
-            process,
-            Registration(address, process, domain, 10).render(),
-            self._draw,
-            health,
-        )
-        summaries = SummaryBook(clock, lambda source: None)
-        relay: ChangeRelay
-        sequence = iter(range(1, 10**9))
-
-        def make_news() -> PeerNews:
-            return PeerNews(
-                daemon=name,
-                process=process,
-                failure_domain=domain,
-                sequence=next(sequence),
-                wall=clock.monotonic(),
-                work={},
-                customers={},
-                usage={},
-                fresh_parts={},
-                evidence={},
-                hears_store=health.answers,
-                store_settled=health.vouches(),
-                newest={SERVERS: view.newest},
-            )
-
-        def take_summaries(data: bytes) -> bool:
-            read = read_summaries(data)
-            for summary in read or ():
-                summaries.take(summary)
-            return read is not None
-
-        def take_other(data: bytes) -> bool:
-            message = read_changes(data)
-            if message is None:
-                return take_summaries(data)
-            view.take_span(message.span, f'peer {message.sender}')
-            return True
-
-        channel = PeerChannel(
-            peers,
-            make_news,
-            lambda news: relay.note_news(news),
-            take_other,
-            lambda: None,
-            StallWatch(clock.monotonic, lambda: None),
-            self._draw,
-        )
-        relay = ChangeRelay(peers, name, process, clock, channel.send_to)
-        believes: dict[str, bytes | None] = {}
-
-        def take(key: str, value: bytes | None, revision: Revision) -> None:
-            believes[key] = value
-
-        events = BeliefEvents(take, lambda: None)
-
-        def find_newest(prefix: str) -> Revision:
-            told = [news.newest for news in peers.heard().values()]
-            told.extend(summary.newest for summary in summaries.live().values())
-            return max((newest[prefix] for newest in told), default=ABSENT)
-
-        view = StoreView(
-            store,
-            health,
-            SERVERS,
-            events,
-            self._draw,
-            ViewProgress(clock),
-            find_newest,
-            relay,
-        )
-        summary_relay = SummaryRelay(
-            name,
-            peers,
-            summaries,
-            Quotas(QuotaSlack()),
-            clock.monotonic,
-            channel.send_to,
-            self._draw,
-        )
-        roll = PeerRoll(store, peers, lease, health, self._draw)
-        self.net.names[address] = name
-        self.net.channels[address] = channel
-        channel.connection_made(_Transport(self.net, address))  # type: ignore[arg-type]
-        loop = asyncio.get_running_loop()
-        tasks = [
-            loop.create_task(part.run())
-            for part in (view, lease, roll, channel, summary_relay)
-        ]
-        daemon = Daemon(name, peers, relay, view, health, address, tasks, believes)
-        self.daemons[name] = daemon
-        return daemon
+        self.daemons[name] = Daemon(name, address, self.net, self.store, self._draw)
 
     def kill(self, name: str) -> None:
         """End a daemon without a word."""
         daemon = self.daemons.pop(name)
-        self.net.channels.pop(daemon.address)
-        for task in daemon.tasks:
-            task.cancel()
+        del self.net.channels[daemon.address]
+        daemon.kill()
 
     def find_watchers(self, domain: str) -> list[str]:
         """Return who watches for a failure domain, as the daemons see it."""
