--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -17,8 +17,8 @@
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import ABSENT, FencingNumber, LeaseId, Revision
 from fireflyhitch_platform.keyvalue import Conflict, KeyValue
-from fireflyhitch_serving.beliefs import StoreHealth
 from fireflyhitch_serving.store import AsyncStore, Put
+from fireflyhitch_serving.store_health import StoreHealth
 
 OWN_PREFIX = 'fireflyhitch/'
 LEADER_KEY = f'{OWN_PREFIX}leader'
--- a/libs/serving/fireflyhitch_serving/peer_roll.py
+++ b/libs/serving/fireflyhitch_serving/peer_roll.py
@@ -12,12 +12,12 @@
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import FailureDomainId
 from fireflyhitch_platform.keyvalue import Listing
-from fireflyhitch_serving.beliefs import StoreHealth
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.leases import DAEMONS_PREFIX, DaemonLease
 from fireflyhitch_serving.peers import PeerBook
 from fireflyhitch_serving.registrations import read_registration
 from fireflyhitch_serving.store import AsyncStore
+from fireflyhitch_serving.store_health import StoreHealth
 
 # A daemon that has ended is in the list until its lease lapses, some 4 s.
 READ_SECONDS = 2.0
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -15,7 +15,6 @@
     FailureDomainId,
     Revision,
 )
-from fireflyhitch_serving.beliefs import StoreHealth
 from fireflyhitch_serving.budgets import RepeatBudget
 from fireflyhitch_serving.moves import MoveBook
 from fireflyhitch_serving.parts import FreshParts
@@ -23,6 +22,7 @@
 from fireflyhitch_serving.peers import PeerBook
 from fireflyhitch_serving.quotas import Quotas, QuotaSlack, find_slack_part
 from fireflyhitch_serving.servers import InFlight, ServerBook
+from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.summaries import (
     DomainSummary,
     SummaryBook,
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -12,7 +12,7 @@
 from virtual_time import LoopClock
 
 from fireflyhitch_model.ids import FailureDomainId, Revision
-from fireflyhitch_serving.beliefs import BeliefEvents, StoreHealth, StoreView
+from fireflyhitch_serving.beliefs import BeliefEvents, StoreView
 from fireflyhitch_serving.budgets import RepeatBounds, RepeatBudget
 from fireflyhitch_serving.changes import read_changes
 from fireflyhitch_serving.connections import Address
@@ -29,6 +29,7 @@
 from fireflyhitch_serving.servers import ServerBook
 from fireflyhitch_serving.shared_state import SharedParts, SharedState
 from fireflyhitch_serving.stalls import StallWatch
+from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.summaries import SummaryBook
 from fireflyhitch_serving.summary_relay import SummaryRelay
 from fireflyhitch_serving.usage import UsageBook
--- a/libs/serving/tests/test_beliefs.py
+++ b/libs/serving/tests/test_beliefs.py
@@ -12,9 +12,10 @@
 from fireflyhitch_model.ids import ABSENT, Revision
 from fireflyhitch_model.states import Step
 from fireflyhitch_platform.keyvalue import KeyValue, Listing, WatchCompacted
-from fireflyhitch_serving.beliefs import BeliefEvents, StoreHealth, StoreView
+from fireflyhitch_serving.beliefs import BeliefEvents, StoreView
 from fireflyhitch_serving.changes import Change, ChangeSpan
 from fireflyhitch_serving.progress import ViewProgress
+from fireflyhitch_serving.store_health import StoreHealth
 
 SERVER = 'servers/i-1'
 
--- a/libs/serving/tests/test_leases.py
+++ b/libs/serving/tests/test_leases.py
@@ -8,8 +8,8 @@
 
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.states import Step
-from fireflyhitch_serving.beliefs import StoreHealth
 from fireflyhitch_serving.leases import DaemonLease
+from fireflyhitch_serving.store_health import StoreHealth
 
 
 class TestHealth:
--- a/libs/serving/tests/test_progress.py
+++ b/libs/serving/tests/test_progress.py
@@ -9,9 +9,10 @@
 
 from fireflyhitch_model.clock import ManualClock
 from fireflyhitch_model.ids import ABSENT, Revision
-from fireflyhitch_serving.beliefs import BeliefEvents, StoreHealth, StoreView
+from fireflyhitch_serving.beliefs import BeliefEvents, StoreView
 from fireflyhitch_serving.changes import Change, ChangeSpan
 from fireflyhitch_serving.progress import ARRIVAL_SECONDS, ViewProgress
+from fireflyhitch_serving.store_health import StoreHealth
 
 LATER = timedelta(seconds=ARRIVAL_SECONDS + 0.01)
 
--- a/libs/serving/tests/virtual_store.py
+++ b/libs/serving/tests/virtual_store.py
@@ -11,7 +11,6 @@
     Conflict,
     KeyValue,
     Listing,
-    WatchCompacted,
     WatchEvent,
     WriteResult,
     Written,
@@ -35,11 +34,9 @@
     silent_to: set[str] = field(default_factory=set)
     deaf: set[str] = field(default_factory=set)
     stale_seconds: float = 0.5
-    reads: int = 0
     history: list[tuple[float, WatchEvent]] = field(default_factory=list)
     leases: int = 0
     _revision: int = 0
-    _oldest: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, key: str, value: bytes | None) -> Revision:
@@ -52,12 +49,6 @@
         self._changed = asyncio.Event()
         return event.revision
 
-    def forget_history(self) -> None:
-        """Drop the history and cut the watches that wait."""
-        self._oldest = self._revision
-        self._changed.set()
-        self._changed = asyncio.Event()
-
     def read(self, prefix: str, until: float) -> Listing:
         """Return what stood below a prefix at a time."""
         items: dict[str, KeyValue] = {}
@@ -75,12 +66,7 @@
         return Listing(revision, tuple(items.values()))
 
     def find_events(self, prefix: str, after: Revision) -> tuple[WatchEvent, ...]:
-        """Return the changes below a prefix after a revision.
-
-        :raises WatchCompacted: if they were dropped.
-        """
-        if after < self._oldest:
-            raise WatchCompacted
+        """Return the changes below a prefix after a revision."""
         return tuple(
             event
             for _, event in self.history
@@ -107,7 +93,6 @@
     async def list(self, prefix: str, *, stale: bool = False) -> Listing:
         """Read all values below a prefix."""
         await self._reach()
-        self._store.reads += not stale
         age = self._store.stale_seconds if stale else 0
         return self._store.read(prefix, asyncio.get_running_loop().time() - age)
 
