--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -130,7 +130,7 @@
     async def _follow(self) -> None:
         """List, and follow what changes until this daemon is to watch anew."""
         is_first = not self.current and not self._known
-        since = self._progress.unchanged_since
+        since = self._progress.complete
         listing = await self._store.list(self.prefix)
         self._take_listing(listing, Source.LIST)
         self._progress.note_whole(listing.revision)
@@ -165,7 +165,7 @@
         logger.bind(
             prefix=self.prefix,
             watches=watches,
-            revision=self._progress.unchanged_since,
+            revision=self._progress.complete,
         ).info('following')
 
     def _watches(self) -> bool:
--- a/libs/serving/fireflyhitch_serving/progress.py
+++ b/libs/serving/fireflyhitch_serving/progress.py
@@ -20,7 +20,6 @@
         """Make the progress of a view that knows nothing."""
         self._clock = clock
         self._complete = ABSENT
-        self._unchanged_since = ABSENT
         self._newest = ABSENT
         self._told = ABSENT
         self._told_at = 0.0
@@ -31,9 +30,9 @@
         return self._newest
 
     @property
-    def unchanged_since(self) -> Revision:
-        """Return a revision from which on there was no change that is not known."""
-        return self._unchanged_since
+    def complete(self) -> Revision:
+        """Return the revision up to which all changes are known."""
+        return self._complete
 
     def note_change(self, revision: Revision) -> None:
         """Take in that there is a change; others before it may not be known."""
@@ -42,7 +41,6 @@
     def note_whole(self, revision: Revision) -> None:
         """Take in that all keys were read as they stood at a revision."""
         self._complete = max(self._complete, revision)
-        self._unchanged_since = self._complete
         self._told = ABSENT
 
     def note_span(self, after: Revision, upto: Revision) -> None:
@@ -52,7 +50,6 @@
         """
         if after <= self._complete < upto:
             self._complete = upto
-            self._unchanged_since = upto
 
     def is_behind(self, told: Revision) -> bool:
         """Tell whether a change was missed.
