Give daemons of the soak ports that no outgoing connection takes

All calls to one daemon of four went unanswered, from the first wait to the last.

Cause: find_port asked the system for any free port, so daemons' ports lay in the range of local ports (32768 to 60999). A connection of another process, such as a watch, could be given one before the daemon listened; a daemon whose port is so taken cannot listen, and ends at each start for as long as that connection lasts.

Ruled out: the daemon's own start, since the other three served.

Now ports come from 10000 to 29999.

--- a/libs/bench/tests/test_fault_soak.py
+++ b/libs/bench/tests/test_fault_soak.py
@@ -8,12 +8,12 @@
 from fireflyhitch_bench.soak_site import SoakSite
 
 # Seeds that ever broke a promise are added here, each with a line on the cause.
+# 1: a daemon's port was the local port of another's open connection (``TestPorts``).
 SEEDS = (1,)
 SHORT_SECONDS = 3.0
 
 
 class TestShortRun:
-    @pytest.mark.xfail(strict=False, reason='listed in KNOWN-RED.txt')
     @pytest.mark.parametrize('seed', SEEDS)
     def test_real_daemons_keep_their_promises_under_faults(self, seed: int) -> None:
         verdict = play_seed(seed, SHORT_SECONDS)
--- a/libs/standins/fireflyhitch_standins/users_formats.py
+++ b/libs/standins/fireflyhitch_standins/users_formats.py
@@ -1,5 +1,6 @@
 """What the users' platform writes: a daemon's settings file, and a configuration."""
 
+import random
 import socket
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -54,12 +55,24 @@
 SERVICES = ({'name': 'planning', 'health_path': '/health', 'max_connections': 100},)
 
 
+# Below the range that the system picks local ports of outgoing connections from: one of
+# those on a daemon's port keeps it from listening for as long as the connection lasts.
+LISTENING_PORTS = range(10_000, 30_000)
+
+
 def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
+    """Return a port that is free now, and that no outgoing connection is given.
+
+    :raises OSError: if all those that were tried are taken.
+    """
+    for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):  # noqa: S311
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
         return port
+    raise OSError('no free port to listen on')
 
 
 @dataclass(frozen=True, slots=True)
