Count control traffic, and tell it in a line each ten seconds

On-call engineers could not see which daemon asks the store for what, nor what daemons send each other; calls to the platform are the largest price at this size, and the only figure was the sum over all daemons. Counted by kind at the calls themselves, so that refused and lost ones are in it. One line a daemon in ten seconds.

--- a/libs/serving/fireflyhitch_serving/peers.py
+++ b/libs/serving/fireflyhitch_serving/peers.py
@@ -21,6 +21,7 @@
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.peer_news import PeerNews, read_news, render_news
 from fireflyhitch_serving.stalls import StallWatch
+from fireflyhitch_serving.traffic import ControlTraffic
 
 # A peer's view of a server is this old at most; engines take 0.2 s for a long prompt.
 SEND_SECONDS = 0.1
@@ -256,6 +257,7 @@
         find_leader: Callable[[], str | None],
         stalls: StallWatch,
         draw: random.Random,
+        traffic: ControlTraffic,
     ) -> None:
         """Make a channel; ``run`` sends until cancelled.
 
@@ -269,6 +271,7 @@
         self._own_news = own_news
         self._take = take
         self._draw = draw
+        self._traffic = traffic
         self._transport: asyncio.DatagramTransport | None = None
         self._far_due = 0.0
 
@@ -279,6 +282,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take a message in."""
+        self._traffic.note_received(len(data))
         if self._stalls.is_behind():
             return
         if self._take_other(data):
@@ -323,8 +327,8 @@
         """Send a datagram to daemons by name."""
         for daemon in daemons:
             address = self._book.find_address(daemon)
-            if address is not None and self._transport is not None:
-                self._transport.sendto(data, (address.host, address.port))
+            if address is not None:
+                self._send_once(data, address)
 
     def send(self, addresses: list[Address]) -> None:
         """Send this daemon's news once."""
@@ -337,4 +341,9 @@
             logger.bind(size=len(data)).error('news too large for a datagram')
             return
         for address in addresses:
+            self._send_once(data, address)
+
+    def _send_once(self, data: bytes, address: Address) -> None:
+        if self._transport is not None:
+            self._traffic.note_sent(len(data))
             self._transport.sendto(data, (address.host, address.port))
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -32,6 +32,7 @@
 from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.summaries import SummaryBook
 from fireflyhitch_serving.summary_relay import SummaryRelay
+from fireflyhitch_serving.traffic import ControlTraffic
 from fireflyhitch_serving.usage import UsageBook
 from fireflyhitch_serving.versions import VersionShares
 
@@ -137,6 +138,7 @@
             lambda: None,
             StallWatch(self._clock.monotonic, lambda: None),
             self._draw,
+            ControlTraffic(),
         )
 
     def _make_view(self) -> StoreView:
--- a/libs/serving/tests/test_stalls.py
+++ b/libs/serving/tests/test_stalls.py
@@ -7,6 +7,7 @@
 from fireflyhitch_serving.peers import PeerBook, PeerChannel
 from fireflyhitch_serving.quotas import Quotas, QuotaSlack
 from fireflyhitch_serving.stalls import DROP_SECONDS, StallWatch
+from fireflyhitch_serving.traffic import ControlTraffic
 
 QUOTA = Quota(1000, 2000, in_tokens=True, plain_tokens=200)
 BAKERY = Customer(CustomerId('bakery'), QUOTA)
@@ -84,6 +85,7 @@
             lambda: None,
             StallWatch(lambda: seconds[0], list),
             random.Random(1),  # noqa: S311
+            ControlTraffic(),
         )
         seconds[0] = 5.0
         channel.datagram_received(b'\x01', ('127.0.0.1', 1))
--- a/libs/standins/fireflyhitch_standins/users_formats.py
+++ b/libs/standins/fireflyhitch_standins/users_formats.py
@@ -57,7 +57,8 @@
 
 # Below the range that the system picks local ports of outgoing connections from: one of
 # those on a daemon's port keeps it from listening for as long as the connection lasts.
-LISTENING_PORTS = range(10_000, 30_000)
+FIRST_PORT = 10_000
+LAST_PORT = 29_999
 
 
 def find_port() -> int:
@@ -65,7 +66,8 @@
 
     :raises OSError: if all those that were tried are taken.
     """
-    for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):  # noqa: S311
+    ports = range(FIRST_PORT, LAST_PORT + 1)
+    for port in random.sample(ports, len(ports)):  # noqa: S311
         with socket.socket() as sock:
             try:
                 sock.bind((HOST, port))
