--- a/libs/serving/fireflyhitch_serving/scale_orders.py
+++ b/libs/serving/fireflyhitch_serving/scale_orders.py
@@ -23,8 +23,8 @@
 from fireflyhitch_serving.workloads import Workloads
 
 LOOK_SECONDS = 0.5
-# An order is given again if the servers are not there by then: starting takes some
-# seconds, and servers that were taken away are not replaced unasked.
+# An order that could not be met is given again after this, and one whose servers are
+# not listed so long after they should have started.
 REPEAT_SECONDS = 2.5
 # Reclaims come domain by domain, and others may come before the first domain's servers
 # are replaced. Reclaimable servers to spare cost less than those bought on demand for
@@ -70,8 +70,26 @@
 
 @dataclass(slots=True)
 class _Given:
+    """An order that was given.
+
+    :param present: the most servers of the kind that were there since.
+    :param wait: seconds until it may have to be given again.
+    """
+
     count: int
     at: float
+    present: int
+    wait: float
+
+    def stands(self, order: ServerOrder, present: int, now: float) -> bool:
+        """Tell whether an order need not be given again.
+
+        Servers that were taken away are not replaced unasked.
+        """
+        if self.count != order.count or present < self.present:
+            return False
+        self.present = present
+        return present == order.count or now - self.at < self.wait
 
 
 @dataclass(slots=True)
@@ -161,6 +179,7 @@
             await self._order(
                 ServerOrder(service.name, domain, True, wanted.reclaimable),
                 here.reclaimable,
+                scale.start_seconds,
             )
             if not settled:
                 # Those on demand that are not listed yet must not be given back.
@@ -168,6 +187,7 @@
             await self._order(
                 ServerOrder(service.name, domain, False, wanted.on_demand),
                 here.on_demand,
+                scale.start_seconds,
             )
 
     def _note_listing(
@@ -234,20 +254,21 @@
                 counts[server.failure_domain][not server.reclaimable] += 1
         return {domain: DomainServers(*found) for domain, found in counts.items()}
 
-    async def _order(self, order: ServerOrder, present: int) -> None:
+    async def _order(
+        self, order: ServerOrder, present: int, start_seconds: float
+    ) -> None:
         key = (order.service, order.failure_domain, order.reclaimable)
         given = self._given.get(key)
         now = self._clock.monotonic()
-        if given is not None and given.count == order.count:
-            if present == order.count or now - given.at < REPEAT_SECONDS:
-                return
-        elif given is None and present == order.count:
+        if given is None and present == order.count:
+            return
+        if given is not None and given.stands(order, present, now):
             return
         leadership = self._lease.lead()
         if leadership is None:
             return
-        self._given[key] = _Given(order.count, now)
         result = await self._calls.order_servers(leadership, order)
+        self._note_given(key, order, present, result, start_seconds)
         logger.bind(
             service=order.service,
             domain=order.failure_domain,
@@ -259,8 +280,22 @@
             floor=round(self._floors.get(order.service, 0), 1),
             result=result.value,
         ).info('servers ordered')
+
+    def _note_given(
+        self,
+        key: _OrderKey,
+        order: ServerOrder,
+        present: int,
+        result: CallResult,
+        start_seconds: float,
+    ) -> None:
         if result is CallResult.FAILED:
             self._given.pop(key, None)
+            return
+        wait = REPEAT_SECONDS
+        if result is CallResult.DONE:
+            wait += start_seconds
+        self._given[key] = _Given(order.count, self._clock.monotonic(), present, wait)
 
 
 def _seem_on_demand(present: Mapping[FailureDomainId, DomainServers]) -> bool:
--- a/libs/serving/tests/test_scale.py
+++ b/libs/serving/tests/test_scale.py
@@ -74,6 +74,26 @@
             )
             self.book.put(entry)
 
+    def list_reclaimable(self, name: str) -> None:
+        """List a reclaimable server of the first domain."""
+        entry = ServerEntry(
+            BackendServerId(name),
+            SERVICE,
+            Address('127.0.0.1', 999),
+            sorted(DOMAINS)[0],
+            'v1',
+            12,
+            ready=True,
+            reclaimable=True,
+        )
+        self.book.put(entry)
+
+    def take_away_reclaimable(self) -> None:
+        """Have the platform take all reclaimable servers."""
+        for server_id, record in list(self.book.all().items()):
+            if record.server.reclaimable:
+                self.book.remove(server_id)
+
     def count_reclaimable(self) -> int:
         """Return the reclaimable servers by the newest order of each domain."""
         newest = {
@@ -153,6 +173,64 @@
         assert min(ordered.values()) >= 20
 
 
+class Orders:
+    """When reclaimable servers were ordered for one failure domain."""
+
+    def __init__(self, result: CallResult) -> None:
+        self.start = Start()
+        self.start.list_servers(range(8))
+        self.start.leader.order_servers = self._order  # type: ignore[method-assign]
+        self.given: list[float] = []
+        self.count = 0
+        self._result = result
+
+    def fill(self) -> None:
+        """List as many reclaimable servers as were ordered."""
+        for number in range(self.count):
+            self.start.list_reclaimable(f'r{number}')
+
+    async def _order(self, leadership: Leadership, order: ServerOrder) -> CallResult:
+        if order.reclaimable and order.failure_domain == 'a':
+            self.given.append(self.start.clock.monotonic())
+            self.count = order.count
+        return self._result
+
+
+class TestRepeats:
+    """An order stands until its servers are late, refused, or taken away."""
+
+    def test_servers_that_are_starting_are_not_ordered_again(self, monkeypatch) -> None:
+        """Guards against a paid call each few seconds for what is on its way."""
+        monkeypatch.setattr(f'{ScaleKeeper.__module__}.LOOK_SECONDS', 0)
+        orders = Orders(CallResult.DONE)
+        asyncio.run(orders.start.pass_seconds(9))
+        assert len(orders.given) == 2
+        assert orders.given[1] - orders.given[0] >= SCALED.scale.start_seconds
+
+    def test_what_is_not_to_be_had_is_asked_for_sooner(self, monkeypatch) -> None:
+        """Guards against seconds without servers that may be had again by now."""
+        monkeypatch.setattr(f'{ScaleKeeper.__module__}.LOOK_SECONDS', 0)
+        orders = Orders(CallResult.UNAVAILABLE)
+        asyncio.run(orders.start.pass_seconds(9))
+        assert len(orders.given) >= 3
+
+    def test_what_was_taken_away_is_ordered_at_once(self, monkeypatch) -> None:
+        """Guards against reclaimed servers that are missed until an order is old."""
+        monkeypatch.setattr(f'{ScaleKeeper.__module__}.LOOK_SECONDS', 0)
+        orders = Orders(CallResult.DONE)
+
+        async def script() -> None:
+            await orders.start.pass_seconds(2)
+            assert len(orders.given) == 1
+            orders.fill()
+            await orders.start.pass_seconds(1)
+            orders.start.take_away_reclaimable()
+            await orders.start.pass_seconds(0.5)
+
+        asyncio.run(script())
+        assert len(orders.given) == 2
+
+
 class TestTakingOver:
     def test_a_new_leader_keeps_what_the_former_one_ordered(self, monkeypatch) -> None:
         # The leader is killed under load. The next has seen less of the day's load, and
