Join a failure domain's news at a hub, where there are many daemons

Hypothesis: in a failure domain of 33 daemons each tells all others each 0.8 s, 40 messages a second out and in, which costs processor time and still leaves neighbours' work known later than that of other domains (0.5 s); in one of 60 it would be 1.5 s.

Change: each daemon tells two, the hub and its successor, four times a second. The hub joins what it hears into the domain's summary, as it did for the others' relays, and tells it to the neighbours as well; each takes its own part off again, as it was in the news that the hub has joined. Roles (watchers, leader, hub) rest on the members that the hub tells, and the time of day on the hub's. A hub that is silent for 0.75 s is followed by the next by rank; one that starts again waits until it has heard its neighbours. The leader is told counts twice a second, as before. Up to 20 daemons still tell all.

Tests in virtual time: each request counts once at each daemon, with the hub's end, its successor's, its restart and one message in ten lost; one hub a failure domain; at most 14 messages a second from a daemon at 24 and 66.

--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/own_part.py
@@ -0,0 +1,93 @@
+"""What a hub's sums hold of this daemon itself.
+
+A hub tells all of a failure domain the same sums. Each takes its own part off again, as
+it was in the news that the hub has joined, or it would count its own work twice.
+"""
+
+from collections import OrderedDict
+
+from fireflyhitch_model.ids import BackendServerId, CustomerId
+from fireflyhitch_serving.peer_news import PeerNews
+from fireflyhitch_serving.quotas import CustomerNote
+from fireflyhitch_serving.servers import InFlight
+from fireflyhitch_serving.summaries import DomainSummary
+
+# Some seconds of news; a hub joins the newest that it has heard.
+MOST_REMEMBERED = 40
+
+
+class OwnPart:
+    """Remembers what this daemon has told, to take it off again."""
+
+    def __init__(self, own: str) -> None:
+        """Make a part of a daemon that has told nothing."""
+        self._own = own
+        self._told: OrderedDict[int, PeerNews] = OrderedDict()
+        self._hub = ''
+        # By customer: what was taken when the hub first heard of this daemon.
+        self._base: dict[CustomerId, float] | None = None
+        self._counted: dict[CustomerId, float] = {}
+
+    def note_told(self, news: PeerNews) -> None:
+        """Remember what is told now."""
+        self._told[news.sequence] = news
+        if len(self._told) > MOST_REMEMBERED:
+            self._told.popitem(last=False)
+
+    def take_off_work(self, summary: DomainSummary) -> dict[BackendServerId, InFlight]:
+        """Return the work that the others have in flight, by server."""
+        own = self._find(summary)
+        if own is None:
+            return dict(summary.work)
+        return {
+            server: _subtract(work, own.work.get(server, InFlight()))
+            for server, work in summary.work.items()
+        }
+
+    def take_off_customers(
+        self, summary: DomainSummary
+    ) -> dict[CustomerId, CustomerNote]:
+        """Return what customers take and ask of the others.
+
+        Like what it is taken off, ``taken`` grows as long as one process is the hub.
+        """
+        own = self._find(summary)
+        self._count(summary, own)
+        asked = {} if own is None else own.customers
+        return {
+            customer: CustomerNote(
+                note.taken - self._counted.get(customer, 0),
+                max(note.demand - _read_demand(asked.get(customer)), 0),
+                note.left,
+            )
+            for customer, note in summary.customers.items()
+        }
+
+    def _find(self, summary: DomainSummary) -> PeerNews | None:
+        member = summary.members.get(self._own)
+        return None if member is None else self._told.get(member.sequence)
+
+    def _count(self, summary: DomainSummary, own: PeerNews | None) -> None:
+        """Note what the hub has counted of this daemon's units since it first did."""
+        if summary.process != self._hub:
+            self._hub = summary.process
+            self._base = None
+            self._counted = {}
+        if own is None:
+            return
+        taken = {customer: note.taken for customer, note in own.customers.items()}
+        if self._base is None:
+            self._base = taken
+        for customer, units in taken.items():
+            self._counted[customer] = units - self._base.get(customer, 0)
+
+
+def _subtract(work: InFlight, own: InFlight) -> InFlight:
+    return InFlight(
+        max(work.requests - own.requests, 0),
+        max(work.prompt_tokens - own.prompt_tokens, 0),
+    )
+
+
+def _read_demand(note: CustomerNote | None) -> float:
+    return 0 if note is None else note.demand
--- a/libs/serving/fireflyhitch_serving/peer_news.py
+++ b/libs/serving/fireflyhitch_serving/peer_news.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import fields
 from functools import cache
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import cbor2
 
@@ -21,6 +21,17 @@
 Row = TypeVar('Row')
 
 
+class Member(NamedTuple):
+    """A daemon whose news a hub has joined.
+
+    :param sequence: of the news.
+    """
+
+    sequence: int
+    hears_store: bool = True
+    stopping: bool = False
+
+
 @immutable
 class PeerNews:
     """A daemon's present state.
@@ -71,6 +82,8 @@
         encoder.encode((note.requests, note.prompt_tokens))
     elif isinstance(note, CustomerNote):
         encoder.encode((note.taken, note.demand, note.left))
+    elif isinstance(note, Member):
+        encoder.encode((note.sequence, note.hears_store, note.stopping))
 
 
 def read_news(data: bytes) -> PeerNews | None:
--- a/libs/serving/fireflyhitch_serving/peers.py
+++ b/libs/serving/fireflyhitch_serving/peers.py
@@ -1,34 +1,22 @@
-"""What daemons tell each other: their work, demand, counts and evidence.
+"""What is known of the other daemons: who is listed, who is heard, and what they tell."""
 
-Each message is a CBOR datagram with the sender's whole present state, so that one
-that is lost, late or repeated does no harm, and there is no connection that could go
-silent. A ``websockets`` link, as the product's own membership uses, would need
-keep-alives and an order of messages for what is true for a second only.
-"""
-
-import asyncio
-import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from statistics import median
-from typing import cast
 
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import FailureDomainId
+from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.connections import Address
-from fireflyhitch_serving.peer_news import PeerNews, read_news, render_news
-from fireflyhitch_serving.stalls import StallWatch
-from fireflyhitch_serving.traffic import ControlTraffic
+from fireflyhitch_serving.peer_news import PeerNews
 
 # A peer's view of a server is this old at most; engines take 0.2 s for a long prompt.
 SEND_SECONDS = 0.1
-# With more daemons each tells less often, those of the own failure domain first, so that
-# a daemon sends and gets a bounded number of messages. They have some hundred bytes to
-# 2 kB, and the slowest instances' links carry 600 kB a second.
-MOST_NEAR_PER_SECOND = 40.0
+# With more daemons each tells less often, those of the own failure domain first. They
+# have some hundred bytes to 2 kB, and the slowest instances' links carry 600 kB a second.
 MOST_FAR_PER_SECOND = 40.0
 # A peer that is not heard for this long is not there, or is cut off.
 SILENT_SECONDS = 1.2
@@ -37,22 +25,31 @@
 # Five messages in a row; lossy links lose some in a hundred.
 SUSPECT_SECONDS = 0.5
 SUSPECT_TURNS = 2.5
+# Where a hub joins the news of a failure domain, each daemon tells it so often.
+HUB_SECONDS = 0.25
 MOST_DATAGRAM_BYTES = 60_000
-# Messages go out at moments that differ by this part, so that they do not beat.
-SPREAD = 0.2
-# A turn that comes a little early is taken, or every other one would be.
-NEARLY = 0.7
 # With more daemons than this, the state of other failure domains comes by their
 # summaries (``summaries``): each far daemon could be told only every half second or
 # later, and 75 of them every 1.9 s.
 MOST_DIRECT = 20
-# In which a summary has come from any daemon to any other: two turns of near news and
-# two of the relays.
+# In which a summary has come from any daemon to any other: a turn of its news, and one
+# each of its own hub and of the other's.
 SUMMARY_TURN_SECONDS = 0.7
 # An instance is as able as the best if its link carries at least this part.
 ABLE_PART = 0.5
-# A leader needs every daemon's counts; those far away tell it this often.
-LEADER_SECONDS = 0.5
+
+
+@immutable
+class GroupMember:
+    """Another daemon of the group, by its own news or by the hub's.
+
+    :param hears_store: whether the store answers it, as far as it has asked.
+    :param stopping: whether it is about to go.
+    """
+
+    failure_domain: FailureDomainId
+    hears_store: bool = True
+    stopping: bool = False
 
 
 @dataclass(slots=True)
@@ -61,6 +58,11 @@
     at: float
     wall_ahead: float
 
+    def as_member(self) -> GroupMember:
+        """Return what duties depend on."""
+        news = self.news
+        return GroupMember(news.failure_domain, news.hears_store, news.stopping)
+
 
 class PeerBook:
     """The last news of each daemon, and what follows from all of them."""
@@ -82,6 +84,9 @@
         self._domains: dict[str, FailureDomainId] = {}
         self._links: dict[str, float] = {}
         self.own_news: PeerNews | None = None
+        # By the hub, where there is one: its neighbours, and the time of day there.
+        self.hub_members: Callable[[], Mapping[str, GroupMember]] = dict
+        self.find_hub_wall: Callable[[], float | None] = _know_nothing
 
     @property
     def own(self) -> str:
@@ -174,20 +179,34 @@
             if news.failure_domain == self._domain
         }
 
-    def heard_group(self) -> dict[str, PeerNews]:
-        """Return the news of those that tell each other all, and share duties."""
-        return self.heard_near() if self.uses_summaries() else self.heard()
+    def listed_near(self) -> list[str]:
+        """Return the listed daemons of the own failure domain."""
+        return [daemon for daemon in self._registered if not self.is_far(daemon)]
 
-    def heard_lately(self) -> dict[str, PeerNews]:
-        """Return the news of those of the group that have not missed some turns."""
-        group = self.heard_group()
-        turn = max(SEND_SECONDS, len(group) / MOST_NEAR_PER_SECOND)
-        since = self._clock.monotonic() - max(SUSPECT_SECONDS, SUSPECT_TURNS * turn)
-        return {
-            daemon: news
-            for daemon, news in group.items()
-            if self._heard[daemon].at >= since
+    def heard_group(self) -> dict[str, GroupMember]:
+        """Return those that share duties with this daemon and are heard now."""
+        return self._find_members(self._silent_seconds())
+
+    def heard_lately(self) -> dict[str, GroupMember]:
+        """Return those of them that have not missed some messages in a row."""
+        turn = HUB_SECONDS if self.uses_summaries() else self.turn_seconds()
+        return self._find_members(max(SUSPECT_SECONDS, SUSPECT_TURNS * turn))
+
+    def _find_members(self, seconds: float) -> dict[str, GroupMember]:
+        since = self._clock.monotonic() - seconds
+        direct = {
+            daemon: heard.as_member()
+            for daemon, heard in self._heard.items()
+            if heard.at >= since
+        }
+        if not self.uses_summaries():
+            return direct
+        near = {
+            daemon: member
+            for daemon, member in direct.items()
+            if member.failure_domain == self._domain
         }
+        return {**self.hub_members(), **near}
 
     def turn_seconds(self) -> float:
         """Return how long it takes until each daemon's state is known to all others."""
@@ -257,114 +276,21 @@
         """Return how many daemons there are, this one included, heard or not."""
         return len(self._registered.keys() | self.heard().keys() | {self._own})
 
+    def read_own_wall(self) -> float:
+        """Return the time of day by this instance alone."""
+        return self._wall()
+
     def wall(self) -> float:
         """Return the time of day that most daemons agree on.
 
         A clock that was set wrong by itself is outvoted by the peers'.
         """
+        told = self.find_hub_wall()
+        if told is not None:
+            return told
         ahead = [heard.wall_ahead for heard in self._heard_now().values()]
         return self._wall() + median([0.0, *ahead])
 
 
-class PeerChannel(asyncio.DatagramProtocol):
-    """Sends this daemon's news to all and takes in theirs."""
-
-    def __init__(
-        self,
-        book: PeerBook,
-        own_news: Callable[[], PeerNews],
-        take: Callable[[PeerNews], None],
-        take_other: Callable[[bytes], bool],
-        find_leader: Callable[[], str | None],
-        stalls: StallWatch,
-        draw: random.Random,
-        traffic: ControlTraffic,
-    ) -> None:
-        """Make a channel; ``run`` sends until cancelled.
-
-        :param take_other: takes a datagram of another kind, and tells whether it was.
-        :param find_leader: returns the name of the daemon that leads.
-        """
-        self._find_leader = find_leader
-        self._stalls = stalls
-        self._take_other = take_other
-        self._book = book
-        self._own_news = own_news
-        self._take = take
-        self._draw = draw
-        self._traffic = traffic
-        self._transport: asyncio.DatagramTransport | None = None
-        self._far_due = 0.0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        # The event loop's own class does not derive from the abstract one.
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take a message in."""
-        self._traffic.note_received(len(data))
-        if self._stalls.is_behind():
-            return
-        if self._take_other(data):
-            return
-        news = read_news(data)
-        if news is None:
-            logger.bind(peer=addr[0]).warning('unreadable datagram')
-            return
-        if self._book.take(news):
-            self._book.note_sender(news.daemon, Address(*addr))
-            self._take(news)
-
-    def error_received(self, exc: Exception) -> None:
-        """Pass over a peer that is not there; its silence tells."""
-
-    async def run(self) -> None:
-        """Send this daemon's news until cancelled."""
-        while True:
-            self._stalls.tick()
-            near, far = self._book.part_by_domain()
-            self.send([*near, *self._pick_far(far)])
-            seconds = max(SEND_SECONDS, len(near) / MOST_NEAR_PER_SECOND)
-            await asyncio.sleep(seconds * self._draw.uniform(1 - SPREAD, 1 + SPREAD))
-
-    def _pick_far(self, far: list[Address]) -> list[Address]:
-        """Return the far daemons that are told now."""
-        now = self._book.monotonic()
-        if now < self._far_due:
-            return []
-        if not self._book.uses_summaries():
-            wait = max(SEND_SECONDS, len(far) / MOST_FAR_PER_SECOND)
-            self._far_due = now + wait * NEARLY
-            return far
-        self._far_due = now + LEADER_SECONDS * NEARLY
-        leader = self._find_leader()
-        if leader is None or not self._book.is_far(leader):
-            return []
-        address = self._book.find_address(leader)
-        return [] if address is None else [address]
-
-    def send_to(self, data: bytes, daemons: list[str]) -> None:
-        """Send a datagram to daemons by name."""
-        for daemon in daemons:
-            address = self._book.find_address(daemon)
-            if address is not None:
-                self._send_once(data, address)
-
-    def send(self, addresses: list[Address]) -> None:
-        """Send this daemon's news once."""
-        if not addresses or self._transport is None:
-            return
-        news = self._own_news()
-        self._book.own_news = news
-        data = render_news(news)
-        if len(data) > MOST_DATAGRAM_BYTES:
-            logger.bind(size=len(data)).error('news too large for a datagram')
-            return
-        for address in addresses:
-            self._send_once(data, address)
-
-    def _send_once(self, data: bytes, address: Address) -> None:
-        if self._transport is not None:
-            self._traffic.note_sent(len(data))
-            self._transport.sendto(data, (address.host, address.port))
+def _know_nothing() -> None:
+    """Return the time of a hub that there is none of."""
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -19,7 +19,6 @@
     part_span,
     render_changes,
 )
-from fireflyhitch_serving.peer_news import PeerNews
 from fireflyhitch_serving.peers import MOST_DATAGRAM_BYTES, PeerBook
 
 WATCHERS = 3
@@ -152,12 +151,15 @@
         for _, span in self._recent if begun else ():
             self._send_parts(span, begun)
 
-    def note_news(self, news: PeerNews) -> None:
-        """Take in whether a peer hears the store."""
-        if news.hears_store:
-            self._without_store.discard(news.daemon)
-        else:
-            self._tell_recent(news.daemon)
+    def note_group(self) -> None:
+        """Take in who of the group has lost the store, and who hears it again."""
+        without = set(self._find_without_store())
+        lost = sorted(without - self._without_store)
+        self._without_store = without
+        self._drop_old(self._clock.monotonic())
+        for _, span in self._recent if lost else ():
+            # What they may just have missed.
+            self._send_parts(span, lost)
 
     def _find_without_store(self) -> list[str]:
         """Return the daemons that do not hear the store, if this one helps them.
@@ -166,18 +168,8 @@
         """
         if self._find_watchers()[0] != self._own:
             return []
-        heard = self._peers.heard()
-        return [daemon for daemon, news in heard.items() if not news.hears_store]
-
-    def _tell_recent(self, daemon: str) -> None:
-        """Tell a daemon that has lost the store what it may just have missed."""
-        if daemon in self._without_store:
-            return
-        self._without_store.add(daemon)
-        self._drop_old(self._clock.monotonic())
-        if daemon in self._find_without_store():
-            for _, span in self._recent:
-                self._send_parts(span, [daemon])
+        group = self._peers.heard_group()
+        return [daemon for daemon, member in group.items() if not member.hears_store]
 
     def _send_parts(self, span: ChangeSpan, to: list[str]) -> None:
         """Send each datagram, small ones twice."""
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -1,7 +1,8 @@
 """What this daemon tells the others of itself, and what it takes in from them.
 
-With few daemons each tells all others its whole state. With many, those of another
-failure domain are known by its summary, and tell only their counts, to the leader.
+With few daemons each tells all others its whole state. With many, each tells the hub of
+its failure domain, which tells the state of all of that domain and of the others; only
+counts go to the leader as well.
 """
 
 import time
@@ -17,7 +18,9 @@
 )
 from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.budgets import RepeatBudget
+from fireflyhitch_serving.hubs import Hubs
 from fireflyhitch_serving.moves import MoveBook
+from fireflyhitch_serving.own_part import OwnPart
 from fireflyhitch_serving.parts import FreshParts
 from fireflyhitch_serving.peer_news import PeerNews
 from fireflyhitch_serving.peers import PeerBook
@@ -44,6 +47,7 @@
 
     clock: Clock
     peers: PeerBook
+    hubs: Hubs
     summaries: SummaryBook
     servers: ServerBook
     quotas: Quotas
@@ -65,7 +69,11 @@
         self._process = process
         self._parts = parts
         self._sequence = 0
+        self._own_part = OwnPart(daemon)
+        self._hears_directly = True
         self._tolerated = QuotaSlack()
+        parts.peers.hub_members = parts.hubs.find_members
+        parts.peers.find_hub_wall = self._find_hub_wall
         parts.health.others_settled = self.is_store_settled_elsewhere
 
     def tolerate(self, tolerated: QuotaSlack) -> None:
@@ -78,7 +86,7 @@
         parts = self._parts
         self._note_daemons()
         self._sequence += 1
-        return PeerNews(
+        news = PeerNews(
             daemon=self._daemon,
             process=self._process,
             failure_domain=parts.peers.own_domain,
@@ -98,6 +106,8 @@
             stopping=parts.stopping(),
             newest=parts.newest(),
         )
+        self._own_part.note_told(news)
+        return news
 
     def take_news(self, news: PeerNews) -> None:
         """Take in a daemon's state."""
@@ -105,8 +115,8 @@
         parts.usage.take_in(news.process, news.usage)
         parts.moves.take_evidence(news.process, news.evidence)
         near = news.failure_domain == parts.peers.own_domain
-        if parts.peers.uses_summaries() and not near:
-            # It is in its domain's summary, and must not count twice.
+        if parts.peers.uses_summaries() and not (near and self._hears_directly):
+            # It is in a summary, and must not count twice.
             return
         self._take_work(news.daemon, news.work, news.fresh_parts)
         now = parts.clock.monotonic()
@@ -119,7 +129,9 @@
         if summaries is None:
             return False
         for summary in summaries:
-            if self._parts.summaries.take(summary):
+            if summary.domain == self._parts.peers.own_domain:
+                self._take_near_summary(summary)
+            elif self._parts.summaries.take(summary):
                 self._take_summary(summary)
         return True
 
@@ -137,11 +149,16 @@
     def is_store_settled_elsewhere(self) -> bool:
         """Tell whether another daemon has heard the store without a break."""
         near = self._parts.peers.heard().values()
-        far = self._parts.summaries.live().values()
         return any(news.store_settled for news in near) or any(
-            summary.store_settled for summary in far
+            summary.store_settled for summary in self._live_summaries()
         )
 
+    def _live_summaries(self) -> list[DomainSummary]:
+        """Return what is told of other failure domains, and by the own one's hub."""
+        live = list(self._parts.summaries.live().values())
+        near = self._parts.hubs.current()
+        return live if near is None else [near, *live]
+
     def find_relays_without_store(self) -> list[str]:
         """Return the relays of failure domains that this one helps with the store.
 
@@ -160,7 +177,7 @@
     def find_newest(self, prefix: str) -> Revision:
         """Return the newest change below a prefix that any other daemon knows."""
         near = [news.newest for news in self._parts.peers.heard().values()]
-        far = [summary.newest for summary in self._parts.summaries.live().values()]
+        far = [summary.newest for summary in self._live_summaries()]
         told = (newest.get(prefix, ABSENT) for newest in (*near, *far))
         return max(told, default=ABSENT)
 
@@ -168,6 +185,27 @@
         """Return units a second that customers ask of all daemons."""
         return self._parts.quotas.sum_demand(self._parts.clock.monotonic())
 
+    def _find_hub_wall(self) -> float | None:
+        return None if self._hears_directly else self._parts.hubs.find_wall()
+
+    def _take_near_summary(self, summary: DomainSummary) -> None:
+        """Take in what the hub has joined, but for this daemon's own part."""
+        parts = self._parts
+        parts.summaries.note_relayed()
+        known = parts.hubs.current()
+        if not parts.hubs.take(summary) or self._hears_directly:
+            return
+        if known is not None and known.process != summary.process:
+            parts.quotas.forget_process(known.source)
+        work = self._own_part.take_off_work(summary)
+        self._take_work(summary.domain, work, summary.fresh_parts)
+        now = parts.clock.monotonic()
+        for customer, note in self._own_part.take_off_customers(summary).items():
+            parts.quotas.take_note(summary.source, customer, note, now)
+        for process, evidence in summary.evidence.items():
+            if process != self._process:
+                parts.moves.take_evidence(process, evidence)
+
     def _take_summary(self, summary: DomainSummary) -> None:
         parts = self._parts
         self._take_work(summary.domain, summary.work, summary.fresh_parts)
@@ -177,6 +215,26 @@
         for process, evidence in summary.evidence.items():
             parts.moves.take_evidence(process, evidence)
 
+    def _note_way(self) -> None:
+        """Note whether the neighbours' work is known from themselves or from the hub.
+
+        The hub and its successor hear all of them, and the leader does too.
+        """
+        direct = not self._parts.peers.uses_summaries() or self._hears_neighbours()
+        if direct != self._hears_directly:
+            self._hears_directly = direct
+            for record in self._parts.servers.all().values():
+                # What came the other way would count twice until it is too old.
+                record.peers.clear()
+
+    def _hears_neighbours(self) -> bool:
+        """Tell whether all that a hub would tell is heard from the daemons themselves."""
+        hubs = self._parts.hubs
+        told = hubs.find_members()
+        if not told or hubs.acts():
+            return True
+        return told.keys() <= self._parts.peers.heard_near().keys()
+
     def _take_work(
         self,
         teller: str,
@@ -190,6 +248,7 @@
                 record.note_part(part, now)
 
     def _note_daemons(self) -> None:
+        self._note_way()
         peers = self._parts.peers
         daemons = peers.count_daemons()
         self._parts.budget.daemons = daemons
@@ -209,6 +268,6 @@
 
     def _count_heard(self) -> int:
         heard = {self._daemon, *self._parts.peers.heard()}
-        for summary in self._parts.summaries.live().values():
-            heard.update(summary.daemons)
+        for summary in self._live_summaries():
+            heard.update(summary.members)
         return len(heard)
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import fields
+from typing import Any
 
 from loguru import logger
 
@@ -22,6 +23,7 @@
 )
 from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.peer_news import (
+    Member,
     PeerNews,
     decode_notes,
     read_rows,
@@ -44,26 +46,28 @@
     :param relay: the daemon that made it.
     :param process: that daemon's process.
     :param sequence: grows with each summary of a process.
-    :param daemons: whose state is in it.
+    :param members: by name: the daemons whose state is in it.
     :param work: what they have in flight at each server.
     :param customers: what customers take and ask of them.
     :param fresh_parts: prompt parts that servers began to read lately.
     :param evidence: by process: answers by service, version and route of moves in force.
     :param newest: revision of the newest change that one of them knows, by prefix.
     :param store_settled: whether one of them has heard the store without a break.
+    :param wall: seconds since 1970 that they agree on.
     """
 
     domain: FailureDomainId
     relay: str
     process: str
     sequence: int
-    daemons: Sequence[str]
+    members: Mapping[str, Member]
     work: Mapping[BackendServerId, InFlight]
     customers: Mapping[CustomerId, CustomerNote]
     fresh_parts: Mapping[BackendServerId, list[str]]
     evidence: Mapping[str, Mapping[str, list[int]]]
     newest: Mapping[str, Revision]
     store_settled: bool
+    wall: float = 0
 
     @property
     def source(self) -> str:
@@ -82,7 +86,12 @@
 
 def read_summaries(data: bytes) -> list[DomainSummary] | None:
     """Read a datagram; nothing for one of another kind."""
-    return read_rows(SUMMARIES, data, lambda row: DomainSummary(**decode_notes(row)))
+    return read_rows(SUMMARIES, data, _read_summary)
+
+
+def _read_summary(row: dict[str, Any]) -> DomainSummary:
+    members = {name: Member(*told) for name, told in row['members'].items()}
+    return DomainSummary(**{**decode_notes(row), 'members': members})
 
 
 def add_work(news: Sequence[PeerNews]) -> dict[BackendServerId, InFlight]:
--- a/libs/serving/fireflyhitch_serving/summary_relay.py
+++ b/libs/serving/fireflyhitch_serving/summary_relay.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from fireflyhitch_model.ids import FailureDomainId
-from fireflyhitch_serving.peer_news import PeerNews
+from fireflyhitch_serving.hubs import Hubs
+from fireflyhitch_serving.peer_news import Member, PeerNews
 from fireflyhitch_serving.peers import PeerBook
 from fireflyhitch_serving.quotas import Quotas
 from fireflyhitch_serving.summaries import (
@@ -17,8 +18,7 @@
     render_summaries,
 )
 
-# A relay's turn. With 19 daemons in a domain it sends some 80 messages of 2 to 5 kB a
-# second to its neighbours, a third of what the slowest instances' links carry.
+# A hub's turn.
 TURN_SECONDS = 0.25
 SPREAD = 0.2
 # Of the daemons that another domain's relay may be: the first by hash relays, the
@@ -29,12 +29,12 @@
 
 
 class SummaryRelay:
-    """Relays for the own failure domain while this daemon is first by hash."""
+    """Joins and tells the own failure domain's state while this daemon is its hub."""
 
     def __init__(
         self,
-        own: str,
         peers: PeerBook,
+        hubs: Hubs,
         book: SummaryBook,
         quotas: Quotas,
         now: Callable[[], float],
@@ -46,8 +46,8 @@
         :param now: monotonic seconds.
         :param send: a datagram to daemons by name.
         """
-        self._own = own
         self._peers = peers
+        self._hubs = hubs
         self._book = book
         self._quotas = quotas
         self._now = now
@@ -60,27 +60,26 @@
     async def run(self) -> None:
         """Relay until cancelled."""
         while True:
-            if self._peers.uses_summaries() and self.relays():
-                self.tell_others()
-                self.tell_neighbours()
+            if self.relays():
+                self.tell()
             await asyncio.sleep(
                 TURN_SECONDS * self._draw.uniform(1 - SPREAD, 1 + SPREAD)
             )
 
     def relays(self) -> bool:
         """Tell whether this daemon is its failure domain's relay."""
-        near = [
-            daemon
-            for daemon, news in self._peers.heard_near().items()
-            if not news.stopping
-        ]
-        return self._peers.rank('relay', [self._own, *near])[0] == self._own
+        return self._peers.uses_summaries() and self._hubs.acts()
 
-    def tell_others(self) -> None:
-        """Send the own domain's summary to the relays of the others."""
+    def tell(self) -> None:
+        """Tell the other hubs of the own domain, and the neighbours of all."""
         summary = self.summarise()
         if summary is None:
             return
+        self.tell_others(summary)
+        self.tell_neighbours(summary)
+
+    def tell_others(self, summary: DomainSummary) -> None:
+        """Send the own domain's summary to the hubs of the others."""
         live = self._book.live()
         daemons: list[str] = []
         for domain, listed in self._peers.group_far().items():
@@ -91,17 +90,17 @@
             daemons.extend(likely)
         self._send(render_summaries([summary]), daemons)
 
-    def tell_neighbours(self) -> None:
-        """Pass on what was heard of other domains since the last turn."""
-        self._book.note_relayed()
-        fresh: list[DomainSummary] = []
-        for domain, summary in self._book.live().items():
-            mark = (summary.process, summary.sequence)
+    def tell_neighbours(self, summary: DomainSummary) -> None:
+        """Tell the own domain's state, and what is new of other domains."""
+        told: list[DomainSummary] = [summary]
+        for domain, far in self._book.live().items():
+            mark = (far.process, far.sequence)
             if self._passed.get(domain) != mark:
                 self._passed[domain] = mark
-                fresh.append(summary)
-        # Without anything new as well: it tells that the relay is there.
-        self._send(render_summaries(fresh), list(self._peers.heard_near()))
+                told.append(far)
+        # To all that are listed: those that have lost their hub find this one so.
+        near = [name for name in self._peers.listed_near() if name != self._peers.own]
+        self._send(render_summaries(told), near)
 
     def summarise(self) -> DomainSummary | None:
         """Return the own domain's summary, once this daemon has told its own state."""
@@ -112,16 +111,20 @@
         self._sequence += 1
         return DomainSummary(
             domain=self._peers.own_domain,
-            relay=self._own,
+            relay=self._peers.own,
             process=own.process,
             sequence=self._sequence,
-            daemons=[told.daemon for told in news],
+            members={
+                told.daemon: Member(told.sequence, told.hears_store, told.stopping)
+                for told in news
+            },
             work=add_work(news),
             customers=self._quotas.domain_notes(self._now()),
             fresh_parts=join_parts(self._pick_unjoined(news)),
             evidence={told.process: told.evidence for told in news if told.evidence},
             newest=join_newest(told.newest for told in news),
             store_settled=any(told.store_settled for told in news),
+            wall=self._peers.wall(),
         )
 
     def _pick_unjoined(self, news: list[PeerNews]) -> list[PeerNews]:
