--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -32,7 +32,7 @@
 # All daemons may be killed at once, and their counts with them. The leader keeps what it
 # has heard in the store this often, or a window's report would lack most of its requests.
 # Only a new leader reads it, so nobody's watch wakes up.
-SAVES_A_WINDOW = 2
+SAVE_SECONDS = 1.0
 SAVED_PREFIX = 'fireflyhitch-counts/'
 SAVED_KEY = f'{SAVED_PREFIX}recent'
 # Fixed counts bear no lease: leases may run out while the store is away, and a window
@@ -111,7 +111,7 @@
             await self._read_kept()
             self._read_under = leadership.fencing
         now = self._wall()
-        if now - self._saved_at < self._window_seconds / SAVES_A_WINDOW:
+        if now - self._saved_at < SAVE_SECONDS:
             return
         recent = self._book.recent(now)
         if not recent:
