Let daemons tell each other how servers answer, and leave out what fails or is slow

Change: each daemon tells answers, failures and lateness by server, fading in 3 s; hubs add them up. A server whose failure rate is well above its service's usual one is left out until what is known has faded, and the time that it is expected to take is multiplied by how much later than usual its answers come. Less than 1.3 times the usual is chance.

--- a/libs/serving/fireflyhitch_serving/choices.py
+++ b/libs/serving/fireflyhitch_serving/choices.py
@@ -37,9 +37,11 @@
     def find_candidates(self, exchange: Exchange) -> list[ServerRecord]:
         """Return the servers that an attempt may go to."""
         now = self._clock.monotonic()
+        servers = self._parts.servers
+        servers.judge(exchange.service, now)
         listed = [
             record
-            for record in self._parts.servers.of_service(exchange.service)
+            for record in servers.of_service(exchange.service)
             if record.server.ready
         ]
         versions = frozenset(record.server.version for record in listed)
@@ -50,8 +52,12 @@
         fresh = [
             record for record in ready if record.server.server_id not in exchange.tried
         ]
-        healthy = [record for record in fresh if not record.health.is_ejected(now)]
-        # Ejection is a guess: with nobody else left, those that it may be wrong
+        healthy = [
+            record
+            for record in fresh
+            if not (record.failing or record.health.is_ejected(now))
+        ]
+        # Both are guesses: with nobody else left, those that they may be wrong
         # about are better than a refusal.
         return healthy or fresh
 
--- a/libs/serving/fireflyhitch_serving/exchanges.py
+++ b/libs/serving/fireflyhitch_serving/exchanges.py
@@ -26,6 +26,7 @@
     :param reading: prompt tokens that its present server has yet to read.
     :param attempt_began: monotonic seconds of the present attempt's begin.
     :param first_event_at: of the present attempt's first event or whole answer.
+    :param lateness: of that, as a multiple of what was expected.
     """
 
     message: CallerMessage
@@ -43,6 +44,7 @@
     reading: int = 0
     attempt_began: float = 0
     first_event_at: float | None = None
+    lateness: float = 1
     events: EventCutter = field(default_factory=EventCutter)
 
     @property
--- a/libs/serving/fireflyhitch_serving/own_part.py
+++ b/libs/serving/fireflyhitch_serving/own_part.py
@@ -9,6 +9,7 @@
 from fireflyhitch_model.ids import BackendServerId, CustomerId
 from fireflyhitch_serving.peer_news import PeerNews
 from fireflyhitch_serving.quotas import CustomerNote
+from fireflyhitch_serving.server_evidence import AnswerCounts
 from fireflyhitch_serving.servers import InFlight
 from fireflyhitch_serving.summaries import DomainSummary
 
@@ -44,6 +45,17 @@
             for server, work in summary.work.items()
         }
 
+    def take_off_answers(
+        self, summary: DomainSummary
+    ) -> dict[BackendServerId, AnswerCounts]:
+        """Return how servers have answered the others."""
+        own = self._find(summary)
+        answers = {} if own is None else own.answers
+        return {
+            server: counts.take_off(answers.get(server, AnswerCounts()))
+            for server, counts in summary.answers.items()
+        }
+
     def take_off_customers(
         self, summary: DomainSummary
     ) -> dict[CustomerId, CustomerNote]:
--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -20,6 +20,7 @@
 from fireflyhitch_serving.metrics_page import RequestRecord
 from fireflyhitch_serving.parts import PathParts
 from fireflyhitch_serving.placing import Placement
+from fireflyhitch_serving.server_evidence import LATEST, compare_times
 from fireflyhitch_serving.servers import ServerRecord
 
 # A waiting plain request looks again this often even if nothing was heard of.
@@ -136,6 +137,7 @@
         ending = Ending.CANCELLED
         exchange.attempt_began = self._clock.monotonic()
         exchange.first_event_at = None
+        exchange.lateness = 1
         try:
             failure = await attempt.run(
                 self._choices.find_patience(exchange, placement)
@@ -163,6 +165,7 @@
                 failed=ending is not Ending.GOOD,
                 seconds=(exchange.first_event_at or now) - exchange.attempt_began,
             )
+        self._note_evidence(exchange, record, ending)
         usual = self._parts.servers.find_usual_failure_rate(record.server.service)
         if record.health.record(ending, usual, now):
             logger.bind(
@@ -174,6 +177,17 @@
         if freed is not None:
             freed.set()
 
+    def _note_evidence(
+        self, exchange: Exchange, record: ServerRecord, ending: Ending
+    ) -> None:
+        """Count an attempt for all daemons; callers that leave say nothing."""
+        if ending in {Ending.CANCELLED, Ending.REFUSED}:
+            return
+        failed = ending is not Ending.GOOD
+        lateness = LATEST if failed else exchange.lateness
+        now = self._clock.monotonic()
+        record.evidence.note_answer(now, failed=failed, lateness=lateness)
+
     def _give_up(self, exchange: Exchange, failure: AttemptFailure) -> None:
         reply = exchange.reply
         if reply.begun:
@@ -253,12 +267,13 @@
             self._parts.usage.count(exchange.customer.name, self._parts.wall())
 
     def _note_pace(self, exchange: Exchange, placement: Placement) -> None:
-        if exchange.facts.prompt_tokens is None or exchange.first_event_at is None:
+        if exchange.first_event_at is None:
             return
-        self._parts.workloads.pace_of(exchange.service).note(
-            placement.queued_tokens + placement.fresh_tokens,
-            exchange.first_event_at - exchange.attempt_began,
-        )
+        seconds = exchange.first_event_at - exchange.attempt_began
+        pace = self._parts.workloads.pace_of(exchange.service)
+        tokens = placement.queued_tokens + placement.fresh_tokens
+        exchange.lateness = compare_times(seconds, pace.expect(tokens))
+        pace.note(tokens, seconds)
 
     def _note_answer(
         self, exchange: Exchange, placement: Placement, facts: AnswerFacts
--- a/libs/serving/fireflyhitch_serving/peer_news.py
+++ b/libs/serving/fireflyhitch_serving/peer_news.py
@@ -1,7 +1,7 @@
 """What a daemon tells its peers: its present state, in one datagram."""
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import fields
+from dataclasses import field, fields
 from functools import cache
 from typing import Any, NamedTuple, TypeVar
 
@@ -15,6 +15,7 @@
 )
 from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.quotas import CustomerNote
+from fireflyhitch_serving.server_evidence import AnswerCounts
 from fireflyhitch_serving.servers import InFlight
 
 UNREADABLE = (cbor2.CBORDecodeError, KeyError, TypeError, ValueError, AttributeError)
@@ -41,6 +42,7 @@
     :param sequence: grows with each message of a process.
     :param wall: seconds since 1970 by its clock.
     :param work: what it has in flight at each server.
+    :param answers: how servers have answered it lately.
     :param customers: what customers take and ask of it.
     :param usage: requests that began, by window and customer.
     :param fresh_parts: prompt parts that servers began to read since the last
@@ -63,6 +65,7 @@
     fresh_parts: Mapping[BackendServerId, list[str]]
     evidence: Mapping[str, list[int]]
     newest: Mapping[str, Revision]
+    answers: Mapping[BackendServerId, AnswerCounts] = field(default_factory=dict)
     hears_store: bool = True
     store_settled: bool = True
     stopping: bool = False
@@ -82,6 +85,8 @@
         encoder.encode((note.requests, note.prompt_tokens))
     elif isinstance(note, CustomerNote):
         encoder.encode((note.taken, note.demand, note.left))
+    elif isinstance(note, AnswerCounts):
+        encoder.encode([round(count, 2) for count in note])
     elif isinstance(note, Member):
         encoder.encode((note.sequence, note.hears_store, note.stopping))
 
@@ -98,7 +103,8 @@
     """Return a message's fields with the values that ``encode_note`` wrote."""
     work = {key: InFlight(*counts) for key, counts in read['work'].items()}
     customers = {key: CustomerNote(*units) for key, units in read['customers'].items()}
-    return {**read, 'work': work, 'customers': customers}
+    answers = {key: AnswerCounts(*told) for key, told in read['answers'].items()}
+    return {**read, 'work': work, 'customers': customers, 'answers': answers}
 
 
 def render_rows(kind: str, rows: Sequence[object]) -> bytes:
--- a/libs/serving/fireflyhitch_serving/placing.py
+++ b/libs/serving/fireflyhitch_serving/placing.py
@@ -105,6 +105,7 @@
         work = record.total(now)
         wait = (work.prompt_tokens + weighed) * need.seconds_per_token
         wait += work.requests * SECONDS_PER_RUNNING
+        wait *= record.slowness
         wait += _wait_for_slot(record, work.requests)
         cost = wait + _weigh_place(record, place)
         if agreed and not cached and record.server.server_id not in agreed:
@@ -128,7 +129,8 @@
         busy = _count_busy(record, now)
         if busy >= record.server.slots:
             continue
-        cost = busy / record.server.slots + 10 * _weigh_place(record, place)
+        cost = record.slowness * (busy + 1) / record.server.slots
+        cost += 10 * _weigh_place(record, place)
         if cost < least:
             least = cost
             best = Placement(record, 0, 0, busy, 0)
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -6,17 +6,29 @@
 from statistics import median_high
 from typing import NamedTuple
 
+from loguru import logger
+
 from fireflyhitch_model.ids import BackendServerId, DeploymentId, FailureDomainId
 from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.connections import Address, ConnectionPool
 from fireflyhitch_serving.health import ServerHealth
 from fireflyhitch_serving.messages import PromptPart, ServerLoadNote
+from fireflyhitch_serving.server_evidence import (
+    AnswerCounts,
+    ServerEvidence,
+    find_failure_rate,
+    find_lateness,
+    find_slowness,
+    is_failing,
+)
 
 # Prompt parts remembered for each server; an engine's cache holds some hundreds.
 MOST_PARTS = 2048
 # A note of what a peer has in flight counts for this long; peers tell each other
 # several times a second, and a peer that is gone has nothing in flight.
 PEER_NOTE_SECONDS = 2.0
+# What is known of all servers changes with the peers' news, not with each request.
+JUDGED_SECONDS = 0.2
 
 
 @immutable
@@ -64,7 +76,12 @@
 
 @dataclass(slots=True)
 class ServerRecord:
-    """A server, the work that it has, and how its answers have been."""
+    """A server, the work that it has, and how its answers have been.
+
+    :param evidence: how it has answered all daemons.
+    :param slowness: how many times as long as at others a request takes, by that.
+    :param failing: whether it fails much more than others do.
+    """
 
     server: ServerEntry
     pool: ConnectionPool
@@ -74,6 +91,9 @@
     load: ServerLoadNote | None = None
     load_at: float = 0
     peers: dict[str, _PeerNote] = field(default_factory=dict)
+    evidence: ServerEvidence = field(default_factory=ServerEvidence)
+    slowness: float = 1
+    failing: bool = False
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     @property
@@ -100,6 +120,18 @@
         self.load = load
         self.load_at = now
 
+    def mark(self, *, failing: bool, by: AnswerCounts) -> None:
+        """Note whether it fails much more than others do."""
+        if failing == self.failing:
+            return
+        self.failing = failing
+        logger.bind(
+            server=self.server.server_id,
+            answers=round(by.answers, 1),
+            failed=round(by.failed, 1),
+            failing=failing,
+        ).info('server judged')
+
     def note_parts(self, parts: Iterable[PromptPart], now: float) -> None:
         """Note that a prompt's parts are, or will soon be, in its cache."""
         for part in parts:
@@ -120,6 +152,7 @@
         """Make a book without servers."""
         self._records: dict[BackendServerId, ServerRecord] = {}
         self._by_service: dict[DeploymentId, list[ServerRecord]] = {}
+        self._judged_at: dict[DeploymentId, float] = {}
 
     def find(self, server_id: BackendServerId) -> ServerRecord | None:
         """Return a server's record."""
@@ -129,6 +162,21 @@
         """Return the servers of a service, those that are leaving included."""
         return self._by_service.get(service, [])
 
+    def judge(self, service: DeploymentId, now: float) -> None:
+        """Work out which servers of a service are slow or failing, now and again."""
+        if now - self._judged_at.get(service, float('-inf')) < JUDGED_SECONDS:
+            return
+        self._judged_at[service] = now
+        records = self.of_service(service)
+        if not records:
+            return
+        counts = [record.evidence.sum_all(now) for record in records]
+        usual_rate = median_high([find_failure_rate(found) for found in counts])
+        usual_lateness = median_high([find_lateness(found) for found in counts])
+        for record, found in zip(records, counts, strict=True):
+            record.slowness = find_slowness(find_lateness(found), usual_lateness)
+            record.mark(failing=is_failing(found, usual_rate), by=found)
+
     def find_usual_failure_rate(self, service: DeploymentId) -> float:
         """Return the median rate of a service's servers, 0 if there are none."""
         rates = [record.health.rate for record in self.of_service(service)]
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -25,6 +25,7 @@
 from fireflyhitch_serving.peer_news import PeerNews
 from fireflyhitch_serving.peers import PeerBook
 from fireflyhitch_serving.quotas import Quotas, QuotaSlack, find_slack_part
+from fireflyhitch_serving.server_evidence import LEAST_TOLD, AnswerCounts, Answers
 from fireflyhitch_serving.servers import InFlight, ServerBook
 from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.summaries import (
@@ -105,6 +106,7 @@
             store_settled=parts.health.vouches(),
             stopping=parts.stopping(),
             newest=parts.newest(),
+            answers=self._read_answers(),
         )
         self._own_part.note_told(news)
         return news
@@ -119,6 +121,7 @@
             # It is in a summary, and must not count twice.
             return
         self._take_work(news.daemon, news.work, news.fresh_parts)
+        self._take_answers(news.daemon, news.answers)
         now = parts.clock.monotonic()
         for customer, note in news.customers.items():
             parts.quotas.take_note(news.process, customer, note, now, near=near)
@@ -199,6 +202,8 @@
             parts.quotas.forget_process(known.source)
         work = self._own_part.take_off_work(summary)
         self._take_work(summary.domain, work, summary.fresh_parts)
+        answers = self._own_part.take_off_answers(summary)
+        self._take_answers(summary.domain, answers)
         now = parts.clock.monotonic()
         for customer, note in self._own_part.take_off_customers(summary).items():
             parts.quotas.take_note(summary.source, customer, note, now)
@@ -209,6 +214,7 @@
     def _take_summary(self, summary: DomainSummary) -> None:
         parts = self._parts
         self._take_work(summary.domain, summary.work, summary.fresh_parts)
+        self._take_answers(summary.domain, summary.answers)
         now = parts.clock.monotonic()
         for customer, note in summary.customers.items():
             parts.quotas.take_note(summary.source, customer, note, now)
@@ -226,6 +232,7 @@
             for record in self._parts.servers.all().values():
                 # What came the other way would count twice until it is too old.
                 record.peers.clear()
+                record.evidence.peers.clear()
 
     def _hears_neighbours(self) -> bool:
         """Tell whether all that a hub would tell is heard from the daemons themselves."""
@@ -247,6 +254,25 @@
             for part in fresh_parts.get(server_id, ()):
                 record.note_part(part, now)
 
+    def _read_answers(self) -> dict[BackendServerId, AnswerCounts]:
+        now = self._parts.clock.monotonic()
+        seen = {
+            server_id: record.evidence.read_own(now)
+            for server_id, record in self._parts.servers.all().items()
+        }
+        return {
+            server_id: counts
+            for server_id, counts in seen.items()
+            if counts.answers >= LEAST_TOLD
+        }
+
+    def _take_answers(self, teller: str, answers: Answers) -> None:
+        now = self._parts.clock.monotonic()
+        for server_id, counts in answers.items():
+            record = self._parts.servers.find(server_id)
+            if record is not None:
+                record.evidence.note_peer(teller, counts, now)
+
     def _note_daemons(self) -> None:
         self._note_way()
         peers = self._parts.peers
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import fields
+from dataclasses import field, fields
 from typing import Any
 
 from loguru import logger
@@ -30,6 +30,7 @@
     render_rows,
 )
 from fireflyhitch_serving.quotas import CustomerNote
+from fireflyhitch_serving.server_evidence import AnswerCounts
 from fireflyhitch_serving.servers import InFlight
 
 SUMMARIES = 'summaries'
@@ -48,6 +49,7 @@
     :param sequence: grows with each summary of a process.
     :param members: by name: the daemons whose state is in it.
     :param work: what they have in flight at each server.
+    :param answers: how servers have answered them lately.
     :param customers: what customers take and ask of them.
     :param fresh_parts: prompt parts that servers began to read lately.
     :param evidence: by process: answers by service, version and route of moves in force.
@@ -68,6 +70,7 @@
     newest: Mapping[str, Revision]
     store_settled: bool
     wall: float = 0
+    answers: Mapping[BackendServerId, AnswerCounts] = field(default_factory=dict)
 
     @property
     def source(self) -> str:
--- a/libs/serving/fireflyhitch_serving/summary_relay.py
+++ b/libs/serving/fireflyhitch_serving/summary_relay.py
@@ -9,6 +9,7 @@
 from fireflyhitch_serving.peer_news import Member, PeerNews
 from fireflyhitch_serving.peers import PeerBook
 from fireflyhitch_serving.quotas import Quotas
+from fireflyhitch_serving.server_evidence import add_answers
 from fireflyhitch_serving.summaries import (
     DomainSummary,
     SummaryBook,
@@ -125,6 +126,7 @@
             newest=join_newest(told.newest for told in news),
             store_settled=any(told.store_settled for told in news),
             wall=self._peers.wall(),
+            answers=add_answers(told.answers for told in news),
         )
 
     def _pick_unjoined(self, news: list[PeerNews]) -> list[PeerNews]:
