--- a/libs/serving/fireflyhitch_serving/beliefs.py
+++ b/libs/serving/fireflyhitch_serving/beliefs.py
@@ -1,8 +1,7 @@
 """Keeps this daemon's view of the store: a list first, then what has changed.
 
-While the store is away the last view holds. Keys that it lost meanwhile may be those
-of servers that live and could not renew: they are kept until shortly after its
-return, by when living servers have written them again.
+A few daemons of each group watch the store and pass changes on; the others read only
+what peers know and they have missed.
 """
 
 import asyncio
@@ -17,6 +16,7 @@
 from fireflyhitch_model.records import immutable
 from fireflyhitch_platform.keyvalue import Listing, WatchCompacted
 from fireflyhitch_serving.changes import Change, ChangeSpan
+from fireflyhitch_serving.key_beliefs import KeyBeliefs, TellChange
 from fireflyhitch_serving.progress import ViewProgress
 from fireflyhitch_serving.relays import ChangeRelay
 from fireflyhitch_serving.store import AsyncStore, WatchResult
@@ -39,8 +39,6 @@
 CATCH_UP_SPREAD_SECONDS = 0.1
 # How often a daemon looks whether its peers know more, and whether it is to watch.
 CHECK_SECONDS = 0.2
-# Removed keys remembered, so that an old read does not bring them back.
-MOST_GONE = 1000
 
 
 class Source(Enum):
@@ -61,7 +59,7 @@
     :param lacks: asked whether what was read is not enough yet.
     """
 
-    changed: Callable[[str, bytes | None, Revision], None]
+    changed: TellChange
     listed: Callable[[], None]
     lacks: Callable[[], bool] = bool
 
@@ -106,14 +104,12 @@
         self._peers = peers
         self._relay = relay
         self._shown = ABSENT
-        self._gone: dict[str, Revision] = {}
+        self._keys = KeyBeliefs(health.is_settled, events.changed)
         self.current = False
         self._store = store
         self._health = health
         self._events = events
         self._draw = draw
-        self._known: dict[str, Revision] = {}
-        self._missing: dict[str, Revision] = {}
         self._waiting: asyncio.Task[WatchResult] | None = None
         health.tell_return(self._interrupt)
 
@@ -168,7 +164,7 @@
         await self._attend_peers()
 
     async def _list_and_watch(self) -> None:
-        is_first = not self.current and not self._known
+        is_first = not self.current and not self._keys.count
         await self._list(passes_on=not is_first)
         self._note_role(watches=True)
         await self._watch(self._progress.complete)
@@ -179,7 +175,7 @@
         self._take_listing(listing, Source.LIST)
         if passes_on and self._watches():
             # What a watch missed while the store forgot its history, or nobody watched.
-            self._pass_on(self._find_span(listing, since))
+            self._pass_on(self._keys.find_span(self.prefix, listing, since))
 
     async def _attend_peers(self) -> None:
         """Read only what peers know and do not tell, or nobody else follows."""
@@ -216,30 +212,7 @@
         """See whether a watch that waits was passed over."""
         if listing.revision <= self._progress.complete:
             return
-        shown = [
-            item.revision
-            for item in listing.items
-            if self._is_news(item.key, item.revision)
-        ]
-        present = {item.key for item in listing.items}
-        if self._known.keys() - present - self._missing.keys():
-            shown.append(listing.revision)
-        self._shown = max(shown, default=ABSENT)
-
-    def _find_span(self, listing: Listing, since: Revision) -> ChangeSpan:
-        """Return all that has changed since a revision, known here before or not."""
-        changes = [
-            Change(item.key, item.value, item.revision)
-            for item in listing.items
-            if item.revision > since
-        ]
-        removed = {**self._gone, **self._missing}
-        changes.extend(
-            Change(key, None, revision)
-            for key, revision in removed.items()
-            if revision > since
-        )
-        return ChangeSpan(self.prefix, changes, since, listing.revision)
+        self._shown = max(self._keys.find_newest_shown(listing), default=ABSENT)
 
     def _note_role(self, *, watches: bool) -> None:
         logger.bind(
@@ -258,15 +231,7 @@
     def _take_listing(self, listing: Listing, source: Source) -> None:
         """Take in all keys."""
         self._note_current()
-        present = {item.key for item in listing.items}
-        found = [
-            Change(item.key, item.value, item.revision)
-            for item in listing.items
-            if self._is_news(item.key, item.revision)
-        ]
-        gone = self._known.keys() - present
-        found.extend(Change(key, None, listing.revision) for key in sorted(gone))
-        for change in found:
+        for change in self._keys.find_changes(listing):
             self.take_change(change, source.value)
         self._progress.note_whole(listing.revision)
         self._events.listed()
@@ -275,7 +240,7 @@
         since = revision
         while self._watches():
             self._drop_missing()
-            seconds = LOOK_SECONDS if self._missing else WATCH_SECONDS
+            seconds = LOOK_SECONDS if self._keys.has_missing else WATCH_SECONDS
             result = await self._wait(revision, seconds)
             if result is None:
                 return
@@ -353,47 +318,14 @@
             # That a list lacks a key tells no more than that it was removed before.
             self._progress.note_change(change.revision)
         with logger.contextualize(source=source):
-            if change.value is None:
-                self._lose(change.key, change.revision)
-            else:
-                self._take(change.key, change.value, change.revision)
-
-    def _take(self, key: str, value: bytes, revision: Revision) -> None:
-        if not self._is_news(key, revision):
-            return
-        self._missing.pop(key, None)
-        self._known[key] = revision
-        self._events.changed(key, value, revision)
-
-    def _is_news(self, key: str, revision: Revision) -> bool:
-        # A read that may be old shows what was removed since, and old values.
-        return revision > max(self._known.get(key, -1), self._gone.get(key, -1))
-
-    def _lose(self, key: str, revision: Revision) -> None:
-        if key not in self._known or self._known[key] > revision:
-            return
-        if self._health.is_settled():
-            self._forget(key, revision)
-        else:
-            self._missing[key] = revision
-
-    def _forget(self, key: str, revision: Revision) -> None:
-        self._known.pop(key, None)
-        self._gone[key] = revision
-        if len(self._gone) > MOST_GONE:
-            del self._gone[next(iter(self._gone))]
-        self._events.changed(key, None, revision)
+            self._keys.take(change)
 
     def _drop_missing(self) -> None:
-        if not self._missing or not self._health.is_settled():
-            return
         with logger.contextualize(source=Source.BREAK_OVER.value):
-            for key, revision in self._missing.items():
-                self._forget(key, revision)
-        self._missing = {}
+            self._keys.drop_missing()
 
     def _note_current(self) -> None:
         self._health.note_answer()
         if not self.current:
             self.current = True
-            logger.bind(prefix=self.prefix, keys=len(self._known)).info('listed')
+            logger.bind(prefix=self.prefix, keys=self._keys.count).info('listed')
