--- a/libs/serving/fireflyhitch_serving/summary_relay.py
+++ b/libs/serving/fireflyhitch_serving/summary_relay.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable
 
+from loguru import logger
+
 from fireflyhitch_model.ids import FailureDomainId
 from fireflyhitch_serving.hubs import Hubs
 from fireflyhitch_serving.peer_news import Member, PeerNews
@@ -54,6 +56,7 @@
         self._now = now
         self._send = send
         self._draw = draw
+        self._was_hub = False
         self._sequence = 0
         self._joined: dict[str, int] = {}
         self._passed: dict[FailureDomainId, tuple[str, int]] = {}
@@ -61,12 +64,22 @@
     async def run(self) -> None:
         """Relay until cancelled."""
         while True:
-            if self.relays():
+            relays = self.relays()
+            self._note_role(relays=relays)
+            if relays:
                 self.tell()
             await asyncio.sleep(
                 TURN_SECONDS * self._draw.uniform(1 - SPREAD, 1 + SPREAD)
             )
 
+    def _note_role(self, *, relays: bool) -> None:
+        if relays == self._was_hub:
+            return
+        self._was_hub = relays
+        logger.bind(
+            domain=self._peers.own_domain, near=len(self._peers.listed_near())
+        ).info('hub' if relays else 'no longer the hub')
+
     def relays(self) -> bool:
         """Tell whether this daemon is its failure domain's relay."""
         return self._peers.uses_summaries() and self._hubs.acts()
