Do work in proportion to what changed, not to all servers and all who tell

Each message of work touched all servers, each prompt ranked all of them by hash and weighed them all, and each judged all five times a second.

Change: work is taken in by the servers that a message names, and those that its teller named before; nothing is kept of a teller without work at a server. The servers that a part belongs to are ranked once for each part and set of servers. Of more than 64 servers 64 are weighed for a prompt, others for each, and those agreed on. The usual failure rate and the judgements are worked out 2.5 times a second.

Tests of the subset; the plays of late news and slow engines hold. The agreed servers come from the book of servers now, so the plays ask it as the daemon does.

--- a/libs/serving/fireflyhitch_serving/choices.py
+++ b/libs/serving/fireflyhitch_serving/choices.py
@@ -1,5 +1,6 @@
 """Which server an attempt goes to, and whether there may be another attempt."""
 
+from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
 from fireflyhitch_serving.health import Ending
@@ -76,7 +77,21 @@
             exchange.route.target,
             self._parts.workloads.pace_of(exchange.service).seconds_per_token,
         )
-        return place_prompt(need, candidates, place, now)
+        return place_prompt(
+            need, candidates, place, now, self._find_agreed(exchange, candidates)
+        )
+
+    def _find_agreed(
+        self, exchange: Exchange, candidates: list[ServerRecord]
+    ) -> list[BackendServerId]:
+        """Return the servers that the last part which prompts share belongs to."""
+        parts = exchange.facts.parts
+        if len(parts) < 2:
+            return []
+        among = {record.server.server_id for record in candidates}
+        return self._parts.servers.find_agreed(
+            exchange.service, parts[-2].part_id, among
+        )
 
     def find_patience(self, exchange: Exchange, placement: Placement) -> float | None:
         """Return how long a silent server is waited for before another is asked."""
--- a/libs/serving/fireflyhitch_serving/placing.py
+++ b/libs/serving/fireflyhitch_serving/placing.py
@@ -6,9 +6,9 @@
 work on few requests at once, and the rest wait there.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 
-from fireflyhitch_model.hashing import rank_by_hash
+from fireflyhitch_model.hashing import hash_text
 from fireflyhitch_model.ids import BackendServerId, FailureDomainId
 from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.messages import PromptPart
@@ -28,13 +28,13 @@
 # Nobody is known to have these parts; the server that all daemons would pick by hash
 # is preferred by this part of what its cache would save.
 AGREED_PART = 0.5
-# A prompt's parts belong to so many servers by hash, and another is chosen only where a
-# caller would wait this part of the latency target longer at all of them. What is known
-# of other daemons' work is some tenths of a second old: choosing among all servers, each
-# daemon sends to the one that was idle then, and reads shared parts once more there.
-AGREED_SERVERS = 2
+# A server that a prompt's parts do not belong to by hash is chosen only where a caller
+# would wait this part of the latency target longer at all of those.
 STRANGER_PART = 0.4
 MOST_STRANGER_SECONDS = 0.5
+# Of more servers so many are weighed for a prompt, others for each: the least busy of
+# some dozens is hardly busier than that of hundreds, and weighing all takes longer.
+MOST_WEIGHED = 64
 # A leaving or returning server's own account of waiting requests is believed this long.
 LOAD_SECONDS = 0.5
 # A request to a failure domain that is cut off waits for a connection's time limit, or
@@ -91,12 +91,15 @@
     records: Sequence[ServerRecord],
     place: Place,
     now: float,
+    agreed: Sequence[BackendServerId] = (),
 ) -> Placement | None:
-    """Choose the engine with the least expected time to a first token."""
-    agreed = _find_agreed(need.parts, records)
+    """Choose the engine with the least expected time to a first token.
+
+    :param agreed: the servers that the prompt's parts belong to, the first one first.
+    """
     best: Placement | None = None
     least = float('inf')
-    for record in records:
+    for record in thin_out(records, need.parts, agreed):
         cached = count_cached(need.parts, record, now)
         fresh = need.tokens - cached
         weighed = fresh
@@ -152,14 +155,23 @@
     return sum(part.tokens for part in parts[:-1])
 
 
-def _find_agreed(
-    parts: Sequence[PromptPart], records: Sequence[ServerRecord]
-) -> list[BackendServerId]:
-    """Return the servers that all daemons would choose among for a prompt's parts."""
-    if len(parts) < 2:
-        return []
-    servers = (record.server.server_id for record in records)
-    return rank_by_hash(parts[-2].part_id, servers)[:AGREED_SERVERS]
+def thin_out(
+    records: Sequence[ServerRecord],
+    parts: Sequence[PromptPart],
+    agreed: Container[BackendServerId],
+) -> Sequence[ServerRecord]:
+    """Return the servers that are weighed for a prompt, those agreed on among them."""
+    count = len(records)
+    if count <= MOST_WEIGHED:
+        return records
+    start = hash_text(parts[-1].part_id) % count if parts else 0
+    step = count / MOST_WEIGHED
+    places = {int(start + number * step) % count for number in range(MOST_WEIGHED)}
+    return [
+        record
+        for place, record in enumerate(records)
+        if place in places or record.server.server_id in agreed
+    ]
 
 
 def _wait_for_slot(record: ServerRecord, requests: int) -> float:
--- a/libs/serving/fireflyhitch_serving/server_evidence.py
+++ b/libs/serving/fireflyhitch_serving/server_evidence.py
@@ -98,13 +98,23 @@
         """Take in what a peer has seen, or some of them together."""
         self.peers[peer] = _Told(counts, now)
 
+    @property
+    def has_own(self) -> bool:
+        """Tell whether this daemon has ever had an answer of it."""
+        return bool(self.own.counts.answers)
+
     def sum_all(self, now: float) -> AnswerCounts:
         """Return what all have seen."""
-        total = self.read_own(now)
+        answers, failed, lateness = self.read_own(now) if self.has_own else (0, 0, 0)
         for told in self.peers.values():
-            if now - told.at < TOLD_SECONDS:
-                total = total.add(told.counts.fade(now - told.at))
-        return total
+            age = now - told.at
+            if age < TOLD_SECONDS:
+                part = math.exp(-age / FADE_SECONDS)
+                counts = told.counts
+                answers += counts.answers * part
+                failed += counts.failed * part
+                lateness += counts.lateness * part
+        return AnswerCounts(answers, failed, lateness)
 
 
 def find_lateness(counts: AnswerCounts) -> float:
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -1,13 +1,15 @@
 """The backend servers that this daemon knows, and what it learned of each."""
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass, field
 from statistics import median_high
 from typing import NamedTuple
 
+from cachetools import LRUCache
 from loguru import logger
 
+from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import BackendServerId, DeploymentId, FailureDomainId
 from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.connections import Address, ConnectionPool
@@ -28,7 +30,12 @@
 # several times a second, and a peer that is gone has nothing in flight.
 PEER_NOTE_SECONDS = 2.0
 # What is known of all servers changes with the peers' news, not with each request.
-JUDGED_SECONDS = 0.2
+JUDGED_SECONDS = 0.4
+# A prompt's parts belong to so many servers by hash: choosing among all servers, each
+# daemon sends to the one that was idle by its late news, and reads shared parts once
+# more there. Some more are ranked, as the first ones may be leaving or left out.
+AGREED_SERVERS = 2
+MOST_RANKED = 8
 
 
 @immutable
@@ -112,8 +119,11 @@
         return InFlight(requests, tokens)
 
     def note_peer(self, peer: str, work: InFlight, now: float) -> None:
-        """Take in what a peer has in flight there."""
-        self.peers[peer] = _PeerNote(work, now)
+        """Take in what a peer has in flight there; nothing is kept of one that has none."""
+        if any(work):
+            self.peers[peer] = _PeerNote(work, now)
+        else:
+            self.peers.pop(peer, None)
 
     def note_load(self, load: ServerLoadNote, now: float) -> None:
         """Take in the server's own account."""
@@ -134,8 +144,12 @@
 
     def note_parts(self, parts: Iterable[PromptPart], now: float) -> None:
         """Note that a prompt's parts are, or will soon be, in its cache."""
-        for part in parts:
-            self.note_part(part.part_id, now)
+        self.note_part_ids((part.part_id for part in parts), now)
+
+    def note_part_ids(self, part_ids: Iterable[str], now: float) -> None:
+        """Note parts by their ids."""
+        for part_id in part_ids:
+            self.note_part(part_id, now)
 
     def note_part(self, part_id: str, now: float) -> None:
         """Note one part as cached."""
@@ -153,6 +167,10 @@
         self._records: dict[BackendServerId, ServerRecord] = {}
         self._by_service: dict[DeploymentId, list[ServerRecord]] = {}
         self._judged_at: dict[DeploymentId, float] = {}
+        self._usual_rates: dict[DeploymentId, float] = {}
+        self._ranked: LRUCache[tuple[DeploymentId, str], list[BackendServerId]] = (
+            LRUCache(MOST_PARTS)
+        )
 
     def find(self, server_id: BackendServerId) -> ServerRecord | None:
         """Return a server's record."""
@@ -170,6 +188,9 @@
         records = self.of_service(service)
         if not records:
             return
+        self._usual_rates[service] = median_high(
+            [record.health.rate for record in records]
+        )
         counts = [record.evidence.sum_all(now) for record in records]
         usual_rate = median_high([find_failure_rate(found) for found in counts])
         usual_lateness = median_high([find_lateness(found) for found in counts])
@@ -178,9 +199,23 @@
             record.mark(failing=is_failing(found, usual_rate), by=found)
 
     def find_usual_failure_rate(self, service: DeploymentId) -> float:
-        """Return the median rate of a service's servers, 0 if there are none."""
-        rates = [record.health.rate for record in self.of_service(service)]
-        return median_high(rates) if rates else 0
+        """Return the median rate of a service's servers, as judged last."""
+        return self._usual_rates.get(service, 0)
+
+    def find_agreed(
+        self, service: DeploymentId, part_id: str, among: Container[BackendServerId]
+    ) -> list[BackendServerId]:
+        """Return the servers that all daemons would choose among for a prompt's part.
+
+        :param among: those that may be chosen.
+        """
+        key = (service, part_id)
+        ranked = self._ranked.get(key)
+        if ranked is None:
+            listed = (record.server.server_id for record in self.of_service(service))
+            ranked = rank_by_hash(part_id, listed)[:MOST_RANKED]
+            self._ranked[key] = ranked
+        return [server for server in ranked if server in among][:AGREED_SERVERS]
 
     def all(self) -> Mapping[BackendServerId, ServerRecord]:
         """Return all records."""
@@ -220,6 +255,7 @@
 
     def _index(self) -> None:
         self._by_service = {}
+        self._ranked.clear()
         for record in self._records.values():
             service = record.server.service
             self._by_service.setdefault(service, []).append(record)
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -72,6 +72,8 @@
         self._sequence = 0
         self._own_part = OwnPart(daemon)
         self._hears_directly = True
+        # By teller: the servers that it had work at when it was last heard.
+        self._worked: dict[str, frozenset[BackendServerId]] = {}
         self._tolerated = QuotaSlack()
         parts.peers.hub_members = parts.hubs.find_members
         parts.peers.find_hub_wall = self._find_hub_wall
@@ -249,16 +251,24 @@
         fresh_parts: Mapping[BackendServerId, list[str]],
     ) -> None:
         now = self._parts.clock.monotonic()
-        for server_id, record in self._parts.servers.all().items():
-            record.note_peer(teller, work.get(server_id, InFlight()), now)
-            for part in fresh_parts.get(server_id, ()):
-                record.note_part(part, now)
+        servers = self._parts.servers
+        ended = self._worked.get(teller, frozenset()) - work.keys()
+        self._worked[teller] = frozenset(work)
+        for server_id in (*ended, *work):
+            record = servers.find(server_id)
+            if record is not None:
+                record.note_peer(teller, work.get(server_id, InFlight()), now)
+        for where, parts in fresh_parts.items():
+            reader = servers.find(where)
+            if reader is not None:
+                reader.note_part_ids(parts, now)
 
     def _read_answers(self) -> dict[BackendServerId, AnswerCounts]:
         now = self._parts.clock.monotonic()
         seen = {
             server_id: record.evidence.read_own(now)
             for server_id, record in self._parts.servers.all().items()
+            if record.evidence.has_own
         }
         return {
             server_id: counts
--- a/libs/serving/tests/test_placing.py
+++ b/libs/serving/tests/test_placing.py
@@ -9,13 +9,20 @@
 from fireflyhitch_serving.health import ServerHealth
 from fireflyhitch_serving.messages import PromptPart
 from fireflyhitch_serving.placing import (
+    MOST_WEIGHED,
     Place,
     Placement,
     PromptNeed,
     place_plain,
     place_prompt,
+    thin_out,
+)
+from fireflyhitch_serving.servers import (
+    InFlight,
+    ServerBook,
+    ServerEntry,
+    ServerRecord,
 )
-from fireflyhitch_serving.servers import InFlight, ServerEntry, ServerRecord
 
 HERE = FailureDomainId('gent')
 THERE = FailureDomainId('brugge')
@@ -77,11 +84,25 @@
             self.records[place].prompt_tokens -= fresh
 
 
+def find_agreed(
+    need: PromptNeed, records: Sequence[ServerRecord]
+) -> list[BackendServerId]:
+    """Return the servers that a prompt's parts belong to, as the daemon's book does."""
+    if len(need.parts) < 2:
+        return []
+    book = ServerBook()
+    for record in records:
+        book.put(record.server)
+    service = records[0].server.service
+    return book.find_agreed(service, need.parts[-2].part_id, book.all())
+
+
 def by_time(
     need: PromptNeed, records: Sequence[ServerRecord], now: float
 ) -> ServerRecord:
     """Choose as the daemon does."""
-    placement = place_prompt(need, records, Place(HERE), now)
+    agreed = find_agreed(need, records)
+    placement = place_prompt(need, records, Place(HERE), now, agreed)
     assert placement is not None
     return placement.record
 
@@ -163,3 +184,31 @@
 def _name(placement: Placement | None) -> str:
     assert placement is not None
     return placement.record.server.server_id
+
+
+class TestManyServers:
+    """A service of a thousand engines: weighing each for each prompt takes a core."""
+
+    def test_some_dozens_are_weighed_and_those_agreed_on_are_among_them(self) -> None:
+        records = [make_server(f's{number}', HERE, 12) for number in range(1000)]
+        parts = (PromptPart('shared', 2000), PromptPart('own', 100))
+        need = PromptNeed(2100, parts, 1.0, 1 / 60_000)
+        agreed = find_agreed(need, records)
+        weighed = thin_out(records, parts, agreed)
+        assert len(weighed) <= MOST_WEIGHED + len(agreed)
+        names = {record.server.server_id for record in weighed}
+        assert names.issuperset(agreed)
+
+    def test_other_prompts_weigh_others(self) -> None:
+        """Guards against a few dozen engines that get all of the work."""
+        records = [make_server(f's{number}', HERE, 12) for number in range(1000)]
+        seen: set[str] = set()
+        for number in range(400):
+            parts = (PromptPart(f'own{number}', 100),)
+            weighed = thin_out(records, parts, ())
+            seen.update(record.server.server_id for record in weighed)
+        assert len(seen) == len(records)
+
+    def test_few_servers_are_all_weighed(self) -> None:
+        records = [make_server(f's{number}', HERE, 12) for number in range(60)]
+        assert len(thin_out(records, (PromptPart('own', 100),), ())) == 60
--- a/libs/serving/tests/test_server_evidence.py
+++ b/libs/serving/tests/test_server_evidence.py
@@ -5,7 +5,7 @@
 from statistics import median_high
 from typing import NamedTuple
 
-from test_placing import make_server
+from test_placing import find_agreed, make_server
 
 from fireflyhitch_model.ids import DeploymentId, FailureDomainId
 from fireflyhitch_serving.messages import PromptPart
@@ -117,7 +117,8 @@
         view = self.views[daemon]
         tokens = sum(part.tokens for part in parts)
         need = PromptNeed(tokens, parts, TARGET_SECONDS, SECONDS_PER_TOKEN)
-        placement = place_prompt(need, view, Place(HERE), now)
+        agreed = find_agreed(need, view)
+        placement = place_prompt(need, view, Place(HERE), now, agreed)
         assert placement is not None
         engine = view.index(placement.record)
         pace = SECONDS_PER_TOKEN
