--- a/libs/settings/fireflyhitch_settings/bootstrap.py
+++ b/libs/settings/fireflyhitch_settings/bootstrap.py
@@ -7,7 +7,7 @@
 from fireflyhitch_model.ids import DaemonId, FailureDomainId, InstanceId
 from fireflyhitch_settings.schema import Checked, Positive, Sha256
 
-# Measured by `make bench NAME=capacity`; see docs/CAPACITY.md.
+# One interpreter relays about so many before callers' first tokens come later.
 DEFAULT_MAX_STREAMS = 400
 MAX_PORT = 65535
 KIBIBYTE = 1024
