--- a/libs/bench/fireflyhitch_bench/fault_soak.py
+++ b/libs/bench/fireflyhitch_bench/fault_soak.py
@@ -327,14 +327,19 @@
         connection.close()
 
 
-def play_seed(seed: int, seconds: float) -> Verdict:
-    """Play one seed; the folder is kept if a promise was broken."""
-    folder = Path(tempfile.mkdtemp(prefix=f'fireflyhitch-soak-{seed}-'))
-    site = SoakSite(folder)
+async def _play(seed: int, site: SoakSite, seconds: float) -> Verdict:
     try:
-        verdict = asyncio.run(FaultSoak(seed, site).run(seconds))
+        return await FaultSoak(seed, site).run(seconds)
     finally:
+        # Before the loop ends: a daemon that connects to a proxy meanwhile would leave
+        # a connection that cannot be closed any more.
         site.stop()
+
+
+def play_seed(seed: int, seconds: float) -> Verdict:
+    """Play one seed; the folder is kept if a promise was broken."""
+    folder = Path(tempfile.mkdtemp(prefix=f'fireflyhitch-soak-{seed}-'))
+    verdict = asyncio.run(_play(seed, SoakSite(folder), seconds))
     if verdict.broken:
         logger.bind(folder=str(folder), seed=seed).error('promises broken')
     else:
--- a/libs/bench/tests/test_fault_soak.py
+++ b/libs/bench/tests/test_fault_soak.py
@@ -9,7 +9,8 @@
 
 # Seeds that ever broke a promise are added here, each with a line on the cause.
 # 1: a daemon's port was the local port of another's open connection (``TestPorts``).
-SEEDS = (1,)
+# 705: a daemon connected while the run's event loop was ending, and the run raised.
+SEEDS = (1, 705)
 SHORT_SECONDS = 3.0
 
 
