Tell in lines which failed attempts are of the same request

`content` is the same for all tries: a hash of customer, method, path, query and body. With it the lines name how many other requests this daemon had there and how long the attempt ran.

--- a/libs/model/fireflyhitch_model/ids.py
+++ b/libs/model/fireflyhitch_model/ids.py
@@ -3,6 +3,8 @@
 from typing import NewType
 
 RequestId = NewType('RequestId', str)
+# Of all requests that ask the same, whatever their ids.
+ContentId = NewType('ContentId', str)
 CustomerId = NewType('CustomerId', str)
 DeploymentId = NewType('DeploymentId', str)
 VersionId = NewType('VersionId', str)
--- a/libs/serving/fireflyhitch_serving/admission.py
+++ b/libs/serving/fireflyhitch_serving/admission.py
@@ -9,7 +9,7 @@
 from fireflyhitch_serving.callers import Reply
 from fireflyhitch_serving.catalog import Catalog, Customer, Route
 from fireflyhitch_serving.edge import Refusal
-from fireflyhitch_serving.exchanges import Exchange
+from fireflyhitch_serving.exchanges import Exchange, find_content
 from fireflyhitch_serving.messages import CallerMessage, RequestFacts
 from fireflyhitch_serving.parts import PathParts
 
@@ -65,6 +65,7 @@
             customer,
             reply,
             message.arrived + wait,
+            find_content(message, customer),
         )
         exchange.events.last_id = facts.last_event
         self._charge(exchange)
--- a/libs/serving/fireflyhitch_serving/exchanges.py
+++ b/libs/serving/fireflyhitch_serving/exchanges.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from fireflyhitch_model.ids import BackendServerId, DeploymentId
+from fireflyhitch_model.contents import identify_content
+from fireflyhitch_model.ids import BackendServerId, ContentId, DeploymentId
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.callers import Reply
@@ -18,6 +19,7 @@
     """A request that was admitted.
 
     :param deadline: monotonic seconds by which its caller has a final answer.
+    :param content: the same for all requests that ask the same of it.
     :param charged: units taken from the customer's quota.
     :param tried: servers that it was sent to, or that could not be reached.
     :param runs: attempts that a server may have run.
@@ -36,6 +38,7 @@
     customer: Customer | None
     reply: Reply
     deadline: float
+    content: ContentId
     charged: float = 0
     tried: set[BackendServerId] = field(default_factory=set)
     runs: int = 0
@@ -55,6 +58,16 @@
         return self.route.priority
 
 
+def find_content(message: CallerMessage, customer: Customer | None) -> ContentId:
+    """Return what a request has in common with its repeats."""
+    return identify_content(
+        customer.name if customer else None,
+        message.method.decode('latin-1'),
+        message.target.decode('latin-1'),
+        message.body,
+    )
+
+
 @immutable
 class AttemptFailure:
     """An attempt that gave no answer which its caller can use.
--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -308,7 +308,10 @@
         logger.bind(
             request_id=exchange.facts.request_id,
             route=exchange.route.name,
+            content=exchange.content,
             server=placement.record.server.server_id,
+            beside=placement.record.requests,
+            seconds=round(self._clock.monotonic() - exchange.attempt_began, 3),
             ending=failure.ending.value,
             outcome=failure.outcome.value,
             detail=failure.detail,
