Look whether a server lives on only when an ending process has closed its sockets

A process that ends closes them one after the other, so a connection opened just after an answer broke off may still be taken, and the server's end would not be seen.

--- a/libs/serving/fireflyhitch_serving/server_ends.py
+++ b/libs/serving/fireflyhitch_serving/server_ends.py
@@ -16,9 +16,9 @@
 from fireflyhitch_serving.connections import Reach, reach
 from fireflyhitch_serving.servers import ServerRecord
 
-# Between looks: a process that ends closes its connections first. An instance that is
+# Between looks: a process that ends closes its sockets one after the other. An instance that is
 # gone is listed for some heartbeats more.
-LOOK_SECONDS = (0.02, 0.2, 0.8, 1.0, 1.0, 1.0, 2.0)
+LOOK_SECONDS = (0.05, 0.2, 0.8, 1.0, 1.0, 1.0, 2.0)
 REACH_SECONDS = 0.3
 
 FindServer = Callable[[BackendServerId], ServerRecord | None]
