Hold calls back that end their servers, also at the daemon with its own interface

The same cause elsewhere: this daemon's forwarder sends a call on, again from each daemon that a caller tries, and goes on with its answer at another engine, whatever it did to the servers before. Callers of other calls see their answers break off each time.

It uses the same evidence and judgement as the users' platform's path. Daemons tell each other over their links. Not done here: after all daemons have ended at once nothing is known any more.

--- a/libs/daemon/fireflyhitch_daemon/attempts.py
+++ b/libs/daemon/fireflyhitch_daemon/attempts.py
@@ -73,6 +73,7 @@
             return
         started = bool(exchange.tracked.log.count())
         refused = upstream.refused and not started
+        self._note_broken(exchange, upstream)
         self._finish_ticket(
             exchange, ResultStatus.REFUSED if refused else ResultStatus.FAILED
         )
@@ -80,6 +81,8 @@
             raise _pass_refusal(upstream, reason)
         if not refused:
             exchange.sent = True
+        if self._parts.crashes.find_wait(exchange.tracked.accepted.content):
+            raise _give_up(exchange, 'servers have ended under this call')
         outcome = Outcome.NOT_RUN if refused else Outcome.UNKNOWN
         if not self._parts.retries.take(exchange.call, outcome):
             raise _give_up(exchange, reason)
@@ -117,11 +120,20 @@
         if ticket is None:
             return None
         done = exchange.state is ExchangeState.DONE
+        if done:
+            self._parts.crashes.note_answer(exchange.tracked.accepted.content)
         self._finish_ticket(
             exchange, ResultStatus.SUCCEEDED if done else _judge_end(exchange)
         )
         return ticket.choice.server
 
+    def _note_broken(self, exchange: Exchange, upstream: Upstream) -> None:
+        ticket = exchange.ticket
+        if ticket is None or upstream.refused:
+            return
+        content = exchange.tracked.accepted.content
+        self._parts.crashes.note_broken(ticket.choice.server, content, ticket.started)
+
     def _resume_stream(self, exchange: Exchange) -> bool:
         """Ask the engine that had the stream for its rest.
 
--- a/libs/daemon/fireflyhitch_daemon/calls.py
+++ b/libs/daemon/fireflyhitch_daemon/calls.py
@@ -11,6 +11,7 @@
 
 from fireflyhitch_daemon.accounts import Accounts, EndedCall
 from fireflyhitch_daemon.attempts import Attempts
+from fireflyhitch_daemon.crash_guard import CrashGuard
 from fireflyhitch_daemon.exchange import (
     Exchange,
     ExchangeState,
@@ -48,6 +49,7 @@
     in_flight: InFlight
     accounts: Accounts
     engines: HttpEngines
+    crashes: CrashGuard
 
 
 class ModelCalls:
@@ -107,10 +109,11 @@
         """
         if self.read_room() == 0:
             raise _refuse_overload()
-        permit = self._parts.admission.admit(asked.call)
         accepted = AcceptedRequest(
             asked.call, asked.kind, request.body, asked.streaming
         )
+        self._parts.crashes.check(accepted.content)
+        permit = self._parts.admission.admit(asked.call)
         exchange = Exchange(self._parts.in_flight.register(accepted), permit)
         self._enter(exchange)
         self._parts.retries.record_call(asked.call.customer)
--- a/libs/daemon/fireflyhitch_daemon/composition.py
+++ b/libs/daemon/fireflyhitch_daemon/composition.py
@@ -11,6 +11,7 @@
 from fireflyhitch_daemon.callers import CallerParts, Callers
 from fireflyhitch_daemon.calls import CallParts, ModelCalls
 from fireflyhitch_daemon.capacity import CapacityDuty, CapacityParts, DrainingCloud
+from fireflyhitch_daemon.crash_guard import CrashGuard
 from fireflyhitch_daemon.departure import Departure, DepartureParts
 from fireflyhitch_daemon.directory import Directory
 from fireflyhitch_daemon.forwarding import Forwarder
@@ -189,6 +190,9 @@
         self.drain = Drain(clock)
         self.in_flight = InFlight(daemon_id, clock)
         self.forwarder = Forwarder()
+        self.crashes = CrashGuard(
+            clock, network, self.directory.is_listed, self.directory.find_address
+        )
         self.engines = HttpEngines(self.directory.find_address, clock=clock)
         self.reports = EngineReports(
             self.engines,
@@ -211,12 +215,19 @@
                 self.in_flight,
                 accounts,
                 self.engines,
+                self.crashes,
             ),
             settings.limits.max_streams,
         )
         self.services = ServiceCalls(
             ServiceParts(
-                clock, selection, self.admission, retries, self.ledger, accounts
+                clock,
+                selection,
+                self.admission,
+                retries,
+                self.ledger,
+                accounts,
+                self.crashes,
             )
         )
         self.hand_over = HandOver(
--- a/libs/daemon/fireflyhitch_daemon/directory.py
+++ b/libs/daemon/fireflyhitch_daemon/directory.py
@@ -79,6 +79,11 @@
         with self._lock:
             return tuple(self._servers.values())
 
+    def is_listed(self, server_id: BackendServerId) -> bool:
+        """Tell whether a server may be given work."""
+        with self._lock:
+            return server_id in self._servers
+
     def list_engines(
         self, configuration: Configuration | None
     ) -> tuple[BackendServer, ...]:
--- a/libs/daemon/fireflyhitch_daemon/process.py
+++ b/libs/daemon/fireflyhitch_daemon/process.py
@@ -134,6 +134,7 @@
                 'notices', Step.CLOUD, HALF_SECOND, self._parts.departure.read_notices
             ),
             Task('reports', Step.ROUTE, SECOND, serving.reports.poll),
+            Task('crashes', Step.ROUTE, HALF_SECOND, serving.crashes.step),
             Task('limits', Step.ADMIT, SECOND, serving.admission.exchange),
             Task('moves', Step.JUDGE, HALF_SECOND, control.moves.step),
             Task(
--- a/libs/daemon/fireflyhitch_daemon/services.py
+++ b/libs/daemon/fireflyhitch_daemon/services.py
@@ -11,6 +11,7 @@
 from urllib3.exceptions import HTTPError
 
 from fireflyhitch_daemon.accounts import Accounts, EndedCall
+from fireflyhitch_daemon.crash_guard import CrashGuard
 from fireflyhitch_daemon.dispatch import open_connection
 from fireflyhitch_daemon.front import OUTCOME_HEADER, CallerRequest, Response
 from fireflyhitch_daemon.parsing import authenticate, find_service, read_deadline
@@ -38,8 +39,14 @@
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.contents import identify_content
 from fireflyhitch_model.errors import RequestError
-from fireflyhitch_model.ids import BackendServerId, IdempotencyKey, RequestId
+from fireflyhitch_model.ids import (
+    BackendServerId,
+    ContentId,
+    IdempotencyKey,
+    RequestId,
+)
 from fireflyhitch_model.states import Outcome
 from fireflyhitch_routing.admission import Admission
 from fireflyhitch_routing.choices import CallResult, Choice, ResultStatus, Ticket
@@ -65,12 +72,14 @@
     retries: RetryBudget
     ledger: Ledger
     accounts: Accounts
+    crashes: CrashGuard
 
 
 @dataclass(slots=True)
 class _ServiceCall:
     """One call and what became of it so far.
 
+    :param content: the same for all calls that ask the same of it.
     :param claim: set while the call may not be repeated and is ours to send.
     :param sent: whether any attempt's first byte went out.
     """
@@ -80,6 +89,7 @@
     request: CallerRequest
     target: str
     key: IdempotencyKey | None
+    content: ContentId
     claim: Attempt | None = None
     sent: bool = False
     attempts: int = 0
@@ -126,6 +136,7 @@
         request_id: RequestId,
     ) -> Response:
         service = self._read_call(request, configuration, request_id)
+        self._parts.crashes.check(service.content)
         permit = self._parts.admission.admit(service.call)
         self._parts.retries.record_call(service.call.customer)
         started = self._clock.monotonic()
@@ -170,7 +181,10 @@
         if not repeatable and not 0 < len(given or '') <= MAX_KEY_CHARACTERS:
             raise build_missing_key()
         key = IdempotencyKey(given) if given else None
-        return _ServiceCall(call, deployment, request, target, key)
+        content = identify_content(
+            customer.customer_id, request.method, f'{name}{target}', request.body
+        )
+        return _ServiceCall(call, deployment, request, target, key, content)
 
     def _run(self, service: _ServiceCall) -> Response:
         if service.call.repeatable:
@@ -232,6 +246,7 @@
         :raises RequestError: ``not-run`` where nothing was sent or the server
             says that it refused the call before executing it.
         """
+        began = self._clock.monotonic()
         try:
             connection = open_connection(server.address)
         except OSError as error:
@@ -240,12 +255,15 @@
             self._mark_sent(service)
             received = self._exchange(service, connection)
         except BROKEN as error:
+            self._parts.crashes.note_broken(server, service.content, began)
             raise describe_lost(server, error) from error
         finally:
             connection.close()
         if received.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value:
             raise describe_refused(server, received)
         answer = take_answer(received)
+        if judge_answer(answer) is ResultStatus.SUCCEEDED:
+            self._parts.crashes.note_answer(service.content)
         if service.claim is not None:
             self._parts.ledger.record_ran(service.claim, keep_answer(answer))
             service.claim = None
@@ -285,6 +303,8 @@
         """
         if service.claim is not None and service.sent:
             return False
+        if self._parts.crashes.find_wait(service.content):
+            return False
         not_run = error.outcome is Outcome.NOT_RUN
         if not not_run and service.request.method not in IDEMPOTENT_METHODS:
             return False
--- a/libs/recovery/fireflyhitch_recovery/requests.py
+++ b/libs/recovery/fireflyhitch_recovery/requests.py
@@ -4,7 +4,8 @@
 from enum import StrEnum
 
 from fireflyhitch_model.calls import Call
-from fireflyhitch_model.ids import AttemptId, BackendServerId
+from fireflyhitch_model.contents import identify_content
+from fireflyhitch_model.ids import AttemptId, BackendServerId, ContentId
 from fireflyhitch_recovery.answers import AnswerEnd, AnswerLog
 
 
@@ -28,6 +29,11 @@
     body: bytes
     streaming: bool
 
+    @property
+    def content(self) -> ContentId:
+        """Return what it has in common with its repeats."""
+        return identify_content(self.call.customer, 'POST', self.kind.value, self.body)
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
