--- a/libs/serving/fireflyhitch_serving/messages.py
+++ b/libs/serving/fireflyhitch_serving/messages.py
@@ -97,6 +97,8 @@
     :param not_run: whether the server says that it did not run the request.
     :param signed: whether it bears the server's signature.
     :param encoded: whether the body is encoded, which nobody asked for.
+    :param limit: requests a second that the server takes from all daemons together;
+        ``None`` if it names none.
     """
 
     request_id: str | None
@@ -104,6 +106,7 @@
     signed: bool
     encoded: bool
     load: ServerLoadNote | None
+    limit: float | None = None
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -291,6 +291,7 @@
     ) -> None:
         if facts.load is not None:
             placement.record.note_load(facts.load, self._clock.monotonic())
+        placement.record.note_limit(facts.limit)
 
     def _without_server(self, exchange: Exchange) -> RefusedError:
         return self._admission.refuse_for_now(
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -85,6 +85,7 @@
 class ServerRecord:
     """A server, the work that it has, and how its answers have been.
 
+    :param limit: requests a second that it takes from all daemons, if it names any.
     :param evidence: how it has answered all daemons.
     :param slowness: how many times as long as at others a request takes, by that.
     :param failing: whether it fails much more than others do.
@@ -97,6 +98,7 @@
     prompt_tokens: int = 0
     load: ServerLoadNote | None = None
     load_at: float = 0
+    limit: float | None = None
     peers: dict[str, _PeerNote] = field(default_factory=dict)
     evidence: ServerEvidence = field(default_factory=ServerEvidence)
     slowness: float = 1
@@ -130,6 +132,16 @@
         self.load = load
         self.load_at = now
 
+    def note_limit(self, limit: float | None) -> None:
+        """Take in the requests a second that the server takes from all daemons.
+
+        :param limit: ``None`` if it names none.
+        """
+        if limit == self.limit:
+            return
+        self.limit = limit
+        logger.bind(server=self.server.server_id, limit=limit).info('server limit')
+
     def mark(self, *, failing: bool, by: AnswerCounts) -> None:
         """Note whether it fails much more than others do."""
         if failing == self.failing:
--- a/libs/standins/fireflyhitch_standins/users_formats.py
+++ b/libs/standins/fireflyhitch_standins/users_formats.py
@@ -177,13 +177,22 @@
 
 
 def render_signed(
-    request_id: str, signature: str, body: bytes, status: int = 200
+    request_id: str,
+    signature: str,
+    body: bytes,
+    status: int = 200,
+    limit: float | None = None,
 ) -> bytes:
-    """Return a server's whole answer with its signature and load."""
+    """Return a server's whole answer with its signature and load.
+
+    :param limit: requests a second that the server takes, if it names any.
+    """
     headers = [
         (b'Request-Id', request_id.encode()),
         (b'Response-Stamp', signature.encode()),
         (b'Server-Load', b'1,0,6'),
         (b'Content-Length', b'%d' % len(body)),
     ]
+    if limit is not None:
+        headers.append((b'Server-Limit', b'%.2f' % limit))
     return render_head(status, headers) + body
