Keep to the limits that servers name, all daemons together

Callers saw nothing yet; the platform did: a server in need that names a limit of one request a second got 12 in 4 s from daemons that it had told (11 are allowed), when traffic rose.

Cause: the header was read by nobody. A limited server was chosen as any other; only among a dozen did it mostly get little.

Why this works: each second of a limit is cut into turns, and each turn belongs to one daemon by a hash of server, second and daemon, so that the sum holds without messages, from 1 to 791 daemons in tests, with clocks 50 ms apart, after quiet seconds, and where half of the daemons lack one in seven of the others. A turn is good for two seconds, so daemons with three requests a second use nine tenths of a limit and more. What servers name is told to all, since one of many daemons meets a server seldom; the last thing that a server says holds. Where only limited servers are left a request waits for a turn, and is refused at once if its turn would come after its time.

--- a/libs/serving/fireflyhitch_serving/choices.py
+++ b/libs/serving/fireflyhitch_serving/choices.py
@@ -1,5 +1,7 @@
 """Which server an attempt goes to, and whether there may be another attempt."""
 
+from collections.abc import Iterable
+
 from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
@@ -62,6 +64,18 @@
         # about are better than a refusal.
         return healthy or fresh
 
+    def find_able(self, candidates: list[ServerRecord]) -> list[ServerRecord]:
+        """Return the candidates that their limits, if they name any, let have work now."""
+        limits = self._parts.limits
+        if not limits.are_named:
+            return candidates
+        return [record for record in candidates if limits.may_send(record.process)]
+
+    def find_own_rate(self, candidates: Iterable[ServerRecord]) -> float:
+        """Return the requests a second that this daemon may send to servers."""
+        limits = self._parts.limits
+        return sum(limits.find_own_rate(record.process) for record in candidates)
+
     def choose(
         self, exchange: Exchange, candidates: list[ServerRecord]
     ) -> Placement | None:
@@ -110,7 +124,7 @@
 
     def may_leave(self, exchange: Exchange) -> bool:
         """Take a repeat for a request whose server is silent, if it may have one."""
-        if not self.find_candidates(exchange):
+        if not self.find_able(self.find_candidates(exchange)):
             return False
         return self._parts.budget.take(exchange.service, self._clock.monotonic())
 
--- a/libs/serving/fireflyhitch_serving/exchanges.py
+++ b/libs/serving/fireflyhitch_serving/exchanges.py
@@ -25,6 +25,7 @@
     :param runs: attempts that a server may have run.
     :param sends: attempts that were sent.
     :param counted: whether it is in the usage of its customer.
+    :param waits: whether it has waited for a place at a server.
     :param reading: prompt tokens that its present server has yet to read.
     :param attempt_began: monotonic seconds of the present attempt's begin.
     :param first_event_at: of the present attempt's first event or whole answer.
@@ -44,6 +45,7 @@
     runs: int = 0
     sends: int = 0
     counted: bool = False
+    waits: bool = False
     reading: int = 0
     attempt_began: float = 0
     first_event_at: float | None = None
--- a/libs/serving/fireflyhitch_serving/parts.py
+++ b/libs/serving/fireflyhitch_serving/parts.py
@@ -9,6 +9,7 @@
 from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.crashes import CrashBook
 from fireflyhitch_routing.quarantine import Quarantine
+from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.budgets import RepeatBudget
 from fireflyhitch_serving.catalog import Catalog
 from fireflyhitch_serving.edge import Edge
@@ -101,3 +102,4 @@
     own_domain: FailureDomainId
     draw: random.Random
     crashes: CrashParts
+    limits: ServerLimits
--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -1,6 +1,9 @@
 """The path of a request: admission, choice, attempts, and its final answer."""
 
 import asyncio
+from collections import Counter
+from collections.abc import Sequence
+from datetime import timedelta
 from functools import partial
 from http import HTTPStatus
 
@@ -42,6 +45,7 @@
         self._choices = Choices(parts)
         self._events = AttemptEvents(began=self._note_begin, answered=self._note_answer)
         self._freed: dict[DeploymentId, asyncio.Event] = {}
+        self._waiting: Counter[DeploymentId] = Counter()
 
     async def serve(self, message: CallerMessage, reply: Reply) -> None:
         """Serve one request to its final answer."""
@@ -97,21 +101,50 @@
     async def _place(self, exchange: Exchange) -> Placement:
         while True:
             candidates = self._choices.find_candidates(exchange)
-            placement = self._choices.choose(exchange, candidates)
+            able = self._choices.find_able(candidates)
+            placement = self._choices.choose(exchange, able)
             if placement is not None:
                 return placement
             if not candidates:
                 raise self._without_server(exchange)
+            if not able:
+                self._check_limits(exchange, candidates)
             await self._wait_for_slot(exchange)
 
+    def _check_limits(
+        self, exchange: Exchange, candidates: Sequence[ServerRecord]
+    ) -> None:
+        """Refuse a request whose turn at servers that name limits comes too late.
+
+        :raises RefusedError: if so many wait already; those go on waiting.
+        """
+        if exchange.waits:
+            return
+        waiting = self._waiting[exchange.service] + 1
+        wait = waiting / self._choices.find_own_rate(candidates)
+        if self._clock.monotonic() + wait < exchange.deadline:
+            return
+        raise RefusedError(
+            Refusal(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'servers_limited',
+                'the servers take no more requests',
+                retry_after=timedelta(seconds=wait),
+            )
+        )
+
     async def _wait_for_slot(self, exchange: Exchange) -> None:
         freed = self._freed.setdefault(exchange.service, asyncio.Event())
         freed.clear()
+        exchange.waits = True
+        self._waiting[exchange.service] += 1
         try:
             async with asyncio.timeout(LOOK_SECONDS):
                 await freed.wait()
         except TimeoutError:
             return
+        finally:
+            self._waiting[exchange.service] -= 1
 
     async def _try(
         self, exchange: Exchange, placement: Placement
@@ -129,6 +162,7 @@
             partial(self._choices.may_leave, exchange),
         )
         record.requests += 1
+        self._parts.limits.note_sent(record.process)
         record.prompt_tokens += placement.fresh_tokens
         self._parts.workloads.note_read(exchange.service, placement.fresh_tokens)
         exchange.reading = placement.fresh_tokens
@@ -291,7 +325,14 @@
     ) -> None:
         if facts.load is not None:
             placement.record.note_load(facts.load, self._clock.monotonic())
-        placement.record.note_limit(facts.limit)
+        if facts.signed or facts.not_run:
+            self._parts.limits.note_answer(
+                placement.record.process,
+                placement.record.server.server_id,
+                facts.limit,
+                exchange.attempt_began,
+                self._clock.monotonic(),
+            )
 
     def _without_server(self, exchange: Exchange) -> RefusedError:
         return self._admission.refuse_for_now(
--- a/libs/serving/fireflyhitch_serving/peer_news.py
+++ b/libs/serving/fireflyhitch_serving/peer_news.py
@@ -15,7 +15,8 @@
     Revision,
 )
 from fireflyhitch_model.records import immutable
-from fireflyhitch_routing.crashes import CrashNote
+from fireflyhitch_routing.crashes import CrashNote, ProcessId
+from fireflyhitch_routing.server_limits import LimitNote
 from fireflyhitch_serving.quotas import CustomerNote
 from fireflyhitch_serving.server_evidence import AnswerCounts
 from fireflyhitch_serving.servers import InFlight
@@ -51,6 +52,7 @@
         messages.
     :param evidence: answers by service, version and route of the moves in force.
     :param crashes: what is new of requests under which servers ended.
+    :param limits: what servers have said lately of limits.
     :param hears_store: whether the store answers it.
     :param store_settled: whether it has done so for some seconds.
     :param stopping: whether it is about to go.
@@ -70,6 +72,7 @@
     newest: Mapping[str, Revision]
     answers: Mapping[BackendServerId, AnswerCounts] = field(default_factory=dict)
     crashes: Mapping[ContentId, CrashNote] = field(default_factory=dict)
+    limits: Mapping[ProcessId, LimitNote] = field(default_factory=dict)
     hears_store: bool = True
     store_settled: bool = True
     stopping: bool = False
@@ -109,6 +112,7 @@
         'customers': customers,
         'answers': answers,
         'crashes': crashes,
+        'limits': {key: LimitNote(*told) for key, told in read['limits'].items()},
     }
 
 
--- a/libs/serving/fireflyhitch_serving/peers.py
+++ b/libs/serving/fireflyhitch_serving/peers.py
@@ -134,6 +134,10 @@
             ranked, key=lambda daemon: self._links.get(daemon, 0) < best * ABLE_PART
         )
 
+    def list_all(self) -> list[str]:
+        """Return the daemons that the store lists, and this one."""
+        return list(self._registered.keys() | {self._own})
+
     def listed(self) -> dict[str, Address]:
         """Return the daemons that the store lists."""
         return dict(self._registered)
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -12,6 +12,7 @@
 from fireflyhitch_model.hashing import rank_by_hash
 from fireflyhitch_model.ids import BackendServerId, DeploymentId, FailureDomainId
 from fireflyhitch_model.records import immutable
+from fireflyhitch_routing.crashes import ProcessId, identify_process
 from fireflyhitch_serving.connections import Address, ConnectionPool
 from fireflyhitch_serving.health import ServerHealth
 from fireflyhitch_serving.messages import PromptPart, ServerLoadNote
@@ -85,7 +86,6 @@
 class ServerRecord:
     """A server, the work that it has, and how its answers have been.
 
-    :param limit: requests a second that it takes from all daemons, if it names any.
     :param evidence: how it has answered all daemons.
     :param slowness: how many times as long as at others a request takes, by that.
     :param failing: whether it fails much more than others do.
@@ -98,12 +98,16 @@
     prompt_tokens: int = 0
     load: ServerLoadNote | None = None
     load_at: float = 0
-    limit: float | None = None
     peers: dict[str, _PeerNote] = field(default_factory=dict)
     evidence: ServerEvidence = field(default_factory=ServerEvidence)
     slowness: float = 1
     failing: bool = False
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    process: ProcessId = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Name the server's process."""
+        self.process = identify_process(self.server.server_id, self.server.born)
 
     @property
     def own(self) -> InFlight:
@@ -132,16 +136,6 @@
         self.load = load
         self.load_at = now
 
-    def note_limit(self, limit: float | None) -> None:
-        """Take in the requests a second that the server takes from all daemons.
-
-        :param limit: ``None`` if it names none.
-        """
-        if limit == self.limit:
-            return
-        self.limit = limit
-        logger.bind(server=self.server.server_id, limit=limit).info('server limit')
-
     def mark(self, *, failing: bool, by: AnswerCounts) -> None:
         """Note whether it fails much more than others do."""
         if failing == self.failing:
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -18,6 +18,7 @@
 )
 from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.crashes import CrashBook
+from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.budgets import RepeatBudget
 from fireflyhitch_serving.hubs import Hubs
 from fireflyhitch_serving.moves import MoveBook
@@ -57,6 +58,7 @@
     budget: RepeatBudget
     moves: MoveBook
     crashes: CrashBook
+    limits: ServerLimits
     fresh_parts: FreshParts
     health: StoreHealth
     stopping: Callable[[], bool]
@@ -113,6 +115,7 @@
             newest=parts.newest(),
             answers=self._read_answers(),
             crashes=parts.crashes.tell(now, heard=False),
+            limits=parts.limits.tell(now, heard=False),
         )
         self._own_part.note_told(news)
         return news
@@ -122,14 +125,15 @@
         parts = self._parts
         parts.usage.take_in(news.process, news.usage)
         parts.moves.take_evidence(news.process, news.evidence)
-        parts.crashes.take(news.crashes, parts.clock.monotonic())
+        now = parts.clock.monotonic()
+        parts.crashes.take(news.crashes, now)
+        parts.limits.take(news.limits, now)
         near = news.failure_domain == parts.peers.own_domain
         if parts.peers.uses_summaries() and not (near and self._hears_directly):
             # It is in a summary, and must not count twice.
             return
         self._take_work(news.daemon, news.work, news.fresh_parts)
         self._take_answers(news.daemon, news.answers)
-        now = parts.clock.monotonic()
         for customer, note in news.customers.items():
             parts.quotas.take_note(news.process, customer, note, now, near=near)
 
@@ -139,7 +143,9 @@
         if summaries is None:
             return False
         for summary in summaries:
-            self._parts.crashes.take(summary.crashes, self._parts.clock.monotonic())
+            now = self._parts.clock.monotonic()
+            self._parts.crashes.take(summary.crashes, now)
+            self._parts.limits.take(summary.limits, now)
             if summary.domain == self._parts.peers.own_domain:
                 self._take_near_summary(summary)
             elif self._parts.summaries.take(summary):
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -23,7 +23,8 @@
     Revision,
 )
 from fireflyhitch_model.records import immutable
-from fireflyhitch_routing.crashes import CrashNote
+from fireflyhitch_routing.crashes import CrashNote, ProcessId
+from fireflyhitch_routing.server_limits import LimitNote
 from fireflyhitch_serving.peer_news import (
     Member,
     PeerNews,
@@ -56,6 +57,7 @@
     :param fresh_parts: prompt parts that servers began to read lately.
     :param evidence: by process: answers by service, version and route of moves in force.
     :param crashes: what is new of requests under which servers ended.
+    :param limits: what servers have said lately of limits.
     :param newest: revision of the newest change that one of them knows, by prefix.
     :param store_settled: whether one of them has heard the store without a break.
     :param wall: seconds since 1970 that they agree on.
@@ -75,6 +77,7 @@
     wall: float = 0
     answers: Mapping[BackendServerId, AnswerCounts] = field(default_factory=dict)
     crashes: Mapping[ContentId, CrashNote] = field(default_factory=dict)
+    limits: Mapping[ProcessId, LimitNote] = field(default_factory=dict)
 
     @property
     def source(self) -> str:
--- a/libs/serving/fireflyhitch_serving/summary_relay.py
+++ b/libs/serving/fireflyhitch_serving/summary_relay.py
@@ -7,7 +7,9 @@
 from loguru import logger
 
 from fireflyhitch_model.ids import FailureDomainId
+from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.crashes import CrashBook
+from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.hubs import Hubs
 from fireflyhitch_serving.peer_news import Member, PeerNews
 from fireflyhitch_serving.peers import PeerBook
@@ -32,6 +34,15 @@
 Send = Callable[[bytes, list[str]], None]
 
 
+@immutable
+class RelayedBooks:
+    """What a hub tells by its own knowledge, rather than by its neighbours' news."""
+
+    quotas: Quotas
+    crashes: CrashBook
+    limits: ServerLimits
+
+
 class SummaryRelay:
     """Joins and tells the own failure domain's state while this daemon is its hub."""
 
@@ -40,8 +51,7 @@
         peers: PeerBook,
         hubs: Hubs,
         book: SummaryBook,
-        quotas: Quotas,
-        crashes: CrashBook,
+        told: RelayedBooks,
         now: Callable[[], float],
         send: Send,
         draw: random.Random,
@@ -54,8 +64,7 @@
         self._peers = peers
         self._hubs = hubs
         self._book = book
-        self._quotas = quotas
-        self._crashes = crashes
+        self._told = told
         self._now = now
         self._send = send
         self._draw = draw
@@ -136,14 +145,15 @@
                 for told in news
             },
             work=add_work(news),
-            customers=self._quotas.domain_notes(self._now()),
+            customers=self._told.quotas.domain_notes(self._now()),
             fresh_parts=join_parts(self._pick_unjoined(news)),
             evidence={told.process: told.evidence for told in news if told.evidence},
             newest=join_newest(told.newest for told in news),
             store_settled=any(told.store_settled for told in news),
             wall=self._peers.wall(),
             answers=add_answers(told.answers for told in news),
-            crashes=self._crashes.tell(self._now(), heard=True),
+            crashes=self._told.crashes.tell(self._now(), heard=True),
+            limits=self._told.limits.tell(self._now(), heard=True),
         )
 
     def _pick_unjoined(self, news: list[PeerNews]) -> list[PeerNews]:
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -19,6 +19,7 @@
     Revision,
 )
 from fireflyhitch_routing.crashes import ProcessId, ServerEnd
+from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.beliefs import BeliefEvents, PeerWord, StoreView
 from fireflyhitch_serving.budgets import RepeatBounds, RepeatBudget
 from fireflyhitch_serving.candidates import LeadTurns
@@ -47,7 +48,7 @@
 from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.store_probe import StoreProbe
 from fireflyhitch_serving.summaries import SummaryBook
-from fireflyhitch_serving.summary_relay import SummaryRelay
+from fireflyhitch_serving.summary_relay import RelayedBooks, SummaryRelay
 from fireflyhitch_serving.traffic import ControlTraffic
 from fireflyhitch_serving.usage import UsageBook
 from fireflyhitch_serving.versions import VersionShares
@@ -133,6 +134,7 @@
         self._peers = PeerBook(name, self._domain, self._clock, self._clock.monotonic)
         self.hubs = Hubs(self._peers, self._clock)
         self._servers = make_servers()
+        self.limits = ServerLimits(name, self._peers.list_all, self._peers.wall)
         self.crashes = make_crash_parts(self._clock, self._servers)
         self._summaries = SummaryBook(self._clock, lambda source: None)
         self._shared = SharedState(name, self._process, self._make_parts())
@@ -218,6 +220,7 @@
             budget=RepeatBudget(RepeatBounds()),
             moves=MoveBook(VersionShares(), 0.1),
             crashes=self.crashes.book,
+            limits=self.limits,
             fresh_parts=FreshParts(),
             health=self._health,
             stopping=bool,
@@ -256,8 +259,7 @@
             self._peers,
             self.hubs,
             self._summaries,
-            Quotas(QuotaSlack()),
-            self.crashes.book,
+            RelayedBooks(Quotas(QuotaSlack()), self.crashes.book, self.limits),
             self._clock.monotonic,
             self._channel.send_to,
             self._draw,
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
@@ -13,6 +14,7 @@
     FailureDomainId,
     RequestId,
 )
+from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.budgets import RepeatBounds, RepeatBudget
 from fireflyhitch_serving.callers import CallerConnection, FrontState
 from fireflyhitch_serving.catalog import (
@@ -191,6 +193,7 @@
                 own_domain=HERE,
                 draw=random.Random(1),  # noqa: S311
                 crashes=self.crashes,
+                limits=ServerLimits('here', lambda: ['here'], time.time),
             )
         )
         self.front = FrontState(path.serve, self._limits, self.clock)
--- a/libs/serving/tests/test_summaries.py
+++ b/libs/serving/tests/test_summaries.py
@@ -12,6 +12,7 @@
     FailureDomainId,
 )
 from fireflyhitch_routing.crashes import CrashBook
+from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.budgets import RepeatBounds, RepeatBudget
 from fireflyhitch_serving.catalog import Customer, Quota
 from fireflyhitch_serving.connections import Address
@@ -31,7 +32,7 @@
     read_summaries,
     render_summaries,
 )
-from fireflyhitch_serving.summary_relay import SummaryRelay
+from fireflyhitch_serving.summary_relay import RelayedBooks, SummaryRelay
 from fireflyhitch_serving.usage import UsageBook
 from fireflyhitch_serving.versions import VersionShares
 
@@ -95,13 +96,13 @@
         record.requests = 1
         record.prompt_tokens = 50
         self.crashes = CrashBook()
+        self.limits = ServerLimits(self.name, self.peers.list_all, self.peers.wall)
         self.shared = SharedState(self.name, f'{self.name}/1', self._make_parts())
         self.relay = SummaryRelay(
             self.peers,
             self.hubs,
             self.book,
-            self.quotas,
-            self.crashes,
+            RelayedBooks(self.quotas, self.crashes, self.limits),
             self.clock.monotonic,
             self.note_sent,
             random.Random(1),  # noqa: S311
@@ -119,6 +120,7 @@
             budget=RepeatBudget(RepeatBounds()),
             moves=MoveBook(VersionShares(), 0.1),
             crashes=self.crashes,
+            limits=self.limits,
             fresh_parts=FreshParts(),
             health=StoreHealth(self.clock),
             stopping=bool,
--- a/tests/users_platform/test_server_limits.py
+++ b/tests/users_platform/test_server_limits.py
@@ -5,14 +5,12 @@
 from itertools import count
 from pathlib import Path
 
-import pytest
 from scene import Received
 from site_of_daemons import Site, answer_signed, make_configuration
 
 from fireflyhitch_standins.scripted_server import SeenRequest
 from fireflyhitch_standins.users_formats import render_signed
 
-KNOWN_RED = pytest.mark.xfail(strict=True, raises=AssertionError)
 DAEMONS = ('d1', 'd2', 'd3', 'd4', 'd5')
 # As the platform has it: what a server may get in any four seconds.
 WINDOW_SECONDS = 4.0
@@ -101,7 +99,6 @@
 
 
 class TestServerLimits:
-    @KNOWN_RED
     def test_all_daemons_together_keep_to_a_servers_limit_and_use_it(
         self, tmp_path
     ) -> None:
@@ -116,7 +113,6 @@
 
         play(tmp_path, script, 1.0)
 
-    @KNOWN_RED
     def test_with_limited_servers_only_all_that_they_take_is_answered(
         self, tmp_path
     ) -> None:
