Keep to limits that servers name, also at the daemon with its own interface

The same cause elsewhere: this daemon's forwarder read no such header either. The header's text is read in one place for both.

--- a/libs/daemon/fireflyhitch_daemon/attempts.py
+++ b/libs/daemon/fireflyhitch_daemon/attempts.py
@@ -73,7 +73,7 @@
             return
         started = bool(exchange.tracked.log.count())
         refused = upstream.refused and not started
-        self._note_broken(exchange, upstream)
+        self._note_loss(exchange, upstream)
         self._finish_ticket(
             exchange, ResultStatus.REFUSED if refused else ResultStatus.FAILED
         )
@@ -127,9 +127,15 @@
         )
         return ticket.choice.server
 
-    def _note_broken(self, exchange: Exchange, upstream: Upstream) -> None:
+    def _note_loss(self, exchange: Exchange, upstream: Upstream) -> None:
         ticket = exchange.ticket
-        if ticket is None or upstream.refused:
+        if ticket is None:
+            return
+        if upstream.status:
+            self._parts.limits.note_answer(
+                ticket.choice.server, upstream.limit, ticket.started
+            )
+        if upstream.refused:
             return
         content = exchange.tracked.accepted.content
         self._parts.crashes.note_broken(ticket.choice.server, content, ticket.started)
@@ -262,6 +268,7 @@
 
     def _start_ticket(self, exchange: Exchange, choice: Choice) -> None:
         exchange.attempts += 1
+        self._parts.limits.note_sent(choice.server)
         exchange.ticket = self._parts.selection.router.start(choice, exchange.call)
 
     def _finish_ticket(self, exchange: Exchange, status: ResultStatus) -> None:
--- a/libs/daemon/fireflyhitch_daemon/calls.py
+++ b/libs/daemon/fireflyhitch_daemon/calls.py
@@ -18,6 +18,7 @@
     Follower,
 )
 from fireflyhitch_daemon.front import DETACHED, CallerRequest, Detached
+from fireflyhitch_daemon.limit_guard import LimitGuard
 from fireflyhitch_daemon.parsing import ModelRequest
 from fireflyhitch_daemon.relay import Relay, RelayEvents
 from fireflyhitch_daemon.selection import Selection
@@ -50,6 +51,7 @@
     accounts: Accounts
     engines: HttpEngines
     crashes: CrashGuard
+    limits: LimitGuard
 
 
 class ModelCalls:
@@ -173,8 +175,14 @@
         )
 
     def _on_first_event(self, exchange: Exchange) -> None:
-        if exchange.ticket is not None:
-            self._parts.selection.router.first_token(exchange.ticket)
+        ticket = exchange.ticket
+        if ticket is None:
+            return
+        self._parts.selection.router.first_token(ticket)
+        if exchange.upstream is not None:
+            self._parts.limits.note_answer(
+                ticket.choice.server, exchange.upstream.limit, ticket.started
+            )
 
     def _on_orphaned(self, exchange: Exchange) -> None:
         self._attempts.close(exchange)
--- a/libs/daemon/fireflyhitch_daemon/composition.py
+++ b/libs/daemon/fireflyhitch_daemon/composition.py
@@ -23,6 +23,7 @@
     build_server,
 )
 from fireflyhitch_daemon.health import Health
+from fireflyhitch_daemon.limit_guard import LimitGuard
 from fireflyhitch_daemon.reports import EngineReports
 from fireflyhitch_daemon.requests import RequestAnswers
 from fireflyhitch_daemon.selection import Selection
@@ -190,6 +191,7 @@
         self.drain = Drain(clock)
         self.in_flight = InFlight(daemon_id, clock)
         self.forwarder = Forwarder()
+        self.limits = LimitGuard(daemon_id, clock, network)
         self.crashes = CrashGuard(
             clock, network, self.directory.is_listed, self.directory.find_address
         )
@@ -204,6 +206,7 @@
             self.router,
             control.picker,
             self.directory.read_subset,
+            lambda: self.limits.find_closed(self.directory.list_servers()),
         )
         retries = RetryBudget(clock)
         self.calls = ModelCalls(
@@ -216,6 +219,7 @@
                 accounts,
                 self.engines,
                 self.crashes,
+                self.limits,
             ),
             settings.limits.max_streams,
         )
@@ -228,6 +232,7 @@
                 self.ledger,
                 accounts,
                 self.crashes,
+                self.limits,
             )
         )
         self.hand_over = HandOver(
--- /dev/null
+++ b/libs/daemon/fireflyhitch_daemon/limit_guard.py
@@ -0,0 +1,89 @@
+"""Keeps to the limits that servers name in their answers, with all other daemons."""
+
+from threading import Lock
+from typing import ClassVar
+
+from fireflyhitch_model.backends import BackendServer
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.ids import BackendServerId, DaemonId
+from fireflyhitch_model.peers import PeerMessage, PeerMessenger, Scope
+from fireflyhitch_routing.crashes import ProcessId, identify_process
+from fireflyhitch_routing.server_limits import LimitNote, ServerLimits, parse_rate
+
+LIMIT_HEADER = 'server-limit'
+
+
+class LimitNews(PeerMessage):
+    """What servers have said lately of limits."""
+
+    kind: ClassVar[str] = 'limit-news'
+
+    notes: dict[ProcessId, LimitNote]
+
+
+class LimitGuard:
+    """Keeps what servers name, and this daemon's turns; thread-safe."""
+
+    def __init__(
+        self, daemon_id: DaemonId, clock: Clock, messenger: PeerMessenger
+    ) -> None:
+        self._daemon_id = daemon_id
+        self._clock = clock
+        self._messenger = messenger
+        self._lock = Lock()
+        self._limits = ServerLimits(
+            daemon_id, self._list_daemons, lambda: clock.now().timestamp()
+        )
+        messenger.handle(LimitNews, self._take_news)
+
+    def note_answer(
+        self, server: BackendServer, named: str | None, sent: float
+    ) -> None:
+        """Take in what a server's answer says.
+
+        :param named: the header's text; ``None`` without it.
+        :param sent: monotonic seconds at which the call was sent.
+        """
+        process = _identify(server)
+        now = self._clock.monotonic()
+        with self._lock:
+            self._limits.note_answer(
+                process, server.server_id, parse_rate(named), sent, now
+            )
+
+    def note_sent(self, server: BackendServer) -> None:
+        """Use a turn at a server."""
+        with self._lock:
+            self._limits.note_sent(_identify(server))
+
+    def find_closed(
+        self, servers: tuple[BackendServer, ...]
+    ) -> frozenset[BackendServerId]:
+        """Return the servers at which this daemon has no turn now."""
+        with self._lock:
+            if not self._limits.are_named:
+                return frozenset()
+            return frozenset(
+                server.server_id
+                for server in servers
+                if not self._limits.may_send(_identify(server))
+            )
+
+    def step(self) -> None:
+        """Tell the other daemons what is new."""
+        with self._lock:
+            notes = self._limits.tell(self._clock.monotonic(), heard=False)
+        if notes:
+            self._messenger.spread(LimitNews(notes=notes), Scope.EVERYWHERE)
+
+    def _take_news(self, sender: DaemonId, news: LimitNews) -> None:
+        with self._lock:
+            self._limits.take(news.notes, self._clock.monotonic())
+
+    def _list_daemons(self) -> list[str]:
+        live = {daemon.daemon_id for daemon in self._messenger.live()}
+        return list(live | {self._daemon_id})
+
+
+def _identify(server: BackendServer) -> ProcessId:
+    return identify_process(server.server_id, server.incarnation)
--- a/libs/daemon/fireflyhitch_daemon/process.py
+++ b/libs/daemon/fireflyhitch_daemon/process.py
@@ -135,6 +135,7 @@
             ),
             Task('reports', Step.ROUTE, SECOND, serving.reports.poll),
             Task('crashes', Step.ROUTE, HALF_SECOND, serving.crashes.step),
+            Task('server limits', Step.ROUTE, HALF_SECOND, serving.limits.step),
             Task('limits', Step.ADMIT, SECOND, serving.admission.exchange),
             Task('moves', Step.JUDGE, HALF_SECOND, control.moves.step),
             Task(
--- a/libs/daemon/fireflyhitch_daemon/services.py
+++ b/libs/daemon/fireflyhitch_daemon/services.py
@@ -14,6 +14,7 @@
 from fireflyhitch_daemon.crash_guard import CrashGuard
 from fireflyhitch_daemon.dispatch import open_connection
 from fireflyhitch_daemon.front import OUTCOME_HEADER, CallerRequest, Response
+from fireflyhitch_daemon.limit_guard import LIMIT_HEADER, LimitGuard
 from fireflyhitch_daemon.parsing import authenticate, find_service, read_deadline
 from fireflyhitch_daemon.selection import Selection
 from fireflyhitch_daemon.service_answers import (
@@ -73,6 +74,7 @@
     ledger: Ledger
     accounts: Accounts
     crashes: CrashGuard
+    limits: LimitGuard
 
 
 @dataclass(slots=True)
@@ -253,12 +255,16 @@
             raise describe_unreached(server, error) from error
         try:
             self._mark_sent(service)
+            self._parts.limits.note_sent(server)
             received = self._exchange(service, connection)
         except BROKEN as error:
             self._parts.crashes.note_broken(server, service.content, began)
             raise describe_lost(server, error) from error
         finally:
             connection.close()
+        self._parts.limits.note_answer(
+            server, received.headers.get(LIMIT_HEADER), began
+        )
         if received.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value:
             raise describe_refused(server, received)
         answer = take_answer(received)
--- a/libs/daemon/fireflyhitch_daemon/upstream.py
+++ b/libs/daemon/fireflyhitch_daemon/upstream.py
@@ -39,6 +39,7 @@
         'complete',
         'continuation',
         'error_body',
+        'limit',
         'refused',
         'server_id',
         'sock',
@@ -62,6 +63,7 @@
         self.continuation = continuation
         self.status = 0
         self.refused = False
+        self.limit: str | None = None
         self.body = b''
         self.error_body = b''
         self.complete = False
@@ -87,9 +89,12 @@
         return not self.complete
 
     def on_header(self, name: bytes, field: bytes) -> None:
-        """Note a refusal before execution; called by the parser."""
-        if name.lower() == b'fireflyhitch-outcome':
+        """Note a refusal before execution and a limit; called by the parser."""
+        lower = name.lower()
+        if lower == b'fireflyhitch-outcome':
             self.refused = field == b'not-run'
+        elif lower == b'server-limit':
+            self.limit = field.decode('latin-1')
 
     def on_headers_complete(self) -> None:
         """Note the status; called by the parser."""
--- a/libs/routing/fireflyhitch_routing/server_limits.py
+++ b/libs/routing/fireflyhitch_routing/server_limits.py
@@ -33,6 +33,17 @@
 MASK = 0xFFFFFFFFFFFFFFFF
 
 
+def parse_rate(text: str | None) -> float | None:
+    """Read requests a second; what cannot be read names no limit."""
+    if text is None:
+        return None
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 class LimitNote(NamedTuple):
     """What a daemon tells of a server's process.
 
--- a/libs/standins/fireflyhitch_standins/service_server.py
+++ b/libs/standins/fireflyhitch_standins/service_server.py
@@ -25,6 +25,7 @@
     :param refuse: calls are refused before they run.
     :param fail_share: share of calls that run and then fail.
     :param drop_share: share of calls that run and whose answer is lost.
+    :param limit: calls a second that it names as its limit, if it has one.
     """
 
     model_config = ConfigDict(extra='forbid')
@@ -34,6 +35,7 @@
     refuse: bool = False
     fail_share: float = 0
     drop_share: float = 0
+    limit: float | None = None
 
 
 class ServiceServer:
@@ -104,7 +106,13 @@
             error = {'error': 'failed after running'}
             reply.send_json(error, HTTPStatus.INTERNAL_SERVER_ERROR)
         else:
-            reply.send_json(self._answer(run, request))
+            reply.send(json.dumps(self._answer(run, request)).encode(), self._headers())
+
+    def _headers(self) -> dict[str, str]:
+        headers = {'Content-Type': 'application/json'}
+        if self.settings.limit is not None:
+            headers['Server-Limit'] = str(self.settings.limit)
+        return headers
 
     def _answer(self, run: int, request: Request) -> dict[str, Any]:
         return {
