--- a/libs/serving/fireflyhitch_serving/server_evidence.py
+++ b/libs/serving/fireflyhitch_serving/server_evidence.py
@@ -117,14 +117,6 @@
         return AnswerCounts(answers, failed, lateness)
 
 
-def is_notable(counts: AnswerCounts) -> bool:
-    """Tell whether a server's answers are other than those of one that is well.
-
-    Most are well, and of hundreds of servers each daemon would tell and take in each.
-    """
-    return counts.failed >= LEAST_TOLD or find_lateness(counts) > NOTICED_LATENESS
-
-
 def find_lateness(counts: AnswerCounts) -> float:
     """Return how many times as late as expected a server's answers come."""
     answers = counts.answers + ASSUMED_ANSWERS
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -23,7 +23,6 @@
     find_lateness,
     find_slowness,
     is_failing,
-    is_notable,
 )
 
 # Prompt parts remembered for each server; an engine's cache holds some hundreds.
@@ -90,8 +89,6 @@
     :param evidence: how it has answered all daemons.
     :param slowness: how many times as long as at others a request takes, by that.
     :param failing: whether it fails much more than others do.
-    :param notable: whether it answers otherwise than one that is well, so that all who
-        have had answers of it tell so; those who tell failures alone would mislead.
     """
 
     server: ServerEntry
@@ -105,7 +102,6 @@
     evidence: ServerEvidence = field(default_factory=ServerEvidence)
     slowness: float = 1
     failing: bool = False
-    notable: bool = False
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
     process: ProcessId = field(init=False)
 
@@ -207,7 +203,6 @@
         for record, found in zip(records, counts, strict=True):
             record.slowness = find_slowness(find_lateness(found), usual_lateness)
             record.mark(failing=is_failing(found, usual_rate), by=found)
-            record.notable = is_notable(found)
 
     def find_usual_failure_rate(self, service: DeploymentId) -> float:
         """Return the median rate of a service's servers, as judged last."""
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -27,12 +27,7 @@
 from fireflyhitch_serving.peer_news import PeerNews
 from fireflyhitch_serving.peers import PeerBook
 from fireflyhitch_serving.quotas import Quotas, QuotaSlack, find_slack_part
-from fireflyhitch_serving.server_evidence import (
-    LEAST_TOLD,
-    AnswerCounts,
-    Answers,
-    is_notable,
-)
+from fireflyhitch_serving.server_evidence import LEAST_TOLD, AnswerCounts, Answers
 from fireflyhitch_serving.servers import InFlight, ServerBook
 from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.summaries import (
@@ -283,14 +278,14 @@
     def _read_answers(self) -> dict[BackendServerId, AnswerCounts]:
         now = self._parts.clock.monotonic()
         seen = {
-            server_id: (record.evidence.read_own(now), record.notable)
+            server_id: record.evidence.read_own(now)
             for server_id, record in self._parts.servers.all().items()
             if record.evidence.has_own
         }
         return {
             server_id: counts
-            for server_id, (counts, notable) in seen.items()
-            if counts.answers >= LEAST_TOLD and (notable or is_notable(counts))
+            for server_id, counts in seen.items()
+            if counts.answers >= LEAST_TOLD
         }
 
     def _take_answers(self, teller: str, answers: Answers) -> None:
