Have the soak's servers end under a request, and check that it is held when all is quiet

A request that ends servers comes beside all other faults, and no other caller may ever be told that theirs is held. When the faults are over it has to be held within the platform's time.

--- a/libs/bench/fireflyhitch_bench/fault_soak.py
+++ b/libs/bench/fireflyhitch_bench/fault_soak.py
@@ -9,7 +9,8 @@
 - a request reaches the server that it names, with its customer and without the key;
 - a process that served by a configuration serves no older one afterwards;
 - two reports of one window's usage hold the same counts, and fencing numbers grow;
-- when the faults are over, every daemon serves again.
+- when the faults are over, every daemon serves again;
+- a request that ends each server that begins it is held back then, and no other ever is.
 
 On a broken promise the folder with node files and logs is kept and named.
 """
@@ -33,6 +34,7 @@
 from loguru import logger
 
 from fireflyhitch_bench.loopback_proxy import LinkFault
+from fireflyhitch_bench.soak_quiet import CRASHING_PATH, HELD, Answer, QuietChecks
 from fireflyhitch_bench.soak_site import (
     GRACE_SECONDS,
     KEY,
@@ -53,6 +55,7 @@
 # Between the begin of one fault and the next, so that some overlap.
 FAULT_PAUSE_SECONDS = (0.2, 1.2)
 FAULT_SECONDS = (0.5, 3.0)
+CRASH_PAUSE_SECONDS = (1.0, 4.0)
 # In which a daemon is back after the last fault, on a busy machine too.
 RECOVERY_SECONDS = 30.0
 RETRY_SECONDS = 0.2
@@ -79,15 +82,6 @@
     broken: list[str] = field(default_factory=list)
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """What a caller got; no status if the connection ended without an answer."""
-
-    status: int | None
-    body: bytes = b''
-    signed: bool = False
-
-
 class FaultSoak:
     """One run with one seed."""
 
@@ -118,10 +112,13 @@
         await self._site.start(DAEMONS)
         await self._wait_serving()
         callers = [asyncio.create_task(self._call()) for _ in range(CALLERS)]
+        callers.append(asyncio.create_task(self._crash()))
         await self._play_faults(seconds)
         self._over = True
         await asyncio.gather(*callers)
         await self._wait_serving()
+        quiet = QuietChecks(self._site, self._ask_for, self.verdict.broken)
+        await quiet.check_crashing()
         self._check_runs()
         self._check_duties()
         return self.verdict
@@ -134,6 +131,15 @@
             await self._call_once(daemon, self._draw.choice(('read', 'book', 'probe')))
             await asyncio.sleep(PAUSE_SECONDS)
 
+    async def _crash(self) -> None:
+        """Ask now and again for what ends a server, beside all other faults."""
+        draw = random.Random(self.verdict.seed)  # noqa: S311
+        while not self._over:
+            await asyncio.sleep(draw.uniform(*CRASH_PAUSE_SECONDS))
+            daemon = draw.choice(self._site.daemons)
+            await self._ask(daemon, CRASHING_PATH, self._make_id())
+            self.verdict.faults['request ends servers'] += 1
+
     async def _call_once(self, daemon: DaemonProcess, kind: str) -> None:
         if kind == 'probe':
             await self._probe(daemon)
@@ -147,6 +153,8 @@
             self._refused.add(request_id)
         if answer.status == HTTPStatus.OK:
             self._check_own(request_id, answer)
+        elif HELD in answer.body:
+            self.verdict.broken.append(f'{daemon.name} holds /{kind}/')
         elif answer.status == HTTPStatus.NOT_FOUND:
             self.verdict.broken.append(f'{daemon.name} denied /{kind}/')
 
@@ -174,6 +182,9 @@
             # Ended, frozen or cut: nothing is known of the request, and none is wrong.
             return Answer(None)
 
+    async def _ask_for(self, daemon: DaemonProcess, path: str) -> Answer:
+        return await self._ask(daemon, path, self._make_id())
+
     def _check_own(self, request_id: str, answer: Answer) -> None:
         if answer.body != request_id.encode() or not answer.signed:
             self.verdict.broken.append(f'{request_id} got {answer.body!r}')
--- /dev/null
+++ b/libs/bench/fireflyhitch_bench/soak_quiet.py
@@ -0,0 +1,64 @@
+"""What the fault soak checks once all faults are over and the daemons serve again."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from itertools import cycle
+
+from fireflyhitch_bench.soak_servers import CRASHING
+from fireflyhitch_bench.soak_site import DaemonProcess, SoakSite
+
+CRASHING_PATH = f'/read/{CRASHING}'
+# In an answer that refuses a request which is held back.
+HELD = b'"held"'
+# As the platform has it: after so long daemons that hear each other know.
+CONTACT_SECONDS = 3.0
+# After a third server has ended.
+MOST_REPEATS = 3
+TRIES = 8
+TRY_SECONDS = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got; no status if the connection ended without an answer."""
+
+    status: int | None
+    body: bytes = b''
+    signed: bool = False
+
+
+Ask = Callable[[DaemonProcess, str], Awaitable[Answer]]
+
+
+class QuietChecks:
+    """Checks of one run, one after the other.
+
+    :param ask: sends a request under a new id.
+    :param broken: takes the promises that were broken.
+    """
+
+    def __init__(self, site: SoakSite, ask: Ask, broken: list[str]) -> None:
+        self._site = site
+        self._ask = ask
+        self._broken = broken
+        self._turns = cycle(site.daemons)
+
+    async def check_crashing(self) -> None:
+        """Have servers end until a request is held, and see that it is."""
+        ended = self._site.runs.ended
+        before = len(ended)
+        while len(ended) - before < MOST_REPEATS and not await self._is_held():
+            await asyncio.sleep(TRY_SECONDS)
+        await asyncio.sleep(CONTACT_SECONDS)
+        before = len(ended)
+        for _ in range(TRIES):
+            await self._is_held()
+            await asyncio.sleep(TRY_SECONDS)
+        if len(ended) - before > MOST_REPEATS:
+            self._broken.append(f'{len(ended) - before} more servers ended')
+
+    async def _is_held(self) -> bool:
+        answer = await self._ask(next(self._turns), CRASHING_PATH)
+        return answer.status == HTTPStatus.SERVICE_UNAVAILABLE and HELD in answer.body
--- a/libs/bench/fireflyhitch_bench/soak_servers.py
+++ b/libs/bench/fireflyhitch_bench/soak_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fireflyhitch_serving.connections import Address
@@ -9,6 +10,8 @@
 from fireflyhitch_standins.users_formats import render_signed
 
 WORK_SECONDS = 0.02
+# A request to a path that holds this ends the process that begins it.
+CRASHING = 'crashing'
 
 
 @dataclass(slots=True)
@@ -18,21 +21,28 @@
     :param by_request: times that each request ran.
     :param wrong_server: requests that named another server.
     :param without_customer: requests that bore no customer, or the caller's key.
+    :param ended: servers whose process ended under a request.
     """
 
     by_request: Counter[str] = field(default_factory=Counter)
     wrong_server: list[str] = field(default_factory=list)
     without_customer: list[str] = field(default_factory=list)
+    ended: list[str] = field(default_factory=list)
 
 
 class SoakServer:
     """A server that signs each answer with its name and the request's id."""
 
-    def __init__(self, name: str, runs: Runs) -> None:
-        """Make a server; ``start`` has it listen."""
+    def __init__(self, name: str, runs: Runs, on_end: Callable[[str], None]) -> None:
+        """Make a server; ``start`` has it listen.
+
+        :param on_end: told the name of a server whose process has ended.
+        """
         self.name = name
         self.loses_answers = False
         self._runs = runs
+        self._on_end = on_end
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server = ScriptedServer(name, self._answer)
 
     async def start(self) -> Address:
@@ -43,7 +53,19 @@
         """Stop to listen."""
         self._server.stop()
 
+    def end(self) -> None:
+        """End as a process does: all connections break off, and nobody listens."""
+        self.stop()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._runs.ended.append(self.name)
+        self._on_end(self.name)
+
     async def _answer(self, request: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        if CRASHING in request.head.partition('\r\n')[0]:
+            self.end()
+            return
         request_id = request.find('request-id')
         if request.find('expect-instance') != self.name:
             self._runs.wrong_server.append(request_id)
--- a/libs/bench/fireflyhitch_bench/soak_site.py
+++ b/libs/bench/fireflyhitch_bench/soak_site.py
@@ -1,9 +1,11 @@
 """The site of the fault soak: real daemons as processes, and stand-ins around them."""
 
+import asyncio
 import os
 import signal
 import subprocess  # noqa: S404
 import sys
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import IO
@@ -30,6 +32,8 @@
 DOMAINS = ('gent', 'brugge')
 GRACE_SECONDS = 4
 LEAST_DRAIN_SECONDS = 2.0
+# Until a server that has ended is there again.
+START_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -85,6 +89,8 @@
     servers: dict[str, SoakServer] = field(default_factory=dict)
     addresses: dict[str, Address] = field(default_factory=dict)
     version: int = 0
+    starts: Counter[str] = field(default_factory=Counter)
+    restarts: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self, daemons: int) -> None:
         """Start stand-ins, servers and daemons."""
@@ -98,6 +104,8 @@
 
     def stop(self) -> None:
         """End what was started, by its ids."""
+        for restart in self.restarts:
+            restart.cancel()
         for daemon in self.daemons:
             daemon.send_signal(signal.SIGCONT)
             daemon.send_signal(signal.SIGKILL)
@@ -120,15 +128,29 @@
     def list_server(self, name: str, state: str = 'ready') -> None:
         """Write a server's entry."""
         entry = render_server(
-            self.addresses[name], zone=DOMAINS[0], state=state, slots=SLOTS, born=1
+            self.addresses[name],
+            zone=DOMAINS[0],
+            state=state,
+            slots=SLOTS,
+            born=self.starts[name],
         )
         self.store.put(f'servers/{name}', entry)
 
     async def _add_server(self, name: str) -> None:
-        self.servers[name] = SoakServer(name, self.runs)
+        self.starts[name] += 1
+        self.servers[name] = SoakServer(name, self.runs, self._note_end)
         self.addresses[name] = await self.servers[name].start()
         self.list_server(name)
 
+    def _note_end(self, name: str) -> None:
+        restart = asyncio.get_running_loop().create_task(self._restart(name))
+        self.restarts.add(restart)
+        restart.add_done_callback(self.restarts.discard)
+
+    async def _restart(self, name: str) -> None:
+        await asyncio.sleep(START_SECONDS)
+        await self._add_server(name)
+
     async def _add_daemon(self, number: int) -> None:
         proxy = LoopbackProxy(Address.parse(self.store.address))
         store = await proxy.start()
--- a/libs/bench/tests/test_fault_soak.py
+++ b/libs/bench/tests/test_fault_soak.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from fireflyhitch_bench.fault_soak import Answer, FaultSoak, play_seed
+from fireflyhitch_bench.fault_soak import FaultSoak, play_seed
+from fireflyhitch_bench.soak_quiet import Answer
 from fireflyhitch_bench.soak_site import SoakSite
 
 # Seeds that ever broke a promise are added here, each with a line on the cause.
