Have the soak's servers name a limit, and check that it is kept when all is quiet

No stand-in named one, so second1 could be met by no test and no soak. When the faults are over a server that names one request a second must get no more than 11 in 4 s.

--- a/libs/bench/fireflyhitch_bench/fault_soak.py
+++ b/libs/bench/fireflyhitch_bench/fault_soak.py
@@ -10,7 +10,8 @@
 - a process that served by a configuration serves no older one afterwards;
 - two reports of one window's usage hold the same counts, and fencing numbers grow;
 - when the faults are over, every daemon serves again;
-- a request that ends each server that begins it is held back then, and no other ever is.
+- a request that ends each server that begins it is held back then, and no other ever is;
+- a server that names a limit gets no more then than all daemons together may send.
 
 On a broken promise the folder with node files and logs is kept and named.
 """
@@ -119,6 +120,7 @@
         await self._wait_serving()
         quiet = QuietChecks(self._site, self._ask_for, self.verdict.broken)
         await quiet.check_crashing()
+        await quiet.check_limit()
         self._check_runs()
         self._check_duties()
         return self.verdict
--- a/libs/bench/fireflyhitch_bench/soak_quiet.py
+++ b/libs/bench/fireflyhitch_bench/soak_quiet.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from itertools import cycle
 
-from fireflyhitch_bench.soak_servers import CRASHING
+from fireflyhitch_bench.soak_servers import CRASHING, SoakServer
 from fireflyhitch_bench.soak_site import DaemonProcess, SoakSite
 
 CRASHING_PATH = f'/read/{CRASHING}'
@@ -18,6 +18,12 @@
 MOST_REPEATS = 3
 TRIES = 8
 TRY_SECONDS = 0.6
+# What a server may get in any four seconds.
+LIMIT = 1.0
+WINDOW_SECONDS = 4.0
+MOST_IN_WINDOW = 1.5 * WINDOW_SECONDS * LIMIT + 5
+ASKED_SECONDS = 8.0
+ASK_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +65,31 @@
         if len(ended) - before > MOST_REPEATS:
             self._broken.append(f'{len(ended) - before} more servers ended')
 
+    async def check_limit(self) -> None:
+        """Have a server name a limit, and see that it gets no more."""
+        name = min(self._site.servers)
+        server = self._site.servers[name]
+        server.limit = LIMIT
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        async with asyncio.TaskGroup() as callers:
+            while loop.time() < begin + ASKED_SECONDS:
+                callers.create_task(self._read())
+                await asyncio.sleep(ASK_SECONDS)
+        most = count_most(server, begin + CONTACT_SECONDS)
+        if most > MOST_IN_WINDOW:
+            self._broken.append(f'{name} got {most} requests, beyond its limit')
+
     async def _is_held(self) -> bool:
         answer = await self._ask(next(self._turns), CRASHING_PATH)
         return answer.status == HTTPStatus.SERVICE_UNAVAILABLE and HELD in answer.body
+
+    async def _read(self) -> None:
+        await self._ask(next(self._turns), '/read/1')
+
+
+def count_most(server: SoakServer, after: float) -> int:
+    """Return the most requests that a server got in four seconds."""
+    late = [at for at in server.arrivals if at >= after]
+    windows = (sum(at <= one < at + WINDOW_SECONDS for one in late) for at in late)
+    return max(windows, default=0)
--- a/libs/bench/fireflyhitch_bench/soak_servers.py
+++ b/libs/bench/fireflyhitch_bench/soak_servers.py
@@ -40,6 +40,8 @@
         """
         self.name = name
         self.loses_answers = False
+        self.limit: float | None = None
+        self.arrivals: list[float] = []
         self._runs = runs
         self._on_end = on_end
         self._writers: set[asyncio.StreamWriter] = set()
@@ -63,6 +65,7 @@
 
     async def _answer(self, request: SeenRequest, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        self.arrivals.append(asyncio.get_running_loop().time())
         if CRASHING in request.head.partition('\r\n')[0]:
             self.end()
             return
@@ -76,4 +79,7 @@
         if self.loses_answers:
             writer.transport.abort()
             return
-        writer.write(render_signed(request_id, self.name, request_id.encode()))
+        signed = render_signed(
+            request_id, self.name, request_id.encode(), limit=self.limit
+        )
+        writer.write(signed)
