--- a/libs/serving/fireflyhitch_serving/own_part.py
+++ b/libs/serving/fireflyhitch_serving/own_part.py
@@ -5,6 +5,8 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import replace
 
 from fireflyhitch_model.ids import BackendServerId, CustomerId
 from fireflyhitch_serving.peer_news import PeerNews
@@ -35,36 +37,24 @@
         if len(self._told) > MOST_REMEMBERED:
             self._told.popitem(last=False)
 
-    def take_off_work(self, summary: DomainSummary) -> dict[BackendServerId, InFlight]:
-        """Return the work that the others have in flight, by server."""
+    def take_off(self, summary: DomainSummary) -> DomainSummary:
+        """Return a hub's sums of the other daemons alone."""
         own = self._find(summary)
-        if own is None:
-            return dict(summary.work)
-        return {
-            server: _subtract(work, own.work.get(server, InFlight()))
-            for server, work in summary.work.items()
-        }
-
-    def take_off_answers(
-        self, summary: DomainSummary
-    ) -> dict[BackendServerId, AnswerCounts]:
-        """Return how servers have answered the others."""
-        own = self._find(summary)
-        answers = {} if own is None else own.answers
-        return {
-            server: counts.take_off(answers.get(server, AnswerCounts()))
-            for server, counts in summary.answers.items()
-        }
-
-    def take_off_customers(
-        self, summary: DomainSummary
+        self._count(summary, own)
+        return replace(
+            summary,
+            work=_take_off_work(summary, own),
+            answers=_take_off_answers(summary, own),
+            customers=self._take_off_customers(summary, own),
+        )
+
+    def _take_off_customers(
+        self, summary: DomainSummary, own: PeerNews | None
     ) -> dict[CustomerId, CustomerNote]:
         """Return what customers take and ask of the others.
 
         Like what it is taken off, ``taken`` grows as long as one process is the hub.
         """
-        own = self._find(summary)
-        self._count(summary, own)
         asked = {} if own is None else own.customers
         return {
             customer: CustomerNote(
@@ -94,6 +84,28 @@
             self._counted[customer] = units - self._base.get(customer, 0)
 
 
+def _take_off_work(
+    summary: DomainSummary, own: PeerNews | None
+) -> Mapping[BackendServerId, InFlight]:
+    if own is None:
+        return summary.work
+    return {
+        server: _subtract(work, own.work.get(server, InFlight()))
+        for server, work in summary.work.items()
+    }
+
+
+def _take_off_answers(
+    summary: DomainSummary, own: PeerNews | None
+) -> Mapping[BackendServerId, AnswerCounts]:
+    if own is None:
+        return summary.answers
+    return {
+        server: counts.take_off(own.answers.get(server, AnswerCounts()))
+        for server, counts in summary.answers.items()
+    }
+
+
 def _subtract(work: InFlight, own: InFlight) -> InFlight:
     return InFlight(
         max(work.requests - own.requests, 0),
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -214,18 +214,10 @@
             return
         if known is not None and known.process != summary.process:
             parts.quotas.forget_process(known.source)
-        work = self._own_part.take_off_work(summary)
-        self._take_work(summary.domain, work, summary.fresh_parts)
-        answers = self._own_part.take_off_answers(summary)
-        self._take_answers(summary.domain, answers)
-        now = parts.clock.monotonic()
-        for customer, note in self._own_part.take_off_customers(summary).items():
-            parts.quotas.take_note(summary.source, customer, note, now)
-        for process, evidence in summary.evidence.items():
-            if process != self._process:
-                parts.moves.take_evidence(process, evidence)
+        self._take_summary(self._own_part.take_off(summary))
 
     def _take_summary(self, summary: DomainSummary) -> None:
+        """Take in what the daemons of a domain have, but for this one."""
         parts = self._parts
         self._take_work(summary.domain, summary.work, summary.fresh_parts)
         self._take_answers(summary.domain, summary.answers)
@@ -233,7 +225,8 @@
         for customer, note in summary.customers.items():
             parts.quotas.take_note(summary.source, customer, note, now)
         for process, evidence in summary.evidence.items():
-            parts.moves.take_evidence(process, evidence)
+            if process != self._process:
+                parts.moves.take_evidence(process, evidence)
 
     def _note_way(self) -> None:
         """Note whether the neighbours' work is known from themselves or from the hub.
