Look at servers' limits only while one names a limit

Once any server had named a limit, each request asked for each of its candidates whether it had a turn there, for good. Now those that name one are kept apart, and a server that has said nothing for ten minutes is dropped. It is not dropped when its entry goes: entries lapse while the store is away, and all daemons would send without a limit to a server that is back.

--- a/libs/routing/fireflyhitch_routing/server_limits.py
+++ b/libs/routing/fireflyhitch_routing/server_limits.py
@@ -26,6 +26,8 @@
 # What a server names is told for so long, again and again, since messages are lost.
 TELL_SECONDS = 1.5
 MOST_TOLD = 64
+# From the last answer of a server on.
+KEPT_SECONDS = 600.0
 # Limits remembered, those that were named last.
 MOST_KNOWN = 4096
 # Odd, with bits set all over, so that a product's upper bits depend on all bits.
@@ -107,6 +109,7 @@
         self._list_daemons = list_daemons
         self._wall = wall
         self._limits: dict[ProcessId, _Limit] = {}
+        self._named: set[ProcessId] = set()
         self._hashes: dict[str, int] = {}
 
     def note_answer(
@@ -149,6 +152,7 @@
 
         :param heard: whether also what they said to others.
         """
+        self._forget_old(now)
         fresh = [
             (process, limit)
             for process, limit in self._limits.items()
@@ -163,14 +167,14 @@
 
     @property
     def are_named(self) -> bool:
-        """Tell whether any server has named a limit lately."""
-        return bool(self._limits)
+        """Tell whether there is a server that names a limit."""
+        return bool(self._named)
 
     def may_send(self, process: ProcessId) -> bool:
         """Tell whether this daemon has a turn at a server."""
-        limit = self._limits.get(process)
-        if limit is None or limit.rate is None:
+        if process not in self._named:
             return True
+        limit = self._limits[process]
         self._turn_slot(process, limit)
         return limit.count() > 0
 
@@ -190,11 +194,28 @@
     def _add(self, process: ProcessId) -> _Limit:
         if len(self._limits) >= MOST_KNOWN:
             oldest = min(self._limits, key=lambda one: self._limits[one].at)
-            del self._limits[oldest]
+            self._forget(oldest)
         added = _Limit(None, float('-inf'))
         self._limits[process] = added
         return added
 
+    def _forget_old(self, now: float) -> None:
+        """Drop servers that are gone, as far as can be told.
+
+        One that is listed no more may only have lost its entry while the store was away.
+        """
+        old = [
+            process
+            for process, limit in self._limits.items()
+            if now - limit.at > KEPT_SECONDS
+        ]
+        for process in old:
+            self._forget(process)
+
+    def _forget(self, process: ProcessId) -> None:
+        del self._limits[process]
+        self._named.discard(process)
+
     def _set(
         self,
         process: ProcessId,
@@ -210,6 +231,10 @@
             # Turns of another limit are no measure for this one.
             known.slot = -1
             known.kept = 0
+        if rate is None:
+            self._named.discard(process)
+        else:
+            self._named.add(process)
         known.rate = rate
         known.at = at
         known.changed_at = now
--- a/libs/routing/tests/test_server_limits.py
+++ b/libs/routing/tests/test_server_limits.py
@@ -8,6 +8,7 @@
 from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_routing.crashes import ProcessId
 from fireflyhitch_routing.server_limits import (
+    KEPT_SECONDS,
     MOST_KNOWN,
     MOST_TOLD,
     TELL_SECONDS,
@@ -172,6 +173,15 @@
                 )
             assert other.find_own_rate(PROCESS) == float('inf')
 
+    def test_where_none_names_one_any_more_requests_cost_no_look(self) -> None:
+        fleet = Fleet(2, 1.0)
+        ended, gone = fleet.limits
+        ended.note_answer(PROCESS, SERVER, None, fleet.now + 1, fleet.now + 2)
+        assert not ended.are_named
+        assert gone.are_named
+        gone.tell(fleet.now + 2 * KEPT_SECONDS, heard=False)
+        assert not gone.are_named
+
     def test_it_is_told_for_a_while_and_stays_bounded(self) -> None:
         limits = ServerLimits('a', lambda: ['a'], float)
         for number in range(MOST_KNOWN + 10):
