Tell an end that was found out late as well

A server whose instance is gone is silent, and found to have ended when it is listed no more, some seconds later. It is told from when it is found out.

--- a/libs/daemon/fireflyhitch_daemon/crash_guard.py
+++ b/libs/daemon/fireflyhitch_daemon/crash_guard.py
@@ -150,8 +150,9 @@
 
     def _note_end(self, run: _BrokenRun) -> None:
         process = identify_process(run.server.server_id, run.server.incarnation)
+        end = ServerEnd(run.at, run.began)
         with self._lock:
-            self._book.note_end(run.content, process, ServerEnd(run.at, run.began))
+            self._book.note_end(run.content, process, end, self._clock.monotonic())
         logger.bind(
             step=Step.RELAY.value, peer=run.server.server_id, content=run.content
         ).warning('server ended under a call')
--- a/libs/routing/fireflyhitch_routing/crashes.py
+++ b/libs/routing/fireflyhitch_routing/crashes.py
@@ -151,12 +151,17 @@
         strong.sort(key=lambda row: (-row[1], row[0]))
         return [content for content, _ in strong]
 
-    def note_end(self, content: ContentId, process: ProcessId, end: ServerEnd) -> None:
-        """Take in that a server ended while a request of this daemon ran there."""
+    def note_end(
+        self, content: ContentId, process: ProcessId, end: ServerEnd, now: float
+    ) -> None:
+        """Take in that a server ended while a request of this daemon ran there.
+
+        :param now: monotonic seconds; an end may be found out some seconds late.
+        """
         suspect = self._find(content)
         if suspect.take_end(process, end):
-            suspect.told_until = end.at + TELL_SECONDS
-            self._note_change(content, suspect, end.at)
+            suspect.told_until = now + TELL_SECONDS
+            self._note_change(content, suspect, now)
 
     def note_answer(self, content: ContentId, now: float) -> None:
         """Take in that a request of this daemon was answered whole."""
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -40,7 +40,7 @@
         process = ProcessId(self.ended)
         for content in contents:
             end = ServerEnd(self.now, self.now - ran)
-            self.books[at].note_end(content, process, end)
+            self.books[at].note_end(content, process, end, self.now)
         self.now += 1
         self.tell()
 
@@ -135,7 +135,7 @@
         fleet = Fleet()
         for number in range(5):
             end = ServerEnd(fleet.now, fleet.now - 0.3)
-            fleet.books[0].note_end(HARMLESS, ProcessId(number), end)
+            fleet.books[0].note_end(HARMLESS, ProcessId(number), end, fleet.now)
         fleet.tell()
         assert not fleet.count_holding(HARMLESS)
 
@@ -143,9 +143,8 @@
         fleet = Fleet()
         for _ in range(2):
             fleet.end_server(0, CRASHING)
-        fleet.books[0].note_end(
-            CRASHING, ProcessId(9), ServerEnd(fleet.now, fleet.now - 0.1)
-        )
+        end = ServerEnd(fleet.now, fleet.now - 0.1)
+        fleet.books[0].note_end(CRASHING, ProcessId(9), end, fleet.now)
         quarantine = fleet.quarantines[0]
         quarantine.review(fleet.now, SETTLED)
         assert quarantine.find_wait(CRASHING, fleet.now) is None
@@ -198,7 +197,7 @@
         tellers = [CrashBook() for _ in range(3)]
         for number in range(count):
             end = ServerEnd(number / 10, number / 10 - 0.05)
-            draw.choice(tellers).note_end(CRASHING, ProcessId(number), end)
+            draw.choice(tellers).note_end(CRASHING, ProcessId(number), end, end.at)
         told = [teller.tell(1, heard=False) for teller in (*tellers, *tellers)]
         draw.shuffle(told)
         book = CrashBook()
@@ -208,6 +207,14 @@
         assert suspect is not None
         assert suspect.ends.keys() == set(range(count))
 
+    def test_an_end_that_was_found_late_is_told_all_the_same(self) -> None:
+        # A server whose whole instance is gone is silent until it is listed no more.
+        teller, other = CrashBook(), CrashBook()
+        end = ServerEnd(10, 9.9)
+        teller.note_end(CRASHING, ProcessId(1), end, 10 + 3 * TELL_SECONDS)
+        other.take(teller.tell(10 + 3 * TELL_SECONDS, heard=False), 20)
+        assert other.find(CRASHING) is not None
+
     def test_what_is_told_falls_silent(self) -> None:
         fleet = Fleet(8)
         fleet.end_server(0, CRASHING)
@@ -223,7 +230,8 @@
         fleet = Fleet()
         for number in range(2 * MOST_SUSPECTS):
             end = ServerEnd(fleet.now, fleet.now - 1)
-            fleet.books[0].note_end(ContentId(f'r{number}'), ProcessId(number), end)
+            content = ContentId(f'r{number}')
+            fleet.books[0].note_end(content, ProcessId(number), end, fleet.now)
         assert len(fleet.books[0].all()) == MOST_SUSPECTS
         assert len(fleet.books[0].tell(fleet.now, heard=True)) == MOST_TOLD
 
--- a/libs/serving/fireflyhitch_serving/server_ends.py
+++ b/libs/serving/fireflyhitch_serving/server_ends.py
@@ -88,8 +88,9 @@
     def _note_end(self, record: ServerRecord, runs: _BrokenRuns) -> None:
         server = record.server
         process = identify_process(server.server_id, server.born)
+        now = self._clock.monotonic()
         for content, began in runs.began.items():
-            self._book.note_end(content, process, ServerEnd(runs.at, began))
+            self._book.note_end(content, process, ServerEnd(runs.at, began), now)
         logger.bind(
             server=server.server_id,
             born=server.born,
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -201,7 +201,7 @@
         """Have a server end now under a request that it was sent just before."""
         now = self._clock.monotonic()
         end = ServerEnd(now, now - 0.05)
-        self.crashes.book.note_end(content, ProcessId(process), end)
+        self.crashes.book.note_end(content, ProcessId(process), end, now)
 
     def kill(self) -> None:
         """End without a word."""
