Keep the newest ends under a request, not the first

Eight ends are remembered of a request. A request with eight old ones, which an answer has long spoken against, took in no more: should it end servers now, as with another version of them, it would never be held. Found by reading; the test was red.

--- a/libs/routing/fireflyhitch_routing/crashes.py
+++ b/libs/routing/fireflyhitch_routing/crashes.py
@@ -25,7 +25,7 @@
 # Requests remembered, those heard of last.
 MOST_SUSPECTS = 4096
 MOST_ANSWERED = 16384
-# Ends remembered of one request; more of them tell nothing new.
+# Ends remembered of one request, the newest; more of them tell nothing new.
 MOST_ENDS = 8
 # An answer is news again after this long; what is told takes some tenths of a second,
 # and must not come back as new.
@@ -95,10 +95,13 @@
 
     def take_end(self, process: ProcessId, end: ServerEnd) -> bool:
         """Take in an end; tell whether it was not known."""
-        if process in self.ends or len(self.ends) >= MOST_ENDS:
+        if process in self.ends:
             return False
         self.ends[process] = end
-        return True
+        if len(self.ends) > MOST_ENDS:
+            oldest = min(self.ends, key=lambda known: self.ends[known])
+            del self.ends[oldest]
+        return process in self.ends
 
     def take_answer(self, at: float) -> bool:
         """Take in a whole answer; tell whether that is news."""
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -9,6 +9,7 @@
 from fireflyhitch_model.ids import BackendServerId, ContentId, CustomerId
 from fireflyhitch_routing.crashes import (
     ANSWERED_SECONDS,
+    MOST_ENDS,
     MOST_SUSPECTS,
     MOST_TOLD,
     TELL_SECONDS,
@@ -122,6 +123,18 @@
             fleet.end_server(0, HARMLESS)
         assert not fleet.count_holding(HARMLESS)
 
+    def test_ends_of_long_ago_leave_room_for_those_of_now(self) -> None:
+        fleet = Fleet()
+        for _ in range(2 * MOST_ENDS):
+            fleet.end_server(0, CRASHING)
+        fleet.books[0].note_answer(CRASHING, fleet.now)
+        fleet.now += 2 * HOLD_SECONDS
+        fleet.tell()
+        assert not fleet.count_holding(CRASHING)
+        for _ in range(3):
+            fleet.end_server(0, CRASHING)
+        assert fleet.count_holding(CRASHING)
+
     def test_what_was_answered_long_ago_may_end_servers_now(self) -> None:
         fleet = Fleet()
         fleet.books[0].note_answer(CRASHING, fleet.now)
