Let only a server's own answer end the limit that it has named

At an address that is used anew another server answers 421, without a limit; that was taken for the named server's word, and all daemons sent to it without a limit again. Such an answer bears no signature.

--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -325,7 +325,8 @@
     ) -> None:
         if facts.load is not None:
             placement.record.note_load(facts.load, self._clock.monotonic())
-        if facts.signed or facts.not_run:
+        # Without a signature it may be another server's, at an address used anew.
+        if facts.signed or facts.limit is not None:
             self._parts.limits.note_answer(
                 placement.record.process,
                 placement.record.server.server_id,
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -14,7 +14,7 @@
     FailureDomainId,
     RequestId,
 )
-from fireflyhitch_routing.server_limits import ServerLimits
+from fireflyhitch_routing.server_limits import ServerLimits, parse_rate
 from fireflyhitch_serving.budgets import RepeatBounds, RepeatBudget
 from fireflyhitch_serving.callers import CallerConnection, FrontState
 from fireflyhitch_serving.catalog import (
@@ -98,6 +98,7 @@
             signed=find_header(head.headers, b'x-signed') is not None,
             encoded=False,
             load=None,
+            limit=parse_rate(_read_header(head, b'x-limit')),
         )
 
     def render_refusal(
@@ -111,6 +112,11 @@
         return RenderedAnswer(refusal.status, headers, refusal.code.encode())
 
 
+def _read_header(head: AnswerHead, name: bytes) -> str | None:
+    value = find_header(head.headers, name)
+    return None if value is None else value.decode()
+
+
 ROUTE = Route(
     name='read',
     host='shop.example',
@@ -171,6 +177,7 @@
         self.servers: list[ScriptedServer] = []
         self.clock = SystemClock()
         self.metrics = MetricsPage()
+        self.limits = ServerLimits('here', lambda: ['here'], time.time)
         self.crashes = make_crash_parts(self.clock, self.book)
         self.last_moment: float | None = None
         path = RequestPath(
@@ -193,7 +200,7 @@
                 own_domain=HERE,
                 draw=random.Random(1),  # noqa: S311
                 crashes=self.crashes,
-                limits=ServerLimits('here', lambda: ['here'], time.time),
+                limits=self.limits,
             )
         )
         self.front = FrontState(path.serve, self._limits, self.clock)
