Never tell a request that a server had as not run, though its last server goes while it waits

A caller got 503, which promises that the request has not run, for one whose first server had broken off its answer: it waited for a place at the next one, and that one was listed no more. Such an answer is 502 now, with an unknown outcome, as everywhere else after a run. Only requests that may be repeated come there.

--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -242,16 +242,7 @@
             answer = failure.answer
             reply.send_whole(answer.status, answer.headers, answer.body)
             return
-        if not exchange.runs:
-            raise self._without_server(exchange)
-        raise RefusedError(
-            Refusal(
-                HTTPStatus.BAD_GATEWAY,
-                'server_lost',
-                'the server gave no whole answer',
-                Outcome.UNKNOWN,
-            )
-        )
+        raise self._without_server(exchange)
 
     def _end_late(self, exchange: Exchange) -> None:
         if exchange.reply.begun:
@@ -336,6 +327,15 @@
             )
 
     def _without_server(self, exchange: Exchange) -> RefusedError:
+        if exchange.runs:
+            return RefusedError(
+                Refusal(
+                    HTTPStatus.BAD_GATEWAY,
+                    'server_lost',
+                    'the server gave no whole answer',
+                    Outcome.UNKNOWN,
+                )
+            )
         return self._admission.refuse_for_now(
             'no_server', 'no server can take the request'
         )
--- a/libs/serving/tests/test_path.py
+++ b/libs/serving/tests/test_path.py
@@ -1,5 +1,6 @@
 """Tests of the path of a request, from what its caller gets."""
 
+import asyncio
 from dataclasses import replace
 
 import pytest
@@ -15,11 +16,14 @@
 )
 from scripted_servers import answer, close_connection, stay_silent
 
+from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_serving.catalog import Quota
 from fireflyhitch_serving.errors import CallerGone
 from fireflyhitch_serving.messages import CallerMessage
 from fireflyhitch_serving.versions import VersionShare
 
+WAIT_SECONDS = 0.2
+
 
 class TestAnswers:
     def test_a_server_s_answer_reaches_its_caller_unchanged(self) -> None:
@@ -172,6 +176,24 @@
         play(Scene(make_catalog(routes=(route,))), script)
 
 
+class TestRepeatsThatWait:
+    """Guards against a promise that a request has not run, though a server had it."""
+
+    def test_one_whose_last_server_goes_meanwhile_may_have_run(self) -> None:
+        async def script(scene: Scene) -> None:
+            await scene.add('a', close_connection())
+            await scene.add('b', answer())
+            busy = scene.book.all()[BackendServerId('b')]
+            busy.requests = busy.server.slots
+            asked = asyncio.create_task(scene.ask())
+            await asyncio.sleep(WAIT_SECONDS)
+            scene.book.remove(busy.server.server_id)
+            got = await asked
+            assert (got.status, got.headers['x-outcome']) == (502, 'unknown')
+
+        play(Scene(), script)
+
+
 class TestAdmission:
     def test_without_a_configuration_callers_are_asked_to_come_back(self) -> None:
         async def script(scene: Scene) -> None:
