--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -1,7 +1,6 @@
 """The path of a request: admission, choice, attempts, and its final answer."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Sequence
 from datetime import timedelta
 from functools import partial
@@ -9,7 +8,7 @@
 
 from loguru import logger
 
-from fireflyhitch_model.ids import CustomerId, DeploymentId
+from fireflyhitch_model.ids import CustomerId
 from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.admission import Admission, RefusedError
 from fireflyhitch_serving.attempts import Attempt, AttemptEvents
@@ -25,9 +24,8 @@
 from fireflyhitch_serving.placing import Placement
 from fireflyhitch_serving.server_evidence import LATEST, compare_times
 from fireflyhitch_serving.servers import ServerRecord
+from fireflyhitch_serving.waiting import WaitingRequests
 
-# A waiting plain request looks again this often even if nothing was heard of.
-LOOK_SECONDS = 0.02
 # An answer needs at least this much; with less left a send would be a token one.
 LEAST_SEND_SECONDS = 0.03
 # In metrics, for requests on public routes.
@@ -44,8 +42,7 @@
         self._admission = Admission(parts)
         self._choices = Choices(parts)
         self._events = AttemptEvents(began=self._note_begin, answered=self._note_answer)
-        self._freed: dict[DeploymentId, asyncio.Event] = {}
-        self._waiting: Counter[DeploymentId] = Counter()
+        self._waiting = WaitingRequests()
 
     async def serve(self, message: CallerMessage, reply: Reply) -> None:
         """Serve one request to its final answer."""
@@ -109,7 +106,7 @@
                 raise self._without_server(exchange)
             if not able:
                 self._check_limits(exchange, candidates)
-            await self._wait_for_slot(exchange)
+            await self._waiting.wait(exchange)
 
     def _check_limits(
         self, exchange: Exchange, candidates: Sequence[ServerRecord]
@@ -120,7 +117,7 @@
         """
         if exchange.waits:
             return
-        waiting = self._waiting[exchange.service] + 1
+        waiting = self._waiting.count(exchange.service) + 1
         wait = waiting / self._choices.find_own_rate(candidates)
         if self._clock.monotonic() + wait < exchange.deadline:
             return
@@ -133,19 +130,6 @@
             )
         )
 
-    async def _wait_for_slot(self, exchange: Exchange) -> None:
-        freed = self._freed.setdefault(exchange.service, asyncio.Event())
-        freed.clear()
-        exchange.waits = True
-        self._waiting[exchange.service] += 1
-        try:
-            async with asyncio.timeout(LOOK_SECONDS):
-                await freed.wait()
-        except TimeoutError:
-            return
-        finally:
-            self._waiting[exchange.service] -= 1
-
     async def _try(
         self, exchange: Exchange, placement: Placement
     ) -> AttemptFailure | None:
@@ -208,9 +192,7 @@
                 failure_rate=round(record.health.rate, 2),
                 seconds=round(record.health.ejected_until - now, 1),
             ).warning('server ejected')
-        freed = self._freed.get(exchange.service)
-        if freed is not None:
-            freed.set()
+        self._waiting.note_freed(exchange.service)
 
     def _note_evidence(
         self, exchange: Exchange, record: ServerRecord, ending: Ending
