Break a begun stream off when its last server goes, instead of sending a second head

A caller that had read events got the head and body of a refusal in the middle of its chunked answer: its stream had broken off, went on waiting for another server, and that one was listed no more. Bytes that are no answer in the protocol reached it. Now the connection is cut, as elsewhere where a begun answer ends early.

--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -60,12 +60,18 @@
         try:
             await self._carry_in_time(exchange)
         except RefusedError as error:
-            self._refuse(error.refusal, facts, reply)
+            self._end_refused(exchange, error.refusal)
         except CallerGone:
             logger.bind(request_id=facts.request_id).info('caller left')
         finally:
             self._record(exchange)
 
+    def _end_refused(self, exchange: Exchange, refusal: Refusal) -> None:
+        if exchange.reply.begun:
+            self._break_off(exchange, refusal.message)
+            return
+        self._refuse(refusal, exchange.facts, exchange.reply)
+
     async def _carry_in_time(self, exchange: Exchange) -> None:
         now = self._clock.monotonic()
         try:
--- a/libs/serving/tests/test_streams.py
+++ b/libs/serving/tests/test_streams.py
@@ -1,11 +1,13 @@
 """Tests of streams, silence and time limits, from what callers get."""
 
 import asyncio
+from contextlib import suppress
 from dataclasses import replace
 
-from scene import BOOK, CHAT, ROUTE, Scene, make_catalog, play
+from scene import BOOK, CHAT, KEY, ROUTE, Scene, make_catalog, play
 from scripted_servers import answer, stay_silent, stream
 
+from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_serving.connections import connect
 
 
@@ -38,6 +40,28 @@
 
         play(Scene(), script)
 
+    def test_a_begun_stream_whose_last_server_goes_breaks_off_visibly(self) -> None:
+        # It waits for a place at another server; a second head must not follow its events.
+        async def script(scene: Scene) -> None:
+            await scene.add('a', stream(1, whole=False), slots=100)
+            await scene.add('b', stream(2))
+            busy = scene.book.all()[BackendServerId('b')]
+            busy.requests = busy.server.slots
+            reader, writer = await asyncio.open_connection(
+                scene.address.host, scene.address.port
+            )
+            writer.write(
+                b'POST /chat/1 HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\n'
+                b'X-Key: %b\r\nContent-Length: 0\r\n\r\n' % KEY.encode()
+            )
+            await reader.readuntil(b'data: t1')
+            scene.book.remove(busy.server.server_id)
+            with suppress(ConnectionError):
+                assert b'HTTP/1.1' not in await reader.read()
+            writer.close()
+
+        play(Scene(), script)
+
     def test_a_stream_that_may_not_be_resumed_breaks_off_visibly(self) -> None:
         # The server dies in mid stream. The caller must see that its answer is not
         # whole: the chunked body has no end.
