Answer 502 for a request that a server had, where its next turn comes too late

With only servers left that name limits it got 503, as not run, though an earlier server had broken off its answer. Found by reading, before any play met it; the test was red.

--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -127,6 +127,8 @@
         wait = waiting / self._choices.find_own_rate(candidates)
         if self._clock.monotonic() + wait < exchange.deadline:
             return
+        if exchange.runs:
+            raise self._without_server(exchange)
         raise RefusedError(
             Refusal(
                 HTTPStatus.SERVICE_UNAVAILABLE,
--- a/libs/serving/tests/test_named_limits.py
+++ b/libs/serving/tests/test_named_limits.py
@@ -3,7 +3,9 @@
 import asyncio
 
 from scene import Scene, play
+from scripted_servers import close_connection
 
+from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_standins.scripted_server import SeenRequest
 
 
@@ -41,6 +43,25 @@
     return named[0]
 
 
+class TestRequestsThatWaitForTurns:
+    """Guards against a promise that a request has not run, though a server had it."""
+
+    def test_one_that_a_server_had_is_not_refused_as_not_run(self) -> None:
+        async def script(scene: Scene) -> None:
+            await scene.add('a', close_connection())
+            await scene.add('b', Answers().answer)
+            limited = scene.book.all()[BackendServerId('b')]
+            now = scene.clock.monotonic()
+            server_id = limited.server.server_id
+            scene.limits.note_answer(limited.process, server_id, 0.0, now, now)
+            while scene.limits.may_send(limited.process):
+                scene.limits.note_sent(limited.process)
+            got = await scene.ask()
+            assert (got.status, got.headers['x-outcome']) == (502, 'unknown')
+
+        play(Scene(), script)
+
+
 class TestNamedLimits:
     def test_an_answer_names_a_limit_and_one_without_it_ends_it(self) -> None:
         assert find_named(NAMED)
