--- a/libs/routing/fireflyhitch_routing/server_limits.py
+++ b/libs/routing/fireflyhitch_routing/server_limits.py
@@ -68,6 +68,8 @@
     :param told_until: monotonic seconds until which this daemon tells it.
     :param changed_at: monotonic seconds since when it is known here.
     :param slot: that ``turns`` were counted for.
+    :param used: of these; they stay used when the server names another limit.
+    :param kept: turns of the slot before.
     """
 
     rate: float | None
@@ -77,18 +79,24 @@
     changed_at: float = float('-inf')
     slot: int = -1
     turns: int = 0
+    used: int = 0
     kept: int = 0
 
+    @property
+    def left(self) -> int:
+        """Return how many of the slot's turns are left."""
+        return max(self.turns - self.used, 0)
+
     def count(self) -> int:
         """Return how many requests may be sent now."""
-        return self.turns + self.kept
+        return self.left + self.kept
 
     def take(self) -> None:
         """Use the turn that ends first."""
         if self.kept:
             self.kept -= 1
         else:
-            self.turns -= 1
+            self.used += 1
 
 
 class ServerLimits:
@@ -224,13 +232,11 @@
         at: float,
         now: float,
     ) -> None:
-        if rate != known.rate:
+        changed = rate != known.rate
+        if changed:
             logger.bind(
                 server=known.server, process=process, limit=rate, was=known.rate
             ).info('server limit')
-            # Turns of another limit are no measure for this one.
-            known.slot = -1
-            known.kept = 0
         if rate is None:
             self._named.discard(process)
         else:
@@ -238,13 +244,17 @@
         known.rate = rate
         known.at = at
         known.changed_at = now
+        if changed and known.slot >= 0:
+            known.turns = self._count_turns(process, known, known.slot)
+            known.kept = min(known.kept, known.turns)
 
     def _turn_slot(self, process: ProcessId, limit: _Limit) -> None:
         slot = int(self._wall() // SLOT_SECONDS)
         if slot == limit.slot:
             return
-        limit.kept = max(limit.turns, 0) if slot == limit.slot + 1 else 0
+        limit.kept = limit.left if slot == limit.slot + 1 else 0
         limit.slot = slot
+        limit.used = 0
         limit.turns = self._count_turns(process, limit, slot)
 
     def _count_turns(self, process: ProcessId, limit: _Limit, slot: int) -> int:
--- a/libs/routing/tests/test_server_limits.py
+++ b/libs/routing/tests/test_server_limits.py
@@ -97,6 +97,15 @@
         fleet.run(20, demand=3)
         assert len(fleet.sent) >= 0.9 * rate * 20
 
+    def test_a_limit_that_is_another_with_each_answer_is_kept(self) -> None:
+        fleet = Fleet(5, 1.0)
+        for _ in range(600):
+            fleet.run(STEP_SECONDS, demand=50)
+            named = fleet.draw.uniform(0.8, 1.0)
+            for limits in fleet.limits:
+                limits.note_answer(PROCESS, SERVER, named, fleet.now, fleet.now)
+        assert fleet.count_most() <= fleet.find_allowed()
+
     def test_a_surge_after_quiet_seconds_keeps_to_it(self) -> None:
         # Turns that nobody used must not pile up.
         for seed in range(20):
