Note the store's answers in one place for all who ask it

The leader's lease had a method for it; the keepers of registrations and of holds wrote the same two lines again. StoreHealth has it now. The one call that noted no answer, the deletion of a hold, does so as well.

--- a/libs/serving/fireflyhitch_serving/holds.py
+++ b/libs/serving/fireflyhitch_serving/holds.py
@@ -12,7 +12,7 @@
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import PlatformError
-from fireflyhitch_model.ids import ABSENT, ContentId, LeaseId
+from fireflyhitch_model.ids import ABSENT, ContentId
 from fireflyhitch_routing.crashes import ProcessId
 from fireflyhitch_routing.quarantine import HOLD_SECONDS, Hold, Quarantine
 from fireflyhitch_serving.leases import OWN_PREFIX, LeaderLease
@@ -87,26 +87,20 @@
         released = self._stored - held.keys()
         if released:
             keys = [f'{HOLDS_PREFIX}{name}' for name in released]
-            await self._store.put([], deletes=keys)
+            await self._health.hear(self._store.put([], deletes=keys))
             self._stored -= released
 
     async def _write(self, content: ContentId, hold: Hold) -> None:
         left = hold.until - self._clock.monotonic()
         if left <= 0:
             return
-        lease = await self._grant(left)
+        lease = await self._health.hear(self._store.grant_lease(left))
         put = Put(f'{HOLDS_PREFIX}{content}', self._render(hold), ABSENT, lease)
-        await self._store.put([put])
-        self._health.note_answer()
+        await self._health.hear(self._store.put([put]))
         # If another has written it, the view of the store tells what.
         self._stored.add(content)
         logger.bind(content=content, seconds=round(left)).info('hold kept')
 
-    async def _grant(self, seconds: float) -> LeaseId:
-        lease = await self._store.grant_lease(seconds)
-        self._health.note_answer()
-        return lease
-
     def _render(self, hold: Hold) -> bytes:
         until = self._peers.wall() + hold.until - self._clock.monotonic()
         fields = {'until': until, 'processes': sorted(hold.processes)}
--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -10,8 +10,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -34,8 +33,6 @@
 CLAIM_SECONDS = 0.3
 RETRY_SECONDS = 0.5
 
-Answer = TypeVar('Answer')
-
 
 @immutable
 class Leadership:
@@ -142,7 +139,7 @@
         if asked < self._until - LEASE_SECONDS + RENEW_SECONDS / 2:
             return
         assert self._lease is not None
-        if await self._ask(self._store.keep_lease(self._lease)):
+        if await self._health.hear(self._store.keep_lease(self._lease)):
             self._until = asked + LEASE_SECONDS
             return
         logger.warning('lease lapsed')
@@ -156,18 +153,12 @@
         if self._leader is not None or not self._health.answers:
             return
         asked = self._clock()
-        self._lease = await self._ask(self._store.grant_lease(LEASE_SECONDS))
+        self._lease = await self._health.hear(self._store.grant_lease(LEASE_SECONDS))
         self._until = asked + LEASE_SECONDS
         # Whether this won is learned from the key, as anyone else learns it.
         put = Put(LEADER_KEY, self._mark(), ABSENT, self._lease)
-        await self._ask(self._store.put([put]))
+        await self._health.hear(self._store.put([put]))
         await asyncio.sleep(CLAIM_SECONDS)
 
-    async def _ask(self, call: Awaitable[Answer]) -> Answer:
-        """Make a call, and note that the store has answered."""
-        answer = await call
-        self._health.note_answer()
-        return answer
-
     def _mark(self) -> bytes:
         return f'{self._process} {self._lease}'.encode()
--- a/libs/serving/fireflyhitch_serving/registrations.py
+++ b/libs/serving/fireflyhitch_serving/registrations.py
@@ -145,8 +145,7 @@
     async def _register(self) -> None:
         key = f'{DAEMONS_PREFIX}{self._daemon}'
         put = Put(key, self._value, self._standing.revision)
-        result = await self._store.put([put])
-        self._health.note_answer()
+        result = await self._health.hear(self._store.put([put]))
         if isinstance(result, Conflict):
             current = result.current
             self._standing = KeyStanding(
@@ -226,8 +225,7 @@
 
     async def _delete(self, gone: list[str]) -> None:
         keys = [f'{DAEMONS_PREFIX}{daemon}' for daemon in gone[:MOST_DELETED]]
-        await self._store.put([], deletes=keys)
-        self._health.note_answer()
+        await self._health.hear(self._store.put([], deletes=keys))
         for daemon in gone[:MOST_DELETED]:
             # Whoever is not gone is back when it sees so; this counts anew till then.
             self._last_heard.pop(daemon)
--- a/libs/serving/fireflyhitch_serving/store_health.py
+++ b/libs/serving/fireflyhitch_serving/store_health.py
@@ -1,6 +1,7 @@
 """Whether the store answers this daemon, and what a break means for what it lacks."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from loguru import logger
 
@@ -14,6 +15,8 @@
 # An answer tells of the store for so long; those who follow it ask more often.
 RECENT_SECONDS = 2.0
 
+Answer = TypeVar('Answer')
+
 
 class StoreHealth:
     """Whether the store answers this daemon, by all of its calls.
@@ -61,6 +64,12 @@
             for tell in self._on_return:
                 tell()
 
+    async def hear(self, call: Awaitable[Answer]) -> Answer:
+        """Make a call, and note that the store has answered."""
+        answer = await call
+        self.note_answer()
+        return answer
+
     @property
     def answers(self) -> bool:
         """Tell whether the store's last answer was one."""
