--- a/libs/serving/fireflyhitch_serving/admission.py
+++ b/libs/serving/fireflyhitch_serving/admission.py
@@ -82,14 +82,8 @@
         logger.bind(
             request_id=facts.request_id, content=content, seconds=round(wait)
         ).info('request is held')
-        raise RefusedError(
-            Refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'held',
-                'servers have ended under this request; it is held back',
-                retry_after=timedelta(seconds=wait),
-            )
-        )
+        message = 'servers have ended under this request; it is held back'
+        raise refuse_for(wait, 'held', message)
 
     def _check_time(self, route: Route, facts: RequestFacts) -> None:
         """Refuse what may not be over when this process ends.
@@ -153,14 +147,19 @@
         seconds = RETRY_SECONDS * self._parts.draw.uniform(
             1 - RETRY_SPREAD, 1 + RETRY_SPREAD
         )
-        return RefusedError(
-            Refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                code,
-                message,
-                retry_after=timedelta(seconds=seconds),
-            )
+        return refuse_for(seconds, code, message)
+
+
+def refuse_for(seconds: float, code: str, message: str) -> RefusedError:
+    """Return the error for a request that did not run, with its time to come back."""
+    return RefusedError(
+        Refusal(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            code,
+            message,
+            retry_after=timedelta(seconds=seconds),
         )
+    )
 
 
 def _find_wait(route: Route, facts: RequestFacts) -> float:
--- a/libs/serving/fireflyhitch_serving/path.py
+++ b/libs/serving/fireflyhitch_serving/path.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Sequence
-from datetime import timedelta
 from functools import partial
 from http import HTTPStatus
 
@@ -10,7 +9,7 @@
 
 from fireflyhitch_model.ids import CustomerId
 from fireflyhitch_model.states import Outcome
-from fireflyhitch_serving.admission import Admission, RefusedError
+from fireflyhitch_serving.admission import Admission, RefusedError, refuse_for
 from fireflyhitch_serving.attempts import Attempt, AttemptEvents
 from fireflyhitch_serving.callers import Reply
 from fireflyhitch_serving.choices import Choices
@@ -129,14 +128,7 @@
             return
         if exchange.runs:
             raise self._without_server(exchange)
-        raise RefusedError(
-            Refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'servers_limited',
-                'the servers take no more requests',
-                retry_after=timedelta(seconds=wait),
-            )
-        )
+        raise refuse_for(wait, 'servers_limited', 'the servers take no more requests')
 
     async def _try(
         self, exchange: Exchange, placement: Placement
