Decide in one place for how long what is new is told

Evidence on requests and servers' limits each kept when a piece of knowledge changed and until when it is told as this daemon's own, and compared both with the same seconds. Telling does that for both.

--- a/libs/routing/fireflyhitch_routing/crashes.py
+++ b/libs/routing/fireflyhitch_routing/crashes.py
@@ -15,6 +15,7 @@
 
 from fireflyhitch_model.hashing import hash_text
 from fireflyhitch_model.ids import BackendServerId, ContentId
+from fireflyhitch_routing.telling import Telling
 
 # Of one start of a server's process.
 ProcessId = NewType('ProcessId', int)
@@ -30,8 +31,6 @@
 # An answer is news again after this long; what is told takes some tenths of a second,
 # and must not come back as new.
 ANSWER_NEWS_SECONDS = 5.0
-# What is new is told for so long, again and again, since messages are lost.
-TELL_SECONDS = 1.5
 # In one message.
 MOST_TOLD = 32
 
@@ -67,15 +66,11 @@
     """A request under which servers have ended.
 
     :param answered_at: monotonic seconds at which it was last answered whole.
-    :param changed_at: monotonic seconds since when all this is known here.
-    :param told_until: monotonic seconds until which others are told, since they may not
-        know all of it.
     """
 
     ends: dict[ProcessId, ServerEnd] = field(default_factory=dict)
     answered_at: float = float('-inf')
-    changed_at: float = float('-inf')
-    told_until: float = float('-inf')
+    telling: Telling = field(default_factory=Telling)
 
     def find_unanswered(self) -> dict[ProcessId, ServerEnd]:
         """Return the ends that no whole answer of the request speaks against."""
@@ -163,7 +158,7 @@
         """
         suspect = self._find(content)
         if suspect.take_end(process, end):
-            suspect.told_until = now + TELL_SECONDS
+            suspect.telling.note_own(now)
             self._note_change(content, suspect, now)
 
     def note_answer(self, content: ContentId, now: float) -> None:
@@ -171,7 +166,7 @@
         self._answered[content] = now
         suspect = self._suspects.get(content)
         if suspect is not None and suspect.take_answer(now):
-            suspect.told_until = now + TELL_SECONDS
+            suspect.telling.note_own(now)
             self._note_change(content, suspect, now)
 
     def take(self, notes: CrashNotes, now: float) -> None:
@@ -185,14 +180,18 @@
         :param heard: whether also what others told, for those who do not hear them.
         """
         self._fresh = {
-            content for content in self._fresh if self._is_fresh(content, now)
+            content
+            for content in self._fresh
+            if self._suspects[content].telling.is_due(now, heard=True)
         }
         told = [
             (content, self._suspects[content])
             for content in self._fresh
-            if heard or self._suspects[content].told_until >= now
+            if self._suspects[content].telling.is_due(now, heard=heard)
         ]
-        told.sort(key=lambda row: (-len(row[1].ends), -row[1].changed_at, row[0]))
+        told.sort(
+            key=lambda row: (-len(row[1].ends), -row[1].telling.changed_at, row[0])
+        )
         return {content: suspect.describe(now) for content, suspect in told[:MOST_TOLD]}
 
     def _take_note(self, content: ContentId, note: CrashNote, now: float) -> None:
@@ -204,8 +203,8 @@
         is_news = [suspect.take_end(process, end) for process, end in ends]
         if note.answered is not None:
             is_news.append(suspect.take_answer(now - note.answered))
-        if suspect.knows_more_than(note, now) and suspect.told_until < now:
-            suspect.told_until = now + TELL_SECONDS
+        if suspect.knows_more_than(note, now) and suspect.telling.own_until < now:
+            suspect.telling.note_own(now)
             is_news.append(True)
         if any(is_news):
             self._note_change(content, suspect, now)
@@ -227,15 +226,11 @@
             self._by_ends.pop(content, None)
 
     def _note_change(self, content: ContentId, suspect: Suspect, now: float) -> None:
-        suspect.changed_at = now
+        suspect.telling.changed_at = now
         self._fresh.add(content)
         if len(suspect.ends) > 1:
             self._by_ends[content] = len(suspect.ends)
 
-    def _is_fresh(self, content: ContentId, now: float) -> bool:
-        suspect = self._suspects[content]
-        return now - suspect.changed_at < TELL_SECONDS or suspect.told_until >= now
-
 
 def count_rounds(ends: Iterable[ServerEnd]) -> int:
     """Return how often a request was sent again after a server had ended under it.
--- a/libs/routing/fireflyhitch_routing/server_limits.py
+++ b/libs/routing/fireflyhitch_routing/server_limits.py
@@ -11,7 +11,7 @@
 
 import math
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from loguru import logger
@@ -19,12 +19,12 @@
 from fireflyhitch_model.hashing import hash_text
 from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_routing.crashes import ProcessId
+from fireflyhitch_routing.telling import Telling
 
 SLOT_SECONDS = 1.0
 # A server that takes nothing now is asked so often, to learn when it does again.
 LEAST_RATE = 0.1
-# What a server names is told for so long, again and again, since messages are lost.
-TELL_SECONDS = 1.5
+# In one message.
 MOST_TOLD = 64
 # From the last answer of a server on.
 KEPT_SECONDS = 600.0
@@ -65,8 +65,6 @@
     """A limit that was named.
 
     :param at: monotonic seconds at which the server last said so.
-    :param told_until: monotonic seconds until which this daemon tells it.
-    :param changed_at: monotonic seconds since when it is known here.
     :param slot: that ``turns`` were counted for.
     :param used: of these; they stay used when the server names another limit.
     :param kept: turns of the slot before.
@@ -75,8 +73,7 @@
     rate: float | None
     at: float
     server: BackendServerId | None = None
-    told_until: float = float('-inf')
-    changed_at: float = float('-inf')
+    telling: Telling = field(default_factory=Telling)
     slot: int = -1
     turns: int = 0
     used: int = 0
@@ -143,7 +140,7 @@
             return
         known.server = server
         self._set(process, known, rate, now, now)
-        known.told_until = now + TELL_SECONDS
+        known.telling.note_own(now)
 
     def take(self, notes: LimitNotes, now: float) -> None:
         """Take in what another daemon tells; the last that the server said holds."""
@@ -164,8 +161,7 @@
         fresh = [
             (process, limit)
             for process, limit in self._limits.items()
-            if limit.told_until >= now
-            or (heard and now - limit.changed_at < TELL_SECONDS)
+            if limit.telling.is_due(now, heard=heard)
         ]
         fresh.sort(key=lambda row: row[1].at, reverse=True)
         return {
@@ -243,7 +239,7 @@
             self._named.add(process)
         known.rate = rate
         known.at = at
-        known.changed_at = now
+        known.telling.changed_at = now
         if changed and known.slot >= 0:
             known.turns = self._count_turns(process, known, known.slot)
             known.kept = min(known.kept, known.turns)
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -12,7 +12,6 @@
     MOST_ENDS,
     MOST_SUSPECTS,
     MOST_TOLD,
-    TELL_SECONDS,
     CrashBook,
     ProcessId,
     ServerEnd,
@@ -20,6 +19,7 @@
     identify_process,
 )
 from fireflyhitch_routing.quarantine import HOLD_SECONDS, Hold, Quarantine
+from fireflyhitch_routing.telling import TELL_SECONDS
 
 CRASHING = ContentId('crashing')
 HARMLESS = ContentId('harmless')
--- a/libs/routing/tests/test_server_limits.py
+++ b/libs/routing/tests/test_server_limits.py
@@ -11,9 +11,9 @@
     KEPT_SECONDS,
     MOST_KNOWN,
     MOST_TOLD,
-    TELL_SECONDS,
     ServerLimits,
 )
+from fireflyhitch_routing.telling import TELL_SECONDS
 
 SERVER = BackendServerId('i-1')
 PROCESS = ProcessId(71)
