--- a/libs/daemon/fireflyhitch_daemon/crash_guard.py
+++ b/libs/daemon/fireflyhitch_daemon/crash_guard.py
@@ -13,15 +13,11 @@
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import RequestError
+from fireflyhitch_model.identity import identify_process
 from fireflyhitch_model.ids import BackendServerId, ContentId, DaemonId
 from fireflyhitch_model.peers import PeerMessage, PeerMessenger, Scope
 from fireflyhitch_model.states import Step
-from fireflyhitch_routing.crashes import (
-    CrashBook,
-    CrashNote,
-    ServerEnd,
-    identify_process,
-)
+from fireflyhitch_routing.crashes import CrashBook, CrashNote, ServerEnd
 from fireflyhitch_routing.quarantine import Quarantine
 
 # A refusal comes at once; a call that goes on elsewhere waits for it.
--- a/libs/daemon/fireflyhitch_daemon/limit_guard.py
+++ b/libs/daemon/fireflyhitch_daemon/limit_guard.py
@@ -5,9 +5,9 @@
 
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.ids import BackendServerId, DaemonId
+from fireflyhitch_model.identity import identify_process
+from fireflyhitch_model.ids import BackendServerId, DaemonId, ProcessId
 from fireflyhitch_model.peers import PeerMessage, PeerMessenger, Scope
-from fireflyhitch_routing.crashes import ProcessId, identify_process
 from fireflyhitch_routing.server_limits import LimitNote, ServerLimits, parse_rate
 
 LIMIT_HEADER = 'server-limit'
--- a/libs/daemon/fireflyhitch_daemon/services.py
+++ b/libs/daemon/fireflyhitch_daemon/services.py
@@ -40,8 +40,8 @@
 from fireflyhitch_model.backends import BackendServer
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.contents import identify_content
 from fireflyhitch_model.errors import RequestError
+from fireflyhitch_model.identity import identify_content
 from fireflyhitch_model.ids import (
     BackendServerId,
     ContentId,
--- a/libs/model/fireflyhitch_model/contents.py
+++ b/libs/model/fireflyhitch_model/identity.py
@@ -1,8 +1,9 @@
-"""Which requests are the same one, sent again under another id."""
+"""What is the same behind several ids, and what differs behind one."""
 
 import xxhash
 
-from fireflyhitch_model.ids import ContentId, CustomerId
+from fireflyhitch_model.hashing import hash_text
+from fireflyhitch_model.ids import BackendServerId, ContentId, CustomerId, ProcessId
 
 
 def identify_content(
@@ -19,3 +20,11 @@
         digest.update(b'\x00')
     digest.update(body)
     return ContentId(digest.hexdigest())
+
+
+def identify_process(server: BackendServerId, born: int) -> ProcessId:
+    """Return the id of a backend server's process.
+
+    :param born: tells two starts of one server apart.
+    """
+    return ProcessId(hash_text(f'{server}/{born}'))
--- a/libs/model/fireflyhitch_model/ids.py
+++ b/libs/model/fireflyhitch_model/ids.py
@@ -11,6 +11,8 @@
 FailureDomainId = NewType('FailureDomainId', str)
 InstanceId = NewType('InstanceId', str)
 BackendServerId = NewType('BackendServerId', str)
+# Of one start of a backend server's process.
+ProcessId = NewType('ProcessId', int)
 DaemonId = NewType('DaemonId', str)
 IdempotencyKey = NewType('IdempotencyKey', str)
 AttemptId = NewType('AttemptId', str)
--- a/libs/recovery/fireflyhitch_recovery/requests.py
+++ b/libs/recovery/fireflyhitch_recovery/requests.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from fireflyhitch_model.calls import Call
-from fireflyhitch_model.contents import identify_content
+from fireflyhitch_model.identity import identify_content
 from fireflyhitch_model.ids import AttemptId, BackendServerId, ContentId
 from fireflyhitch_recovery.answers import AnswerEnd, AnswerLog
 
--- a/libs/routing/fireflyhitch_routing/crashes.py
+++ b/libs/routing/fireflyhitch_routing/crashes.py
@@ -9,17 +9,13 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple, NewType
+from typing import NamedTuple
 
 from cachetools import LRUCache
 
-from fireflyhitch_model.hashing import hash_text
-from fireflyhitch_model.ids import BackendServerId, ContentId
+from fireflyhitch_model.ids import ContentId, ProcessId
 from fireflyhitch_routing.telling import Telling
 
-# Of one start of a server's process.
-ProcessId = NewType('ProcessId', int)
-
 # A request that was answered whole ends no servers, and for so long an end under it is
 # put down to another.
 ANSWERED_SECONDS = 60.0
@@ -116,14 +112,6 @@
         )
 
 
-def identify_process(server: BackendServerId, born: int) -> ProcessId:
-    """Return the id of a server's process.
-
-    :param born: tells two starts of one server apart.
-    """
-    return ProcessId(hash_text(f'{server}/{born}'))
-
-
 class CrashBook:
     """The evidence of this daemon and of those that told it theirs."""
 
--- a/libs/routing/fireflyhitch_routing/quarantine.py
+++ b/libs/routing/fireflyhitch_routing/quarantine.py
@@ -16,14 +16,8 @@
 
 from loguru import logger
 
-from fireflyhitch_model.ids import ContentId
-from fireflyhitch_routing.crashes import (
-    CrashBook,
-    ProcessId,
-    ServerEnd,
-    Suspect,
-    count_rounds,
-)
+from fireflyhitch_model.ids import ContentId, ProcessId
+from fireflyhitch_routing.crashes import CrashBook, ServerEnd, Suspect, count_rounds
 
 # Ended under a request, it is held.
 ENDS_TO_HOLD = 3
--- a/libs/routing/fireflyhitch_routing/server_limits.py
+++ b/libs/routing/fireflyhitch_routing/server_limits.py
@@ -17,8 +17,7 @@
 from loguru import logger
 
 from fireflyhitch_model.hashing import hash_text
-from fireflyhitch_model.ids import BackendServerId
-from fireflyhitch_routing.crashes import ProcessId
+from fireflyhitch_model.ids import BackendServerId, ProcessId
 from fireflyhitch_routing.telling import Telling
 
 SLOT_SECONDS = 1.0
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -5,18 +5,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fireflyhitch_model.contents import identify_content
-from fireflyhitch_model.ids import BackendServerId, ContentId, CustomerId
+from fireflyhitch_model.identity import identify_content, identify_process
+from fireflyhitch_model.ids import BackendServerId, ContentId, CustomerId, ProcessId
 from fireflyhitch_routing.crashes import (
     ANSWERED_SECONDS,
     MOST_ENDS,
     MOST_SUSPECTS,
     MOST_TOLD,
     CrashBook,
-    ProcessId,
     ServerEnd,
     count_rounds,
-    identify_process,
 )
 from fireflyhitch_routing.quarantine import HOLD_SECONDS, Hold, Quarantine
 from fireflyhitch_routing.telling import TELL_SECONDS
--- a/libs/routing/tests/test_server_limits.py
+++ b/libs/routing/tests/test_server_limits.py
@@ -5,8 +5,7 @@
 
 import pytest
 
-from fireflyhitch_model.ids import BackendServerId
-from fireflyhitch_routing.crashes import ProcessId
+from fireflyhitch_model.ids import BackendServerId, ProcessId
 from fireflyhitch_routing.server_limits import (
     KEPT_SECONDS,
     MOST_KNOWN,
--- a/libs/serving/fireflyhitch_serving/exchanges.py
+++ b/libs/serving/fireflyhitch_serving/exchanges.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from fireflyhitch_model.contents import identify_content
+from fireflyhitch_model.identity import identify_content
 from fireflyhitch_model.ids import BackendServerId, ContentId, DeploymentId
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Outcome
--- a/libs/serving/fireflyhitch_serving/holds.py
+++ b/libs/serving/fireflyhitch_serving/holds.py
@@ -12,8 +12,7 @@
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import PlatformError
-from fireflyhitch_model.ids import ABSENT, ContentId
-from fireflyhitch_routing.crashes import ProcessId
+from fireflyhitch_model.ids import ABSENT, ContentId, ProcessId
 from fireflyhitch_routing.quarantine import HOLD_SECONDS, Hold, Quarantine
 from fireflyhitch_serving.leases import OWN_PREFIX, LeaderLease
 from fireflyhitch_serving.peers import PeerBook
--- a/libs/serving/fireflyhitch_serving/peer_news.py
+++ b/libs/serving/fireflyhitch_serving/peer_news.py
@@ -12,10 +12,11 @@
     ContentId,
     CustomerId,
     FailureDomainId,
+    ProcessId,
     Revision,
 )
 from fireflyhitch_model.records import immutable
-from fireflyhitch_routing.crashes import CrashNote, ProcessId
+from fireflyhitch_routing.crashes import CrashNote
 from fireflyhitch_routing.server_limits import LimitNote
 from fireflyhitch_serving.quotas import CustomerNote
 from fireflyhitch_serving.server_evidence import AnswerCounts
--- a/libs/serving/fireflyhitch_serving/server_ends.py
+++ b/libs/serving/fireflyhitch_serving/server_ends.py
@@ -11,8 +11,9 @@
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.identity import identify_process
 from fireflyhitch_model.ids import BackendServerId, ContentId
-from fireflyhitch_routing.crashes import CrashBook, ServerEnd, identify_process
+from fireflyhitch_routing.crashes import CrashBook, ServerEnd
 from fireflyhitch_serving.connections import Reach, reach
 from fireflyhitch_serving.servers import ServerRecord
 
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -10,9 +10,14 @@
 from loguru import logger
 
 from fireflyhitch_model.hashing import rank_by_hash
-from fireflyhitch_model.ids import BackendServerId, DeploymentId, FailureDomainId
+from fireflyhitch_model.identity import identify_process
+from fireflyhitch_model.ids import (
+    BackendServerId,
+    DeploymentId,
+    FailureDomainId,
+    ProcessId,
+)
 from fireflyhitch_model.records import immutable
-from fireflyhitch_routing.crashes import ProcessId, identify_process
 from fireflyhitch_serving.connections import Address, ConnectionPool
 from fireflyhitch_serving.health import ServerHealth
 from fireflyhitch_serving.messages import PromptPart, ServerLoadNote
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -20,10 +20,11 @@
     ContentId,
     CustomerId,
     FailureDomainId,
+    ProcessId,
     Revision,
 )
 from fireflyhitch_model.records import immutable
-from fireflyhitch_routing.crashes import CrashNote, ProcessId
+from fireflyhitch_routing.crashes import CrashNote
 from fireflyhitch_routing.server_limits import LimitNote
 from fireflyhitch_serving.peer_news import (
     Member,
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -16,9 +16,10 @@
     ContentId,
     DeploymentId,
     FailureDomainId,
+    ProcessId,
     Revision,
 )
-from fireflyhitch_routing.crashes import ProcessId, ServerEnd
+from fireflyhitch_routing.crashes import ServerEnd
 from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.beliefs import BeliefEvents, PeerWord, StoreView
 from fireflyhitch_serving.budgets import RepeatBounds, RepeatBudget
