--- a/libs/routing/fireflyhitch_routing/quarantine.py
+++ b/libs/routing/fireflyhitch_routing/quarantine.py
@@ -94,11 +94,12 @@
             self._hold(content, Hold(until, frozenset(ends)), 'seen')
 
     def _find_unexplained(self, suspect: Suspect) -> dict[ProcessId, ServerEnd]:
-        explained = [hold.processes for hold in self._held.values()]
+        held = (hold.processes for hold in self._held.values())
+        explained = frozenset[ProcessId]().union(*held)
         return {
             process: end
             for process, end in suspect.find_unanswered().items()
-            if not any(process in processes for processes in explained)
+            if process not in explained
         }
 
     def _has_rival(self, content: ContentId, processes: Iterable[ProcessId]) -> bool:
