List servers for their limits only while one names a limit

Each choice of a server made a tuple of all servers under the directory's lock, for a guard that mostly has nothing to look up. The guard now lists them itself, once a limit is named.

--- a/libs/daemon/fireflyhitch_daemon/composition.py
+++ b/libs/daemon/fireflyhitch_daemon/composition.py
@@ -191,7 +191,7 @@
         self.drain = Drain(clock)
         self.in_flight = InFlight(daemon_id, clock)
         self.forwarder = Forwarder()
-        self.limits = LimitGuard(daemon_id, clock, network)
+        self.limits = LimitGuard(daemon_id, clock, network, self.directory.list_servers)
         self.crashes = CrashGuard(
             clock, network, self.directory.is_listed, self.directory.find_address
         )
@@ -206,7 +206,7 @@
             self.router,
             control.picker,
             self.directory.read_subset,
-            lambda: self.limits.find_closed(self.directory.list_servers()),
+            self.limits.find_closed,
         )
         retries = RetryBudget(clock)
         self.calls = ModelCalls(
--- a/libs/daemon/fireflyhitch_daemon/limit_guard.py
+++ b/libs/daemon/fireflyhitch_daemon/limit_guard.py
@@ -1,5 +1,6 @@
 """Keeps to the limits that servers name in their answers, with all other daemons."""
 
+from collections.abc import Callable, Iterable
 from threading import Lock
 from typing import ClassVar
 
@@ -22,14 +23,22 @@
 
 
 class LimitGuard:
-    """Keeps what servers name, and this daemon's turns; thread-safe."""
+    """Keeps what servers name, and this daemon's turns; thread-safe.
+
+    :param list_servers: the servers that may be given work.
+    """
 
     def __init__(
-        self, daemon_id: DaemonId, clock: Clock, messenger: PeerMessenger
+        self,
+        daemon_id: DaemonId,
+        clock: Clock,
+        messenger: PeerMessenger,
+        list_servers: Callable[[], Iterable[BackendServer]],
     ) -> None:
         self._daemon_id = daemon_id
         self._clock = clock
         self._messenger = messenger
+        self._list_servers = list_servers
         self._lock = Lock()
         self._limits = ServerLimits(
             daemon_id, self._list_daemons, lambda: clock.now().timestamp()
@@ -56,16 +65,14 @@
         with self._lock:
             self._limits.note_sent(_identify(server))
 
-    def find_closed(
-        self, servers: tuple[BackendServer, ...]
-    ) -> frozenset[BackendServerId]:
+    def find_closed(self) -> frozenset[BackendServerId]:
         """Return the servers at which this daemon has no turn now."""
         with self._lock:
             if not self._limits.are_named:
                 return frozenset()
             return frozenset(
                 server.server_id
-                for server in servers
+                for server in self._list_servers()
                 if not self._limits.may_send(_identify(server))
             )
 
