--- a/libs/daemon/fireflyhitch_daemon/services.py
+++ b/libs/daemon/fireflyhitch_daemon/services.py
@@ -233,7 +233,7 @@
         ticket = self._parts.selection.router.start(choice, service.call)
         started = self._clock.monotonic()
         try:
-            answer = self._attempt(service, choice.server)
+            answer = self._attempt(service, choice.server, started)
         except RequestError as error:
             refused = error.outcome is Outcome.NOT_RUN
             failed = ResultStatus.REFUSED if refused else ResultStatus.FAILED
@@ -242,13 +242,15 @@
         self._finish(ticket, judge_answer(answer), started)
         return answer
 
-    def _attempt(self, service: _ServiceCall, server: BackendServer) -> Response:
+    def _attempt(
+        self, service: _ServiceCall, server: BackendServer, started: float
+    ) -> Response:
         """Send once to one server.
 
+        :param started: monotonic seconds at which this attempt began.
         :raises RequestError: ``not-run`` where nothing was sent or the server
             says that it refused the call before executing it.
         """
-        began = self._clock.monotonic()
         try:
             connection = open_connection(server.address)
         except OSError as error:
@@ -258,12 +260,12 @@
             self._parts.limits.note_sent(server)
             received = self._exchange(service, connection)
         except BROKEN as error:
-            self._parts.crashes.note_broken(server, service.content, began)
+            self._parts.crashes.note_broken(server, service.content, started)
             raise describe_lost(server, error) from error
         finally:
             connection.close()
         self._parts.limits.note_answer(
-            server, received.headers.get(LIMIT_HEADER), began
+            server, received.headers.get(LIMIT_HEADER), started
         )
         if received.headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value:
             raise describe_refused(server, received)
