--- a/libs/recovery/fireflyhitch_recovery/requests.py
+++ b/libs/recovery/fireflyhitch_recovery/requests.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
 
 from fireflyhitch_model.calls import Call
 from fireflyhitch_model.identity import identify_content
@@ -16,7 +17,7 @@
     TEXT = 'text'
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class AcceptedRequest:
     """A request as it was accepted.
 
@@ -29,7 +30,7 @@
     body: bytes
     streaming: bool
 
-    @property
+    @cached_property
     def content(self) -> ContentId:
         """Return what it has in common with its repeats."""
         return identify_content(self.call.customer, 'POST', self.kind.value, self.body)
