--- a/tests/users_platform/site_of_daemons.py
+++ b/tests/users_platform/site_of_daemons.py
@@ -1,7 +1,7 @@
 """Daemons of the users' platform beside stand-ins of it, in one process."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -166,6 +166,16 @@
         return known.find_lack() is None and self.programs[daemon].listening
 
 
+def play(folder: Path, script: Callable[[Site], Awaitable[None]]) -> None:
+    """Play a script on a site, on an event loop of its own."""
+
+    async def run() -> None:
+        async with asyncio.timeout(60), Site(folder) as site:
+            await script(site)
+
+    asyncio.run(run())
+
+
 class _NoLines:
     def flush(self, seconds: float) -> None:
         """Write nothing."""
--- a/tests/users_platform/test_crashing_requests.py
+++ b/tests/users_platform/test_crashing_requests.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from scene import Received
-from site_of_daemons import Site, answer_signed, make_configuration
+from site_of_daemons import Site, answer_signed, make_configuration, play
 
 from fireflyhitch_standins.scripted_server import ScriptedServer, SeenRequest
 
@@ -111,16 +111,15 @@
 Play = Callable[[CrashingSite], Awaitable[None]]
 
 
-def play(folder: Path, script: Play) -> None:
-    """Play a script on a site, on an event loop of its own."""
+def play_crashing(folder: Path, script: Play) -> None:
+    """Play a script on a site with all that it takes."""
 
-    async def run() -> None:
-        async with asyncio.timeout(60), Site(folder) as site:
-            scene = CrashingSite(site)
-            await scene.start()
-            await script(scene)
+    async def begin(site: Site) -> None:
+        scene = CrashingSite(site)
+        await scene.start()
+        await script(scene)
 
-    asyncio.run(run())
+    play(folder, begin)
 
 
 class TestRequestsThatEndServers:
@@ -136,7 +135,7 @@
             assert tries[-1].status == 503
             assert all(got.status == 200 for got in scene.harmless)
 
-        play(tmp_path, script)
+        play_crashing(tmp_path, script)
 
     def test_it_is_held_by_daemons_that_started_after_all_were_killed(
         self, tmp_path
@@ -150,4 +149,4 @@
             assert len(scene.servers.ended) - before <= MOST_REPEATS
             assert tries[-1].status == 503
 
-        play(tmp_path, script)
+        play_crashing(tmp_path, script)
--- a/tests/users_platform/test_program.py
+++ b/tests/users_platform/test_program.py
@@ -3,8 +3,6 @@
 import asyncio
 import os
 import signal
-from collections.abc import Awaitable, Callable
-from pathlib import Path
 
 from scene import Received
 from site_of_daemons import (
@@ -12,23 +10,12 @@
     Site,
     answer_signed,
     make_configuration,
+    play,
     wait_for,
 )
 
 from fireflyhitch_serving.connections import connect
 
-Play = Callable[[Site], Awaitable[None]]
-
-
-def play(folder: Path, script: Play) -> None:
-    """Play a script on a site, on an event loop of its own."""
-
-    async def run() -> None:
-        async with asyncio.timeout(60), Site(folder) as site:
-            await script(site)
-
-    asyncio.run(run())
-
 
 class TestServing:
     def test_a_request_reaches_its_server_as_the_platform_asks(self, tmp_path) -> None:
--- a/tests/users_platform/test_server_limits.py
+++ b/tests/users_platform/test_server_limits.py
@@ -6,8 +6,9 @@
 from pathlib import Path
 
 from scene import Received
-from site_of_daemons import Site, answer_signed, make_configuration
+from site_of_daemons import Site, answer_signed, make_configuration, play
 
+from fireflyhitch_standins.arrivals import count_most
 from fireflyhitch_standins.scripted_server import SeenRequest
 from fireflyhitch_standins.users_formats import render_signed
 
@@ -39,13 +40,7 @@
     def count_most(self, after: float) -> int:
         """Return the most arrivals in four seconds after some time."""
         late = [at for at in self.arrivals if at >= after]
-        return max(
-            (
-                sum(begin <= at < begin + WINDOW_SECONDS for at in late)
-                for begin in late
-            ),
-            default=0,
-        )
+        return count_most(late, WINDOW_SECONDS)
 
 
 class LimitedSite:
@@ -86,16 +81,15 @@
 Play = Callable[[LimitedSite], Awaitable[None]]
 
 
-def play(folder: Path, script: Play, *limits: float) -> None:
-    """Play a script on a site, on an event loop of its own."""
+def play_limited(folder: Path, script: Play, *limits: float) -> None:
+    """Play a script on a site whose servers name limits."""
 
-    async def run() -> None:
-        async with asyncio.timeout(60), Site(folder) as site:
-            scene = LimitedSite(site, *limits)
-            await scene.start()
-            await script(scene)
+    async def begin(site: Site) -> None:
+        scene = LimitedSite(site, *limits)
+        await scene.start()
+        await script(scene)
 
-    asyncio.run(run())
+    play(folder, begin)
 
 
 class TestServerLimits:
@@ -111,7 +105,7 @@
             assert len(late) >= LEAST_USED * 10
             assert all(got.status == 200 for got in scene.answers)
 
-        play(tmp_path, script, 1.0)
+        play_limited(tmp_path, script, 1.0)
 
     def test_with_limited_servers_only_all_that_they_take_is_answered(
         self, tmp_path
@@ -125,7 +119,7 @@
                 assert len(late) >= LEAST_USED * 40
             assert {got.status for got in scene.answers} == {200, 503}
 
-        play(tmp_path, script, 4.0, 4.0)
+        play_limited(tmp_path, script, 4.0, 4.0)
 
     def test_a_limit_that_is_named_no_more_is_kept_no_more(self, tmp_path) -> None:
         async def script(scene: LimitedSite) -> None:
@@ -135,4 +129,4 @@
             late = [at for at in scene.servers[0].arrivals if at >= known]
             assert len(late) >= LEAST_USED * 3 / ASK_SECONDS
 
-        play(tmp_path, script, 1.0)
+        play_limited(tmp_path, script, 1.0)
