Count the most arrivals in a span in one place

The soak and three tests each counted what a server got in any four seconds, two of them over all pairs of arrivals. The bounds and assertions are the same.

--- a/libs/bench/fireflyhitch_bench/soak_quiet.py
+++ b/libs/bench/fireflyhitch_bench/soak_quiet.py
@@ -8,6 +8,7 @@
 
 from fireflyhitch_bench.soak_servers import CRASHING, SoakServer
 from fireflyhitch_bench.soak_site import DaemonProcess, SoakSite
+from fireflyhitch_standins.arrivals import count_most
 
 CRASHING_PATH = f'/read/{CRASHING}'
 # In an answer that refuses a request which is held back.
@@ -79,7 +80,7 @@
             while loop.time() < begin + ASKED_SECONDS:
                 callers.create_task(self._read())
                 await asyncio.sleep(ASK_SECONDS)
-        most = count_most(server, begin + CONTACT_SECONDS)
+        most = count_most_after(server, begin + CONTACT_SECONDS)
         if most > MOST_IN_WINDOW:
             self._broken.append(f'{name} got {most} requests, beyond its limit')
 
@@ -91,8 +92,7 @@
         await self._ask(next(self._turns), '/read/1')
 
 
-def count_most(server: SoakServer, after: float) -> int:
-    """Return the most requests that a server got in four seconds."""
+def count_most_after(server: SoakServer, after: float) -> int:
+    """Return the most requests that a server got in four seconds after some time."""
     late = [at for at in server.arrivals if at >= after]
-    windows = (sum(at <= one < at + WINDOW_SECONDS for one in late) for at in late)
-    return max(windows, default=0)
+    return count_most(late, WINDOW_SECONDS)
--- a/libs/bench/tests/test_fault_soak.py
+++ b/libs/bench/tests/test_fault_soak.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fireflyhitch_bench.fault_soak import FaultSoak, play_seed
-from fireflyhitch_bench.soak_quiet import Answer, count_most
+from fireflyhitch_bench.soak_quiet import Answer, count_most_after
 from fireflyhitch_bench.soak_servers import Runs, SoakServer
 from fireflyhitch_bench.soak_site import SoakSite
 
@@ -43,7 +43,7 @@
     def test_a_server_that_got_more_than_its_limit_is_seen(self) -> None:
         server = SoakServer('i-1', Runs(), lambda name: None)
         server.arrivals = [0, 1, *(10 + number / 10 for number in range(30))]
-        assert count_most(server, 5) == 30
+        assert count_most_after(server, 5) == 30
 
     def test_another_s_answer_is_seen(self, tmp_path: Path) -> None:
         soak = FaultSoak(1, SoakSite(tmp_path))
--- a/libs/daemon/tests/test_limit_guard.py
+++ b/libs/daemon/tests/test_limit_guard.py
@@ -2,6 +2,7 @@
 
 import time
 
+from fireflyhitch_standins.arrivals import count_most
 from fireflyhitch_standins.service_server import ServiceServer, ServiceSettings
 
 PATH = '/services/bookings/visits'
@@ -36,13 +37,6 @@
     server._run = note_and_run
 
 
-def count_most(arrivals):
-    return max(
-        sum(begin <= at < begin + WINDOW_SECONDS for at in arrivals)
-        for begin in arrivals
-    )
-
-
 class TestServerLimits:
     def test_daemons_together_keep_to_a_servers_limit_and_use_it(self, fresh_site):
         arrivals = watch_arrivals(fresh_site, LIMIT)
@@ -56,5 +50,5 @@
         assert statuses == {200, 503}
         for one in arrivals.values():
             late = [at for at in one if at >= begin + KNOWN_SECONDS]
-            assert count_most(late) <= MOST_IN_WINDOW
+            assert count_most(late, WINDOW_SECONDS) <= MOST_IN_WINDOW
             assert len(late) >= 0.75 * LIMIT * (ASKED_SECONDS - KNOWN_SECONDS)
--- a/libs/routing/tests/test_server_limits.py
+++ b/libs/routing/tests/test_server_limits.py
@@ -1,7 +1,6 @@
 """Tests of limits that servers name, kept by many daemons together."""
 
 import random
-from collections import deque
 
 import pytest
 
@@ -13,6 +12,7 @@
     ServerLimits,
 )
 from fireflyhitch_routing.telling import TELL_SECONDS
+from fireflyhitch_standins.arrivals import count_most
 
 SERVER = BackendServerId('i-1')
 PROCESS = ProcessId(71)
@@ -67,14 +67,7 @@
 
     def count_most(self) -> int:
         """Return the most that the server got in four seconds."""
-        window: deque[float] = deque()
-        most = 0
-        for at in self.sent:
-            window.append(at)
-            while window[0] <= at - WINDOW_SECONDS:
-                window.popleft()
-            most = max(most, len(window))
-        return most
+        return count_most(self.sent, WINDOW_SECONDS)
 
     def find_allowed(self) -> float:
         """Return what the platform allows."""
