--- a/libs/serving/tests/test_placing_late_news.py
+++ b/libs/serving/tests/test_placing_late_news.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from asked_moments import pass_moments
 from test_placing import by_time, make_server
 
 from fireflyhitch_model.ids import FailureDomainId
@@ -94,16 +95,16 @@
     """Return the part of first tokens in time, and shared tokens read again."""
     draw = random.Random(11)  # noqa: S311
     fleet = Fleet()
-    now = 0.0
-    told_at = 0.0
     asked = 0
     in_time = 0
-    while now < PLAYED_SECONDS:
-        now += draw.expovariate(PROMPTS_PER_SECOND)
-        fleet.end_until(now)
-        if now - told_at > NEWS_SECONDS:
-            fleet.tell_all(now)
-            told_at = now
+    moments = pass_moments(
+        fleet,
+        draw,
+        a_second=PROMPTS_PER_SECOND,
+        news_seconds=NEWS_SECONDS,
+        seconds=PLAYED_SECONDS,
+    )
+    for now in moments:
         long = draw.random() < 0.3
         topic = draw.randrange(TOPICS)
         shared = PromptPart(f'p{long}{topic}', 13_000 if long else 2_000)
--- a/libs/serving/tests/test_server_evidence.py
+++ b/libs/serving/tests/test_server_evidence.py
@@ -5,6 +5,7 @@
 from statistics import median_high
 from typing import NamedTuple
 
+from asked_moments import pass_moments
 from test_placing import find_agreed, make_server
 
 from fireflyhitch_model.ids import DeploymentId, FailureDomainId
@@ -172,16 +173,16 @@
     """Return the part of first tokens in time while some engines are slow."""
     draw = random.Random(7)  # noqa: S311
     fleet = Fleet(shares=shares)
-    now = 0.0
-    told_at = 0.0
     asked = 0
     in_time = 0
-    while now < PLAYED_SECONDS:
-        now += draw.expovariate(PROMPTS_PER_SECOND)
-        fleet.end_until(now)
-        if now - told_at > NEWS_SECONDS:
-            fleet.tell_all(now)
-            told_at = now
+    moments = pass_moments(
+        fleet,
+        draw,
+        a_second=PROMPTS_PER_SECOND,
+        news_seconds=NEWS_SECONDS,
+        seconds=PLAYED_SECONDS,
+    )
+    for now in moments:
         topic = PromptPart(f'p{draw.randrange(TOPICS)}', 2_000)
         own = PromptPart(f'o{now}', draw.randrange(500, 8_000))
         seconds = fleet.send(draw.randrange(DAEMONS), (topic, own), now)
