Part the permits from the limits that servers announce

A rate that many daemons keep together without a message a request is needed for cold servers too. The issue of permits by a hash of server, slot and daemon becomes a class of its own; length of a slot and whether an unused permit stays valid are its settings.

--- a/libs/routing/fireflyhitch_routing/server_limits.py
+++ b/libs/routing/fireflyhitch_routing/server_limits.py
@@ -1,11 +1,4 @@
-"""Rate limits announced by servers, enforced by all daemons without a message per request.
-
-Time is divided into slots of one second. A server's limit yields a number of permits per
-slot. A hash of server, slot and daemon assigns each permit to one daemon: all daemons
-compute the same assignment, so the total stays within the limit for any number of
-daemons. An unused permit stays valid for one more slot, so that a daemon with few
-requests a second can use it. Daemons that temporarily disagree on the list of daemons
-still agree on most permits.
+"""Rate limits announced by servers, enforced by all daemons together by permits.
 
 Limits are broadcast to all daemons, since most send to a limited server only rarely.
 """
@@ -17,11 +10,11 @@
 
 from loguru import logger
 
-from fireflyhitch_model.hashing import hash_text
 from fireflyhitch_model.ids import BackendServerId, ProcessId
 from fireflyhitch_routing.broadcast_window import BroadcastWindow
+from fireflyhitch_routing.permits import PermitAccount, PermitAllocator, SlotRules
 
-SLOT_SECONDS = 1.0
+SLOT_RULES = SlotRules(seconds=1, carries_over=True)
 # Requests a second to a server with a limit of 0, to detect when it accepts work again.
 MIN_RATE = 0.1
 # Reports in one message.
@@ -30,9 +23,6 @@
 EXPIRY_SECONDS = 600.0
 # Limits kept, the most recently announced ones.
 MAX_LIMITS = 4096
-# Odd, with set bits spread over the word: a product's upper bits depend on all bits.
-MULTIPLIER = 0x9E3779B97F4A7C15
-MASK = 0xFFFFFFFFFFFFFFFF
 
 
 def parse_rate(text: str | None) -> float | None:
@@ -66,35 +56,18 @@
 
     :param rate: requests a second; ``None`` if there is no limit any more.
     :param at: monotonic seconds at which the server last announced it.
-    :param slot: the slot that ``permits`` are for.
-    :param used: used permits of the slot; they stay used when the limit changes.
-    :param carried_over: unused permits of the previous slot.
     """
 
     rate: float | None
     at: float
     server: BackendServerId | None = None
     broadcast: BroadcastWindow = field(default_factory=BroadcastWindow)
-    slot: int = -1
-    permits: int = 0
-    used: int = 0
-    carried_over: int = 0
+    account: PermitAccount = field(default_factory=PermitAccount)
 
     @property
-    def left(self) -> int:
-        """Return how many permits of the slot are left."""
-        return max(self.permits - self.used, 0)
-
-    def count(self) -> int:
-        """Return how many requests may be sent now."""
-        return self.left + self.carried_over
-
-    def use_permit(self) -> None:
-        """Use the permit that expires first."""
-        if self.carried_over:
-            self.carried_over -= 1
-        else:
-            self.used += 1
+    def effective_rate(self) -> float:
+        """Return the requests a second that may be sent."""
+        return max(self.rate or 0, MIN_RATE)
 
 
 class ServerLimits:
@@ -112,12 +85,11 @@
         :param list_daemons: returns all daemons that may send, this one included.
         :param wall_clock: returns seconds since 1970, agreed among the daemons.
         """
-        self._daemon_id = daemon_id
-        self._list_daemons = list_daemons
-        self._wall_clock = wall_clock
+        self._allocator = PermitAllocator(
+            daemon_id, list_daemons, wall_clock, SLOT_RULES
+        )
         self._limits: dict[ProcessId, _Limit] = {}
         self._limited: set[ProcessId] = set()
-        self._hashes: dict[str, int] = {}
 
     def record_response(
         self,
@@ -183,21 +155,21 @@
         if process not in self._limited:
             return True
         limit = self._limits[process]
-        self._advance_slot(process, limit)
-        return limit.count() > 0
+        self._allocator.advance(limit.account, process, limit.effective_rate)
+        return limit.account.count() > 0
 
     def record_sent(self, process: ProcessId) -> None:
         """Use a permit."""
         limit = self._limits.get(process)
-        if limit is not None and limit.count() > 0:
-            limit.use_permit()
+        if limit is not None and limit.account.count() > 0:
+            limit.account.use_permit()
 
     def find_local_rate(self, process: ProcessId) -> float:
         """Return the requests a second that this daemon may send to a server."""
         limit = self._limits.get(process)
         if limit is None or limit.rate is None:
             return math.inf
-        return max(limit.rate, MIN_RATE) / max(len(self._list_daemons()), 1)
+        return self._allocator.find_local_rate(limit.effective_rate)
 
     def _add(self, process: ProcessId) -> _Limit:
         if len(self._limits) >= MAX_LIMITS:
@@ -245,46 +217,5 @@
         limit.rate = rate
         limit.at = at
         limit.broadcast.changed_at = now
-        if changed and limit.slot >= 0:
-            limit.permits = self._count_permits(process, limit, limit.slot)
-            limit.carried_over = min(limit.carried_over, limit.permits)
-
-    def _advance_slot(self, process: ProcessId, limit: _Limit) -> None:
-        slot = int(self._wall_clock() // SLOT_SECONDS)
-        if slot == limit.slot:
-            return
-        limit.carried_over = limit.left if slot == limit.slot + 1 else 0
-        limit.slot = slot
-        limit.used = 0
-        limit.permits = self._count_permits(process, limit, slot)
-
-    def _count_permits(self, process: ProcessId, limit: _Limit, slot: int) -> int:
-        """Return how many of a slot's permits are this daemon's."""
-        rate = max(limit.rate or 0, MIN_RATE) * SLOT_SECONDS
-        permits = math.floor((slot + 1) * rate) - math.floor(slot * rate)
-        if not permits:
-            return 0
-        daemons = self._list_daemons()
-        each, remainder = divmod(permits, max(len(daemons), 1))
-        key = hash_text(f'{process}/{slot}')
-        return each + (remainder > 0 and self._rank_daemon(daemons, key) < remainder)
-
-    def _rank_daemon(self, daemons: Sequence[str], key: int) -> int:
-        """Return how many daemons rank before this one in a slot."""
-        local_hash = _mix(self._hash_daemon(self._daemon_id), key)
-        return sum(
-            _mix(self._hash_daemon(daemon), key) < local_hash
-            for daemon in daemons
-            if daemon != self._daemon_id
-        )
-
-    def _hash_daemon(self, daemon: str) -> int:
-        daemon_hash = self._hashes.get(daemon)
-        if daemon_hash is None:
-            daemon_hash = hash_text(daemon)
-            self._hashes[daemon] = daemon_hash
-        return daemon_hash
-
-
-def _mix(daemon_hash: int, key: int) -> int:
-    return (daemon_hash ^ key) * MULTIPLIER & MASK
+        if changed:
+            self._allocator.update_rate(limit.account, process, limit.effective_rate)
