Send nothing to evacuated failure domains

Cause: nobody read the order; the key was dropped unread.

Requests, repeats and continued streams choose among servers without the mark, and it is looked at once more when the connection is open. Nothing is ordered or released there; the others plan for one more domain lost, as it is.

--- a/libs/serving/fireflyhitch_serving/attempt_policy.py
+++ b/libs/serving/fireflyhitch_serving/attempt_policy.py
@@ -46,7 +46,7 @@
         listed = [
             record
             for record in servers.find_by_service(exchange.service)
-            if record.server.ready
+            if record.accepts_requests
         ]
         versions = frozenset(record.server.version for record in listed)
         allowed = self._deps.versions.pick(exchange.service, versions, self._deps.rng)
--- a/libs/serving/fireflyhitch_serving/attempts.py
+++ b/libs/serving/fireflyhitch_serving/attempts.py
@@ -83,8 +83,9 @@
             connection = await self._open()
         except ServerError as error:
             return AttemptFailure(Ending.UNREACHED, error.outcome, str(error))
-        if not self._placement.record.server.ready:
-            # The server began to drain while the connection was opened.
+        if not self._placement.record.accepts_requests:
+            # The server began to drain, or its failure domain was evacuated, while the
+            # connection was opened.
             self._release(connection)
             return AttemptFailure(Ending.REFUSED, Outcome.NOT_RUN, 'leaving')
         reusable = False
--- a/libs/serving/fireflyhitch_serving/autoscaler.py
+++ b/libs/serving/fireflyhitch_serving/autoscaler.py
@@ -159,20 +159,19 @@
 
     async def _reconcile_service(self, service: Service, scale: ScaleBounds) -> None:
         present = self._count_ready(service.name, scale)
+        domains_lost = self._count_tolerated_losses(scale)
         settled = self._update_listing(service.name, present)
         if not settled and not _seem_all_on_demand(present):
             return
-        floor = self._find_floor(service.name, present)
+        floor = self._find_floor(service.name, present, domains_lost)
         if not settled:
             # More servers may be listed yet.
             self._floors.pop(service.name)
         needed = max(self._count_needed(service), math.ceil(floor))
-        need = SpreadNeed(needed, TOLERATED_DOMAIN_LOSSES)
+        need = SpreadNeed(needed, domains_lost)
+        prices = {domain: scale.domain_prices[domain] for domain in present}
         target = spread_servers(
-            need,
-            SpreadBounds(scale.min_servers, scale.max_servers),
-            scale.domain_prices,
-            present,
+            need, SpreadBounds(scale.min_servers, scale.max_servers), prices, present
         )
         for domain, desired in target.items():
             domain_servers = present[domain]
@@ -216,6 +215,7 @@
         self,
         service: DeploymentId,
         present: Mapping[FailureDomainId, DomainServers],
+        domains_lost: int,
     ) -> float:
         """Return the minimum number of servers, from those listed when the lead began.
 
@@ -226,9 +226,7 @@
             fraction = (
                 TAKEOVER_FLOOR_FRACTION if self._demand() else INITIAL_FLOOR_FRACTION
             )
-            floor = fraction * count_servers_after_loss(
-                present, TOLERATED_DOMAIN_LOSSES
-            )
+            floor = fraction * count_servers_after_loss(present, domains_lost)
         elif self._demand():
             floor *= PEAK_DECAY
         self._floors[service] = floor
@@ -256,10 +254,23 @@
         for_slots = math.ceil(peak.requests / (batch * TARGET_BATCH_FRACTION))
         return max(MIN_NEEDED, for_prefill, for_slots)
 
+    def _count_tolerated_losses(self, scale: ScaleBounds) -> int:
+        """Return how many more failure domains may be lost than are evacuated."""
+        evacuated = self._servers.evacuated_domains & scale.domain_prices.keys()
+        return max(TOLERATED_DOMAIN_LOSSES - len(evacuated), 0)
+
     def _count_ready(
         self, service: DeploymentId, scale: ScaleBounds
     ) -> dict[FailureDomainId, DomainServers]:
-        counts = {domain: [0, 0] for domain in scale.domain_prices}
+        """Count the servers of each failure domain that is not evacuated.
+
+        Nothing is ordered or released in the others.
+        """
+        counts = {
+            domain: [0, 0]
+            for domain in scale.domain_prices
+            if domain not in self._servers.evacuated_domains
+        }
         for record in self._servers.find_by_service(service):
             server = record.server
             if server.ready and server.failure_domain in counts:
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -95,6 +95,7 @@
     :param evidence: statistics of its answers to all daemons.
     :param slowness: factor by which a request takes longer than at other servers.
     :param failing: whether it fails much more often than others.
+    :param evacuated: whether operators evacuate its failure domain.
     """
 
     server: ServerEntry
@@ -108,6 +109,7 @@
     evidence: ServerStatistics = field(default_factory=ServerStatistics)
     slowness: float = 1
     failing: bool = False
+    evacuated: bool = False
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
     process: ProcessId = field(init=False)
 
@@ -115,6 +117,11 @@
         """Set the id of the server's process."""
         self.process = identify_process(self.server.server_id, self.server.born)
 
+    @property
+    def accepts_requests(self) -> bool:
+        """Return whether new requests may be sent to it."""
+        return self.server.ready and not self.evacuated
+
     @property
     def own(self) -> InFlight:
         """Return the work that this daemon has in flight there."""
@@ -178,6 +185,7 @@
         """Create an empty registry."""
         self._records: dict[BackendServerId, ServerRecord] = {}
         self._by_service: dict[DeploymentId, list[ServerRecord]] = {}
+        self._evacuated: set[FailureDomainId] = set()
         self._evaluated_at: dict[DeploymentId, float] = {}
         self._median_rates: dict[DeploymentId, float] = {}
         self._ranked: LRUCache[tuple[DeploymentId, str], list[BackendServerId]] = (
@@ -262,7 +270,10 @@
         if current is not None:
             current.pool.close()
         self._records[server.server_id] = ServerRecord(
-            server, ConnectionPool(), ServerHealth()
+            server,
+            ConnectionPool(),
+            ServerHealth(),
+            evacuated=server.failure_domain in self._evacuated,
         )
         self._index()
         return True
@@ -278,6 +289,24 @@
         self._index()
         return record
 
+    @property
+    def evacuated_domains(self) -> frozenset[FailureDomainId]:
+        """Return the failure domains whose servers get no new requests."""
+        return frozenset(self._evacuated)
+
+    def set_evacuated(self, domain: FailureDomainId, *, evacuated: bool) -> None:
+        """Evacuate a failure domain, or end its evacuation.
+
+        Requests that its servers are processing are left alone.
+        """
+        if evacuated:
+            self._evacuated.add(domain)
+        else:
+            self._evacuated.discard(domain)
+        for record in self._records.values():
+            if record.server.failure_domain == domain:
+                record.evacuated = evacuated
+
     def _index(self) -> None:
         self._by_service = {}
         self._ranked.clear()
--- a/libs/serving/tests/test_autoscaler.py
+++ b/libs/serving/tests/test_autoscaler.py
@@ -150,6 +150,38 @@
         assert order_at_start(5, monkeypatch) == 12
 
 
+class TestEvacuation:
+    def test_nothing_is_ordered_or_released_in_an_evacuated_domain(
+        self, monkeypatch
+    ) -> None:
+        # Servers ordered there cost money and get no requests; those that are released
+        # are missing when the evacuation ends.
+        monkeypatch.setattr(f'{Autoscaler.__module__}.CHECK_INTERVAL_SECONDS', 0)
+        evacuated, *others = sorted(DOMAINS)
+        harness = ScalingHarness(demand=1)
+        harness.registry.set_evacuated(evacuated, evacuated=True)
+        harness.list_servers(range(8))
+        asyncio.run(harness.advance_time(4))
+        ordered = {order.failure_domain for order in harness.leader.orders}
+        assert ordered == set(others)
+
+    def test_other_domains_make_room(self, monkeypatch) -> None:
+        # Requests of the evacuated domain's servers had no place elsewhere until the
+        # load had grown there.
+        monkeypatch.setattr(f'{Autoscaler.__module__}.CHECK_INTERVAL_SECONDS', 0)
+        evacuated, *others = sorted(DOMAINS)
+        harness = ScalingHarness(demand=1)
+        harness.list_servers(range(8))
+        for record in harness.registry.all().values():
+            record.requests = 30
+        for domain in (evacuated, *others[:2]):
+            harness.registry.set_evacuated(domain, evacuated=True)
+        asyncio.run(harness.advance_time(4))
+        # 240 requests in batches of 12, half full.
+        newest = {order.reclaimable: order.count for order in harness.leader.orders}
+        assert sum(newest.values()) >= 40
+
+
 class TestLongAnswers:
     def test_servers_are_ordered_for_the_slots_that_answers_occupy(
         self, monkeypatch
