Keep within the rate that cold servers tolerate, all daemons together

Cause: the configuration's rate for cold servers was not read, and a server's remaining cold time never counted down; all there was is 0.15 s of cost.

Now a server is cold until the latest end of what is known: its entry, a connection that it refused, the end of an evacuation. Its rate is cut into permits of half a second by the allocator that named limits use, without carrying over: any second holds the permits of one slot more than a second has. A quarter of the platform's bound is left for daemons that disagree on who is there. A process that does not know the others has no permit, or each of a fleet that has just restarted would take all of them. What the rate cannot carry in time is refused at once.

Weighed: the sum of what others report (late by 0.1 to 0.5 s, by when the second is over); a part of the rate for each daemon (6.9 a second by 82: none would ever send); slots of a second with carrying over, as for named limits (up to three slots' permits within a second: 20.7, allowed 15.4).

Not bounded by this: the moment in which a running server has become cold and nobody knows yet, until its next entry (a heartbeat and the watchers' pause). It then gets its usual rate.

--- a/libs/serving/fireflyhitch_serving/attempt_policy.py
+++ b/libs/serving/fireflyhitch_serving/attempt_policy.py
@@ -1,6 +1,7 @@
 """Chooses the server of an attempt and decides whether to make another attempt."""
 
-from collections.abc import Iterable
+import math
+from collections.abc import Collection
 
 from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_model.states import Outcome
@@ -68,16 +69,50 @@
     def filter_by_rate_limit(
         self, candidates: list[ServerRecord]
     ) -> list[ServerRecord]:
-        """Return the candidates whose rate limit, if any, allows a request now."""
-        limits = self._deps.limits
-        if not limits.has_limits:
-            return candidates
-        return [record for record in candidates if limits.may_send(record.process)]
+        """Return the candidates whose rate limit, if any, allows a request now.
 
-    def find_local_rate(self, candidates: Iterable[ServerRecord]) -> float:
-        """Return the requests per second that this daemon may send to servers."""
+        Servers announce limits; cold servers have one, too.
+        """
+        limits = self._deps.limits
+        if limits.has_limits:
+            candidates = [
+                record for record in candidates if limits.may_send(record.process)
+            ]
+        cold_servers = self._deps.cold_servers
+        if cold_servers.has_cold:
+            candidates = [
+                record for record in candidates if cold_servers.may_send(record)
+            ]
+        return candidates
+
+    def record_sent(self, record: ServerRecord) -> None:
+        """Count a request against a server's rate limits."""
+        self._deps.limits.record_sent(record.process)
+        self._deps.cold_servers.record_sent(record)
+
+    def find_rate_wait(
+        self, candidates: Collection[ServerRecord], waiting: int
+    ) -> float:
+        """Return the seconds until rate limits allow so many requests.
+
+        :returns: infinity if they allow none.
+        """
         limits = self._deps.limits
-        return sum(limits.find_local_rate(record.process) for record in candidates)
+        cold_servers = self._deps.cold_servers
+        rate = sum(
+            min(
+                limits.find_local_rate(record.process),
+                cold_servers.find_local_rate(record),
+            )
+            for record in candidates
+        )
+        until_warm = min(
+            cold_servers.find_seconds_until_warm(record)
+            if limits.may_send(record.process)
+            else math.inf
+            for record in candidates
+        )
+        return min(waiting / rate if rate else math.inf, until_warm)
 
     def choose(
         self, exchange: Exchange, candidates: list[ServerRecord]
--- a/libs/serving/fireflyhitch_serving/catalog.py
+++ b/libs/serving/fireflyhitch_serving/catalog.py
@@ -125,14 +125,30 @@
     domain_prices: Mapping[FailureDomainId, float]
 
 
+@immutable
+class ColdStart:
+    """How a service's servers start.
+
+    :param seconds: time after a start for which a server is cold.
+    :param requests_per_second: rate that a cold server tolerates.
+    """
+
+    seconds: float
+    requests_per_second: float
+
+
 @immutable
 class Service:
-    """A service, provided by backend servers of one kind."""
+    """A service, provided by backend servers of one kind.
+
+    :param cold_start: ``None`` if its servers bear any load from their start.
+    """
 
     name: DeploymentId
     max_connections: int
     engine: EngineCapacity | None = None
     scale: ScaleBounds | None = None
+    cold_start: ColdStart | None = None
 
 
 @immutable
--- a/libs/serving/fireflyhitch_serving/dependencies.py
+++ b/libs/serving/fireflyhitch_serving/dependencies.py
@@ -11,6 +11,7 @@
 from fireflyhitch_routing.quarantine import Quarantine
 from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.catalog import Catalog
+from fireflyhitch_serving.cold_servers import ColdServers
 from fireflyhitch_serving.crash_detection import CrashDetector
 from fireflyhitch_serving.edge import Edge
 from fireflyhitch_serving.messages import PromptPart
@@ -113,3 +114,4 @@
     rng: random.Random
     crashes: CrashTracking
     limits: ServerLimits
+    cold_servers: ColdServers
--- a/libs/serving/fireflyhitch_serving/placement.py
+++ b/libs/serving/fireflyhitch_serving/placement.py
@@ -119,7 +119,7 @@
         wait += work.requests * SECONDS_PER_RUNNING_REQUEST
         wait *= record.slowness
         wait += _estimate_slot_wait(record, work.requests)
-        cost = wait + _find_locality_cost(record, locality)
+        cost = wait + _find_locality_cost(record, locality, now)
         if preferred and not cached and record.server.server_id not in preferred:
             cost += min(
                 prompt.target * NON_PREFERRED_TARGET_FRACTION, MAX_NON_PREFERRED_SECONDS
@@ -144,7 +144,7 @@
         if used_slots >= record.server.slots:
             continue
         cost = record.slowness * (used_slots + 1) / record.server.slots
-        cost += 10 * _find_locality_cost(record, locality)
+        cost += 10 * _find_locality_cost(record, locality, now)
         if cost < lowest_cost:
             lowest_cost = cost
             best = Placement(record, 0, 0, used_slots, 0)
@@ -200,11 +200,11 @@
     return used_slots
 
 
-def _find_locality_cost(record: ServerRecord, locality: Locality) -> float:
+def _find_locality_cost(record: ServerRecord, locality: Locality, now: float) -> float:
     domain = record.server.failure_domain
     cost = 0.0 if domain == locality.own_domain else REMOTE_DOMAIN_SECONDS
     if domain in locality.unreachable_domains:
         cost += UNREACHABLE_DOMAIN_SECONDS
-    if record.server.cold_seconds > 0:
+    if record.is_cold(now):
         cost += COLD_SERVER_SECONDS
     return cost
--- a/libs/serving/fireflyhitch_serving/request_handler.py
+++ b/libs/serving/fireflyhitch_serving/request_handler.py
@@ -1,6 +1,7 @@
 """Handles a request from admission over its attempts to the final response."""
 
 import asyncio
+import math
 from collections.abc import Sequence
 from functools import partial
 from http import HTTPStatus
@@ -129,10 +130,10 @@
         if exchange.has_waited:
             return
         waiting = self._waiting.count(exchange.service) + 1
-        wait = waiting / self._policy.find_local_rate(candidates)
+        wait = self._policy.find_rate_wait(candidates, waiting)
         if self._clock.monotonic() + wait < exchange.deadline:
             return
-        if exchange.runs:
+        if exchange.runs or math.isinf(wait):
             raise self._make_no_server_error(exchange)
         raise build_refusal(
             wait, 'servers_limited', 'the servers take no more requests'
@@ -154,7 +155,7 @@
             partial(self._policy.reserve_retry, exchange),
         )
         record.requests += 1
-        self._deps.limits.record_sent(record.process)
+        self._policy.record_sent(record)
         record.prompt_tokens += placement.fresh_tokens
         self._deps.workloads.record_prompt_tokens(
             exchange.service, placement.fresh_tokens
@@ -193,6 +194,8 @@
                 failed=ending is not Ending.GOOD,
                 seconds=(exchange.first_event_at or now) - exchange.attempt_started,
             )
+        if ending is Ending.UNREACHED:
+            self._deps.cold_servers.record_unreachable(record)
         self._record_statistics(exchange, record, ending)
         self._record_crash(exchange, record, ending)
         median_rate = self._deps.servers.find_median_failure_rate(record.server.service)
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -95,6 +95,7 @@
     :param evidence: statistics of its answers to all daemons.
     :param slowness: factor by which a request takes longer than at other servers.
     :param failing: whether it fails much more often than others.
+    :param cold_until: monotonic seconds until which it is cold.
     :param evacuated: whether operators evacuate its failure domain.
     """
 
@@ -110,6 +111,7 @@
     slowness: float = 1
     failing: bool = False
     evacuated: bool = False
+    cold_until: float = float('-inf')
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
     process: ProcessId = field(init=False)
 
@@ -122,6 +124,10 @@
         """Return whether new requests may be sent to it."""
         return self.server.ready and not self.evacuated
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether it is still slow after its start."""
+        return now < self.cold_until
+
     @property
     def own(self) -> InFlight:
         """Return the work that this daemon has in flight there."""
@@ -294,18 +300,27 @@
         """Return the failure domains whose servers get no new requests."""
         return frozenset(self._evacuated)
 
-    def set_evacuated(self, domain: FailureDomainId, *, evacuated: bool) -> None:
+    def set_evacuated(
+        self, domain: FailureDomainId, *, evacuated: bool
+    ) -> list[ServerRecord]:
         """Evacuate a failure domain, or end its evacuation.
 
         Requests that its servers are processing are left alone.
+
+        :returns: the servers for which this is a change.
         """
         if evacuated:
             self._evacuated.add(domain)
         else:
             self._evacuated.discard(domain)
-        for record in self._records.values():
-            if record.server.failure_domain == domain:
-                record.evacuated = evacuated
+        changed = [
+            record
+            for record in self._records.values()
+            if record.server.failure_domain == domain and record.evacuated != evacuated
+        ]
+        for record in changed:
+            record.evacuated = evacuated
+        return changed
 
     def _index(self) -> None:
         self._by_service = {}
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -19,6 +19,7 @@
 from fireflyhitch_serving.catalog import (
     CallerLimits,
     Catalog,
+    ColdStart,
     Customer,
     Quota,
     Route,
@@ -26,6 +27,7 @@
     Service,
     ServiceShare,
 )
+from fireflyhitch_serving.cold_servers import ColdServers, make_cold_permits
 from fireflyhitch_serving.connections import (
     Address,
     ResponseHead,
@@ -184,6 +186,12 @@
         self.clock = SystemClock()
         self.metrics = MetricsEndpoint()
         self.limits = ServerLimits('here', lambda: ['here'], time.time)
+        self.cold_start = ColdStart(seconds=3, requests_per_second=6)
+        self.cold_servers = ColdServers(
+            self.clock,
+            make_cold_permits('here', lambda: ['here'], time.time),
+            lambda service: self.cold_start,
+        )
         self.crashes = make_crash_tracking(self.clock, self.registry)
         self.shutdown_deadline: float | None = None
         handler = RequestHandler(
@@ -207,6 +215,7 @@
                 rng=random.Random(1),  # noqa: S311
                 crashes=self.crashes,
                 limits=self.limits,
+                cold_servers=self.cold_servers,
             )
         )
         self.front = ListenerState(handler.serve, self._limits, self.clock)
--- a/tests/users_platform/test_evacuation.py
+++ b/tests/users_platform/test_evacuation.py
@@ -148,7 +148,9 @@
     """Return consumers of which only the servers are used."""
     unused = cast('Any', None)
     registrations = cast('Any', SimpleNamespace(apply=None))
-    return StoreConsumers(ServerRegistry(), unused, unused, registrations, unused)
+    return StoreConsumers(
+        ServerRegistry(), unused, unused, unused, registrations, unused
+    )
 
 
 class TestRunningRequests:
