Keep requests in the regions that operators name

The configuration may name home regions of a route and of a customer (HOME); nothing read them, and any server got the request. Now both bind: only servers in these regions are candidates, for first attempts, repeats and continued streams, and without one there the caller is refused at once (not run). Bodies go from the daemon to the server only, so nothing else has to be bound.

--- a/libs/model/fireflyhitch_model/ids.py
+++ b/libs/model/fireflyhitch_model/ids.py
@@ -9,6 +9,7 @@
 DeploymentId = NewType('DeploymentId', str)
 VersionId = NewType('VersionId', str)
 FailureDomainId = NewType('FailureDomainId', str)
+RegionId = NewType('RegionId', str)
 InstanceId = NewType('InstanceId', str)
 BackendServerId = NewType('BackendServerId', str)
 # Identifies one process of a backend server; a restart gets a new id.
--- a/libs/serving/fireflyhitch_serving/attempt_policy.py
+++ b/libs/serving/fireflyhitch_serving/attempt_policy.py
@@ -43,11 +43,13 @@
         """Return the servers to which an attempt may be sent."""
         now = self._clock.monotonic()
         servers = self._deps.servers
+        find_region = self._deps.find_region
         servers.evaluate(exchange.service, now)
         listed = [
             record
             for record in servers.find_by_service(exchange.service)
             if record.accepts_requests
+            and exchange.allows_region(find_region(record.server.failure_domain))
         ]
         versions = frozenset(record.server.version for record in listed)
         allowed = self._deps.versions.pick(exchange.service, versions, self._deps.rng)
--- a/libs/serving/fireflyhitch_serving/catalog.py
+++ b/libs/serving/fireflyhitch_serving/catalog.py
@@ -4,7 +4,7 @@
 from dataclasses import field
 from enum import Enum
 
-from fireflyhitch_model.ids import CustomerId, DeploymentId, FailureDomainId
+from fireflyhitch_model.ids import CustomerId, DeploymentId, FailureDomainId, RegionId
 from fireflyhitch_model.records import immutable
 
 
@@ -39,6 +39,7 @@
     :param priority: 0 is the most urgent.
     :param public: whether callers need no API key.
     :param resumable: whether a stream may be resumed at another server.
+    :param home_regions: regions whose servers may get its requests; all if empty.
     """
 
     name: str
@@ -53,6 +54,7 @@
     priority: int
     public: bool
     resumable: bool
+    home_regions: frozenset[RegionId] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -88,11 +90,13 @@
     """A customer.
 
     :param priority: overrides the route's, unless ``None``.
+    :param home_regions: regions whose servers may get its requests; all if empty.
     """
 
     name: CustomerId
     quota: Quota
     priority: int | None = None
+    home_regions: frozenset[RegionId] = frozenset()
 
 
 @immutable
--- a/libs/serving/fireflyhitch_serving/dependencies.py
+++ b/libs/serving/fireflyhitch_serving/dependencies.py
@@ -5,7 +5,12 @@
 from typing import Protocol
 
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.ids import BackendServerId, DeploymentId, FailureDomainId
+from fireflyhitch_model.ids import (
+    BackendServerId,
+    DeploymentId,
+    FailureDomainId,
+    RegionId,
+)
 from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.crashes import CrashTracker
 from fireflyhitch_routing.quarantine import Quarantine
@@ -91,6 +96,7 @@
     :param wall: wall clock in seconds since 1970, corrected by the peers' clocks.
     :param catalog: the current configuration, if there is one yet.
     :param unreachable_domains: failure domains that are probably partitioned from here.
+    :param find_region: returns a failure domain's region, if it is known.
     :param shutdown_deadline: monotonic time by which a stopping process must have
         finished.
     """
@@ -109,6 +115,7 @@
     fresh_parts: RecentPromptParts
     unreachable_domains: Callable[[], frozenset[FailureDomainId]]
     record: Callable[[RequestRecord], None]
+    find_region: Callable[[FailureDomainId], RegionId | None]
     shutdown_deadline: Callable[[], float | None]
     own_domain: FailureDomainId
     rng: random.Random
--- a/libs/serving/fireflyhitch_serving/exchanges.py
+++ b/libs/serving/fireflyhitch_serving/exchanges.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from fireflyhitch_model.identity import identify_content
-from fireflyhitch_model.ids import BackendServerId, ContentId, DeploymentId
+from fireflyhitch_model.ids import BackendServerId, ContentId, DeploymentId, RegionId
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.callers import Reply
@@ -53,6 +53,16 @@
     relative_latency: float = 1
     events: EventSplitter = field(default_factory=EventSplitter)
 
+    def allows_region(self, region: RegionId | None) -> bool:
+        """Return whether servers of a region may get it.
+
+        Both its route and its customer may name home regions, and both bind.
+        """
+        homes = [self.route.home_regions]
+        if self.customer is not None:
+            homes.append(self.customer.home_regions)
+        return all(region in regions for regions in homes if regions)
+
     @property
     def urgency(self) -> int:
         """Return the priority of its customer, or else of its route; 0 is first."""
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -12,6 +12,7 @@
     CustomerId,
     DeploymentId,
     FailureDomainId,
+    RegionId,
     RequestId,
 )
 from fireflyhitch_routing.server_limits import ServerLimits, parse_rate
@@ -61,6 +62,7 @@
 
 SERVICE = DeploymentId('bookings')
 LOCAL_DOMAIN = FailureDomainId('gent')
+REMOTE_DOMAIN = FailureDomainId('namur')
 KEY = 'key-1'
 CUSTOMER = CustomerId('bakery')
 UNLIMITED = Quota(rate=0, burst=0, in_tokens=False, plain_tokens=0)
@@ -210,6 +212,10 @@
                 fresh_parts=RecentPromptParts(),
                 unreachable_domains=frozenset,
                 record=self.metrics.add,
+                find_region={
+                    LOCAL_DOMAIN: RegionId('flanders'),
+                    REMOTE_DOMAIN: RegionId('wallonia'),
+                }.get,
                 shutdown_deadline=lambda: self.shutdown_deadline,
                 own_domain=LOCAL_DOMAIN,
                 rng=random.Random(1),  # noqa: S311
