Have daemons read from peers what they have missed

Cause, by reading and by a test: changes go out in datagrams, small ones twice, those over 8 kB once, those over 60 kB not at all. A daemon that has missed one is meant to read the store, and one that the store turns away has nothing else. A configuration of 1,800 routes has 480 kB, 25 kB compressed: one datagram of many packets, sent once.

Now daemons answer reads of a prefix over a connection on their peer port. Who knows of a newer change and lacks it asks up to three peers, watchers first, before the store (this costs the platform no call), and again as long as the store does not answer. The listing is taken in like a read of the store, so removals, kept entries and old values follow the same rules. A daemon that starts while the store turns it away gets its state so, too.

Weighed: more copies of large datagrams (a third of the way at best, and 600 kB a change on links of 10 Mbit/s); fragments with a numbering of their own (a connection has that already).

--- a/libs/serving/fireflyhitch_serving/key_revisions.py
+++ b/libs/serving/fireflyhitch_serving/key_revisions.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from fireflyhitch_model.ids import Revision
-from fireflyhitch_platform.keyvalue import Listing
+from fireflyhitch_platform.keyvalue import KeyValue, Listing
 from fireflyhitch_serving.changes import Change, ChangeSpan
 
 # Removed keys remembered, so that a stale read doesn't restore them.
@@ -33,6 +33,7 @@
         self._is_settled = is_settled
         self._on_change = on_change
         self._revisions: dict[str, Revision] = {}
+        self._values: dict[str, bytes] = {}
         self._removed: dict[str, Revision] = {}
         self._missing: dict[str, Revision] = {}
 
@@ -53,6 +54,13 @@
         """
         return revision > max(self._revisions.get(key, -1), self._removed.get(key, -1))
 
+    def list_items(self) -> tuple[KeyValue, ...]:
+        """Return all keys, missing ones included."""
+        return tuple(
+            KeyValue(key, self._values[key], revision, revision)
+            for key, revision in self._revisions.items()
+        )
+
     def find_changes(self, listing: Listing) -> list[Change]:
         """Return the changes in a listing that are new here."""
         found = [
@@ -98,6 +106,7 @@
         elif self.is_newer(change.key, change.revision):
             self._missing.pop(change.key, None)
             self._revisions[change.key] = change.revision
+            self._values[change.key] = change.value
             self._on_change(change.key, change.value, change.revision)
 
     def drop_missing(self) -> None:
@@ -118,6 +127,7 @@
 
     def _remove(self, key: str, revision: Revision) -> None:
         self._revisions.pop(key, None)
+        self._values.pop(key, None)
         self._removed[key] = revision
         if len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/peer_listings.py
@@ -0,0 +1,163 @@
+"""Reads all keys below a prefix from a peer, over a connection.
+
+Changes are broadcast in datagrams, which may be lost or too large. A daemon that the
+store turns away cannot read there what it has missed, and would keep an old state for as
+long as that lasts; so would one that starts meanwhile, without any state.
+"""
+
+import random
+import zlib
+from collections.abc import Awaitable, Callable, Sequence
+from http import HTTPStatus
+from urllib.parse import parse_qs, urlencode, urlsplit
+
+import cbor2
+from cachetools import LRUCache
+from loguru import logger
+
+from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.ids import Revision
+from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_platform.keyvalue import KeyValue, Listing
+from fireflyhitch_serving.callers import Reply
+from fireflyhitch_serving.client import HttpClient
+from fireflyhitch_serving.connections import Address
+from fireflyhitch_serving.errors import ServerError
+from fireflyhitch_serving.messages import CallerRequest
+from fireflyhitch_serving.peers import PeerRegistry
+
+# A peer answers from memory; another one is asked sooner than a slow one answers.
+READ_TIMEOUT_SECONDS = 0.6
+# Fastest level: values are JSON with few distinct words.
+COMPRESSION_LEVEL = 1
+MAX_READ_PEERS = 3
+PATH = '/listing'
+MAX_CLIENTS = 16
+DECODE_ERRORS = (cbor2.CBORDecodeError, zlib.error, TypeError, ValueError)
+
+# Reads a prefix from the peer at an address; raises ``ServerError``.
+ReadPeer = Callable[[Address, str], Awaitable[Listing]]
+# Returns this daemon's own listing of a prefix, if it is complete.
+FindListing = Callable[[str], Listing | None]
+
+
+def encode_listing(listing: Listing) -> bytes:
+    """Return the body of a response."""
+    rows = [(item.key, item.value, item.revision) for item in listing.items]
+    return zlib.compress(cbor2.dumps((listing.revision, rows)), COMPRESSION_LEVEL)
+
+
+def decode_listing(body: bytes) -> Listing:
+    """Decode the body of a response; it is malformed if this raises."""
+    revision, rows = cbor2.loads(zlib.decompress(body))
+    items = tuple(KeyValue(key, value, at, at) for key, value, at in rows)
+    return Listing(Revision(revision), items)
+
+
+class PeerReader:
+    """Reads listings from peers over HTTP."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Create a reader without connections."""
+        self._clock = clock
+        self._clients: LRUCache[Address, HttpClient] = LRUCache(MAX_CLIENTS)
+
+    async def read(self, address: Address, prefix: str) -> Listing:
+        """Read all keys below a prefix as one peer knows them.
+
+        :raises ServerError: if it does not respond, or has no complete listing.
+        """
+        client = self._clients.get(address)
+        if client is None:
+            client = HttpClient(address, self._clock)
+            self._clients[address] = client
+        target = f'{PATH}?{urlencode({"prefix": prefix})}'.encode()
+        response = await client.call(b'GET', target, timeout=READ_TIMEOUT_SECONDS)
+        if response.status != HTTPStatus.OK:
+            raise _make_error(address, f'status {response.status}')
+        try:
+            return decode_listing(response.body)
+        except DECODE_ERRORS as error:
+            raise _make_error(address, f'malformed listing: {error!r}') from error
+
+
+def _make_error(address: Address, reason: str) -> ServerError:
+    return ServerError(
+        reason, step=Step.STORE_READ, peer=str(address), outcome=Outcome.RAN
+    )
+
+
+class PeerListings:
+    """Chooses the peer to read from."""
+
+    def __init__(
+        self,
+        peers: PeerRegistry,
+        list_watchers: Callable[[], Sequence[str]],
+        rng: random.Random,
+        read: ReadPeer,
+    ) -> None:
+        """Create a source that reads with ``read``.
+
+        :param list_watchers: returns the daemons of the group that watch the store.
+        """
+        self._peers = peers
+        self._list_watchers = list_watchers
+        self._rng = rng
+        self._read = read
+
+    async def fetch(self, prefix: str, wanted: Revision) -> Listing | None:
+        """Read a prefix from peers, until one has a revision.
+
+        :returns: the newest listing read; ``None`` if no peer had one.
+        """
+        newest: Listing | None = None
+        for peer, address in self._choose():
+            listing = await self._read_one(peer, address, prefix)
+            if listing is None:
+                continue
+            if newest is None or listing.revision > newest.revision:
+                newest = listing
+            if newest.revision >= wanted:
+                break
+        return newest
+
+    async def _read_one(
+        self, peer: str, address: Address, prefix: str
+    ) -> Listing | None:
+        log = logger.bind(peer=peer, prefix=prefix)
+        try:
+            listing = await self._read(address, prefix)
+        except ServerError as error:
+            log.bind(error=str(error)).info('peer not readable')
+            return None
+        log.bind(keys=len(listing.items), upto=listing.revision).info('read from peer')
+        return listing
+
+    def _choose(self) -> list[tuple[str, Address]]:
+        """Return a few peers, watchers of the group first: they have changes first.
+
+        A watcher may have lost the store without knowing yet.
+        """
+        addresses = self._peers.listed()
+        addresses.pop(self._peers.own, None)
+        watchers = [name for name in self._list_watchers() if name in addresses]
+        others = sorted(addresses.keys() - watchers)
+        self._rng.shuffle(watchers)
+        self._rng.shuffle(others)
+        chosen = [*watchers, *others][:MAX_READ_PEERS]
+        return [(name, addresses[name]) for name in chosen]
+
+
+async def serve_listing(
+    find_listing: FindListing, request: CallerRequest, reply: Reply
+) -> None:
+    """Respond to a peer that reads a prefix."""
+    target = urlsplit(request.target.decode('latin-1'))
+    prefix = ''.join(parse_qs(target.query).get('prefix', ()))
+    listing = find_listing(prefix) if target.path == PATH else None
+    if listing is None:
+        reply.send_response(HTTPStatus.NOT_FOUND, [], b'')
+        return
+    body = encode_listing(listing)
+    reply.send_response(HTTPStatus.OK, [], body)
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 
 from loguru import logger
 
@@ -83,6 +83,10 @@
         """
         return self._has_discovered_peers() and self._own in self._find_watchers()
 
+    def list_watchers(self) -> Sequence[str]:
+        """Return the daemons of this group that watch, the first one first."""
+        return self._find_watchers()
+
     def find_pause(self) -> float:
         """Return the seconds between one result of the watch and the next call.
 
--- a/libs/serving/fireflyhitch_serving/store_view.py
+++ b/libs/serving/fireflyhitch_serving/store_view.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import Enum
 
 from loguru import logger
@@ -50,6 +50,7 @@
     LIST = 'list'
     STALE_LIST = 'old list'
     OUTAGE_OVER = 'break over'
+    PEER_LIST = 'list of peer'
 
 
 @immutable
@@ -66,6 +67,9 @@
     is_incomplete: Callable[[], bool] = bool
 
 
+FetchListing = Callable[[str, Revision], Awaitable[Listing | None]]
+
+
 @immutable
 class PeerReports:
     """What peers report about the store.
@@ -74,10 +78,13 @@
         peer has received.
     :param is_following: returns whether a peer has followed the store without
         interruption.
+    :param fetch: reads all keys below a prefix from peers, until one has the wanted
+        revision; ``None`` if no peer responds.
     """
 
     find_newest_revision: Callable[[str], Revision]
     is_following: Callable[[], bool] = bool
+    fetch: FetchListing | None = None
 
 
 class ResyncNeeded(Exception):
@@ -143,9 +150,29 @@
             await self._wait_for_store()
 
     async def _wait_for_store(self) -> None:
-        """Wait while the store is unreachable; ``StoreProbe`` detects its return."""
+        """Wait while the store is unreachable; ``StoreProbe`` detects its return.
+
+        The store may turn away this daemon alone, so missed changes are read from peers.
+        """
         while not self._health.answers:
             await asyncio.sleep(CHECK_SECONDS)
+            if self._is_behind():
+                await self._read_from_peers()
+
+    async def _read_from_peers(self) -> None:
+        """Read all keys from peers; whether they lack changes is found as usual."""
+        if self._peers.fetch is None:
+            return
+        wanted = self._peers.find_newest_revision(self.prefix)
+        listing = await self._peers.fetch(self.prefix, wanted)
+        if listing is not None:
+            self._apply_keys(listing, Source.PEER_LIST)
+
+    def make_listing(self) -> Listing | None:
+        """Return all keys as known here, for peers; ``None`` before they were read."""
+        if self._progress.complete == ABSENT:
+            return None
+        return Listing(self._progress.complete, self._keys.list_items())
 
     async def probe(self) -> None:
         """Read all keys from a snapshot that may be some seconds old.
@@ -207,13 +234,19 @@
         return INITIAL_POLL_SECONDS if self._events.is_incomplete() else POLL_SECONDS
 
     async def _catch_up(self) -> None:
-        """Read missed changes: first by a cheap stale read, then by a current one."""
+        """Read missed changes.
+
+        A peer is asked first, as the store may not answer this daemon, then the store by
+        a cheap stale read, then by a current one.
+        """
         reported = self._peers.find_newest_revision(self.prefix)
         logger.bind(
             prefix=self.prefix, told=reported, known=self._progress.complete
         ).info('catching up')
         await asyncio.sleep(self._rng.uniform(0, CATCH_UP_JITTER_SECONDS))
-        await self.probe()
+        await self._read_from_peers()
+        if self._progress.complete < reported:
+            await self.probe()
         if self._progress.complete < reported:
             await self._list(broadcasts=False)
 
@@ -242,8 +275,11 @@
         return self._progress.is_behind(reported)
 
     def _apply_listing(self, listing: Listing, source: Source) -> None:
-        """Apply a listing of all keys."""
+        """Apply the store's listing of all keys."""
         self._mark_current()
+        self._apply_keys(listing, source)
+
+    def _apply_keys(self, listing: Listing, source: Source) -> None:
         for change in self._keys.find_changes(listing):
             self.apply_change(change, source.value)
         self._progress.record_listing(listing.revision)
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -19,17 +19,21 @@
     ProcessId,
     Revision,
 )
+from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_platform.keyvalue import Listing
 from fireflyhitch_routing.crashes import ServerCrash
 from fireflyhitch_routing.server_limits import ServerLimits
 from fireflyhitch_serving.changes import decode_changes
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.dependencies import RecentPromptParts, make_crash_tracking
 from fireflyhitch_serving.duty_ranking import LeadershipOrder
+from fireflyhitch_serving.errors import ServerError
 from fireflyhitch_serving.holds import HOLDS_PREFIX, HoldManager
 from fireflyhitch_serving.hubs import HubTracker
 from fireflyhitch_serving.leases import FIREFLYHITCH_PREFIX, LEADER_KEY, LeaderLease
 from fireflyhitch_serving.moves import MoveTracker
 from fireflyhitch_serving.peer_channel import PeerChannel, PeerHandlers
+from fireflyhitch_serving.peer_listings import PeerListings
 from fireflyhitch_serving.peer_state import PeerState
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.progress import ViewProgress
@@ -80,6 +84,21 @@
             False
         )
         self.names: dict[Address, str] = {}
+        self.daemons: dict[Address, Daemon] = {}
+
+    async def read_listing(self, address: Address, prefix: str) -> Listing:
+        """Return a daemon's listing over a connection, which loses nothing."""
+        await asyncio.sleep(2 * LINK_DELAY_SECONDS)
+        daemon = self.daemons.get(address) if address in self.channels else None
+        listing = daemon.find_listing(prefix) if daemon else None
+        if listing is None:
+            raise ServerError(
+                'no listing',
+                step=Step.STORE_READ,
+                peer=str(address),
+                outcome=Outcome.RAN,
+            )
+        return listing
 
     def transmit(self, sender: Address, to: Address, data: bytes) -> None:
         """Deliver a datagram unless it is dropped."""
@@ -177,6 +196,10 @@
             self._channel.send_to,
             self._registrations.has_discovered_peers,
         )
+        self._peer_listings = PeerListings(
+            self._peers, self.relay.list_watchers, rng, net.read_listing
+        )
+        net.daemons[address] = self
         self.view = self._make_view(
             SERVERS, ViewCallbacks(self._apply_change, lambda: None)
         )
@@ -191,6 +214,11 @@
         self._views = (self.view, self._own_view)
         self._tasks = self._start()
 
+    def find_listing(self, prefix: str) -> Listing | None:
+        """Return all keys below a prefix as it knows them."""
+        views = {view.prefix: view for view in self._views}
+        return views[prefix].make_listing()
+
     def count_work(self) -> int:
         """Return how many requests it counts at the one server that has some."""
         now = self._clock.monotonic()
@@ -258,6 +286,7 @@
             PeerReports(
                 self._shared.find_newest_revision,
                 self._shared.is_store_settled_for_peers,
+                self._peer_listings.fetch,
             ),
             self.relay,
         )
