Broadcast large changes once, and keep watches off slow links

Cause: each watcher got the whole configuration at each change (640 kB), and sent it on to all members of its group (25 kB to each). With eight watchers a group, most of them on links of 5 Mbit/s, the links were full; requests waited behind.

Now only the first watcher, which has a fast link, sends what is too large to be sent twice; who misses it reads it from a peer. Where two daemons of a group have fast links and reach the store, no other one watches.

Weighed: changes as differences to the last value (smaller still, but each receiver needs just that value; next, if needed).

Evidence: in virtual time a large change reaches each daemon once (three times before); with both fast watchers killed, cut off or stalled all daemons still learn of a leaving server within 2 s.

--- a/libs/serving/fireflyhitch_serving/peers.py
+++ b/libs/serving/fireflyhitch_serving/peers.py
@@ -1,6 +1,6 @@
 """The registry of other daemons: which are listed and responsive, and their last state."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 from statistics import median
 
@@ -133,11 +133,17 @@
         delayed its callers' first tokens in proportion to the link's utilization.
         """
         ranked = rank_by_hash(duty, daemons)
-        best = max(self._links.get(daemon, 0) for daemon in ranked)
-        return sorted(
-            ranked,
-            key=lambda daemon: self._links.get(daemon, 0) < best * MIN_LINK_FRACTION,
-        )
+        fast = self.filter_fast_links(ranked)
+        return [*fast, *(daemon for daemon in ranked if daemon not in fast)]
+
+    def filter_fast_links(self, daemons: Collection[str]) -> list[str]:
+        """Return the daemons whose links are not much slower than the fastest one."""
+        best = max((self._links.get(daemon, 0) for daemon in daemons), default=0)
+        return [
+            daemon
+            for daemon in daemons
+            if self._links.get(daemon, 0) >= best * MIN_LINK_FRACTION
+        ]
 
     def list_all(self) -> list[str]:
         """Return the daemons that the store lists, and this one."""
--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -25,6 +25,9 @@
 # One more daemon watches for each one that the store has refused: replacing these one
 # after the other would be too slow if the store answers only some.
 MAX_WATCHERS = 8
+# With so many watchers on fast links, none is needed on a slow one: the store sends it
+# each changed value, and a large one delays its callers by a second.
+MIN_FAST_WATCHERS = 2
 # The watchers are queried many times a second and change with the peers' states, so
 # their ranking is cached for this long.
 RANKING_SECONDS = 0.1
@@ -111,7 +114,11 @@
         group = self._peers.responsive_members().values()
         without_store = sum(not state.hears_store for state in group)
         max_watchers = min(WATCHERS + without_store, MAX_WATCHERS)
-        return rank_eligible(self._peers, 'watch')[:max_watchers]
+        eligible = rank_eligible(self._peers, 'watch')
+        able = self._peers.filter_fast_links(eligible)
+        if len(able) >= MIN_FAST_WATCHERS:
+            eligible = able
+        return eligible[:max_watchers]
 
     def broadcast(self, span: ChangeSpan) -> None:
         """Send changes to daemons that do not watch or cannot reach the store.
@@ -137,7 +144,11 @@
             near=len(members),
             lacking=len(without_store),
         ).info('changes passed on')
-        self._send_span(span, [*members, *without_store])
+        self._send_span(
+            span,
+            [*members, *without_store],
+            includes_large=self._find_watchers()[0] == self._own,
+        )
 
     def forward(self, message: ChangeMessage) -> None:
         """Forward changes from a daemon outside the group to this group.
@@ -184,18 +195,27 @@
         group = self._peers.responsive_members()
         return [daemon for daemon, member in group.items() if not member.hears_store]
 
-    def _send_span(self, span: ChangeSpan, to: list[str]) -> None:
-        """Send each datagram, small ones twice."""
+    def _send_span(
+        self, span: ChangeSpan, to: list[str], *, includes_large: bool = True
+    ) -> None:
+        """Send each datagram, small ones twice.
+
+        Large ones of a watcher that is not the first would reach each daemon once more,
+        and fill slow links for most of a second. Who misses one reads it from a peer.
+        """
         loop = asyncio.get_running_loop()
         for part in split_span(span, MAX_CHANGES):
             data = encode_changes(ChangeMessage(self._process, part))
+            is_large = len(data) > MAX_RESENT_BYTES
+            if is_large and not includes_large:
+                continue
             if len(data) > MAX_DATAGRAM_BYTES:
                 logger.bind(size=len(data), prefix=part.prefix, upto=part.upto).info(
                     'changes too large for a datagram'
                 )
                 continue
             self._send(data, to)
-            if len(data) <= MAX_RESENT_BYTES:
+            if not is_large:
                 loop.call_later(RESEND_SECONDS, self._send, data, to)
 
     def _drop_old(self, now: float) -> None:
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -84,6 +84,7 @@
             False
         )
         self.names: dict[Address, str] = {}
+        self.find_link_mbps: Callable[[str], float] = lambda daemon: 10
         self.daemons: dict[Address, Daemon] = {}
 
     async def read_listing(self, address: Address, prefix: str) -> Listing:
@@ -166,7 +167,7 @@
         self._channel.connection_made(_Transport(net, address))  # type: ignore[arg-type]
         net.names[address] = name
         net.channels[address] = self._channel
-        registration = Registration(address, self._domain, 10)
+        registration = Registration(address, self._domain, net.find_link_mbps(name))
         self._registrations = RegistrationManager(
             self._store, self._peers, name, registration, self._health, self._clock
         )
--- a/libs/serving/tests/test_large_changes.py
+++ b/libs/serving/tests/test_large_changes.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import random
+from collections import Counter
 
 import pytest
-from daemons_scene import SERVERS, Daemons
+from daemons_scene import SERVERS, Daemons, is_change_message
 from virtual_time import run_virtual
 
 from fireflyhitch_model.clock import SystemClock
@@ -18,7 +19,8 @@
     decode_listing,
     encode_listing,
 )
-from fireflyhitch_serving.peers import PeerRegistry
+from fireflyhitch_serving.peers import MAX_DATAGRAM_BYTES, PeerRegistry
+from fireflyhitch_serving.relays import MAX_RESENT_BYTES
 
 # A change of the configuration is due everywhere within this.
 CONFIGURATION_SECONDS = 3.0
@@ -103,3 +105,26 @@
     for number in (1, 2, 3):
         peers.register(f'd{number}', Address('127.0.0.1', number))
     return peers
+
+
+class TestLinks:
+    def test_a_large_change_is_broadcast_once(self) -> None:
+        # Each watcher sent it to all: slow links were full for a second at each change
+        # of the configuration, and callers' requests waited behind it.
+        sent: Counter[str] = Counter()
+
+        async def script() -> None:
+            cluster = Daemons(1, gent=18, aalst=18)
+            await cluster.start_all()
+
+            def count(sender: str, to: str, data: bytes) -> bool:
+                sent[to] += is_change_message(data) and len(data) > MAX_RESENT_BYTES
+                return False
+
+            cluster.net.should_drop = count
+            value = random.Random(1).randbytes(MAX_DATAGRAM_BYTES // 2)  # noqa: S311
+            cluster.store.put(f'{SERVERS}large', value)
+            await asyncio.sleep(CONFIGURATION_SECONDS)
+
+        run_virtual(script())
+        assert max(sent.values()) == 1
--- a/libs/serving/tests/test_leaving_servers.py
+++ b/libs/serving/tests/test_leaving_servers.py
@@ -111,7 +111,47 @@
         assert not outdated
 
 
-def find_outdated(fault: Fault, local: int, remote: int, seed: int) -> list[str]:
+class TestFastLinks:
+    @pytest.mark.parametrize(
+        'fault', [kill_watchers, partition_watchers_from_store, stall_watches]
+    )
+    def test_no_daemon_sends_to_drained_server_after_loss_of_the_fast_watchers(
+        self, fault: Fault
+    ) -> None:
+        # Only two daemons of each domain watch if their links are fast; both fail.
+        assert not find_outdated(fault, 15, 14, 1, find_link_mbps=find_unequal_link)
+
+    def test_slow_links_do_not_carry_watches(self) -> None:
+        # Each change of a large configuration filled a slow watcher's link for a second.
+        watchers: list[str] = []
+
+        async def script() -> None:
+            cluster = Daemons(1, gent=15, aalst=14)
+            cluster.net.find_link_mbps = find_unequal_link
+            await cluster.start_all()
+            watchers.extend(cluster.find_watchers('gent'))
+
+        run_virtual(script())
+        assert sorted(watchers) == ['gent-1', 'gent-2']
+
+
+def find_unequal_link(daemon: str) -> float:
+    """Return the rate of a link; two daemons of each failure domain have a fast one."""
+    return 100 if daemon.rpartition('-')[2] in {'1', '2'} else 5
+
+
+def find_equal_link(daemon: str) -> float:
+    """Return the rate of a link, which is the same for all daemons."""
+    return 10
+
+
+def find_outdated(
+    fault: Fault,
+    local: int,
+    remote: int,
+    seed: int,
+    find_link_mbps: Callable[[str], float] = find_equal_link,
+) -> list[str]:
     """Inject a fault; return the daemons that still use a server after its drain time.
 
     Daemons without access to the store are left out.
@@ -120,6 +160,7 @@
 
     async def script() -> None:
         cluster = Daemons(seed, gent=local, aalst=remote)
+        cluster.net.find_link_mbps = find_link_mbps
         await cluster.start_all()
         await asyncio.sleep(seed / 3)
         cluster.store.stale_seconds = STALE_SECONDS
