Order servers on demand before the last failure domain is reclaimed

Cause, from the lines: the reclaimable servers of three failure domains were away by 24 s, with none to be had anywhere. The 35 of the fourth were enough for the load, so one server on demand ran in each of the others. At 27.8 s the fourth was reclaimed, too, and 11 servers stood before 350 requests in flight until the next started at 33 s.

Now so many servers as carry the load without any spare have to remain if one more domain loses its reclaimable servers: with two domains or more left they do, with one they are ordered on demand while it still serves.

Evidence: the new test of the spread is red before.

--- a/libs/fleet/fireflyhitch_fleet/spread.py
+++ b/libs/fleet/fireflyhitch_fleet/spread.py
@@ -44,10 +44,13 @@
     :param servers: number of servers that carry the present load within its targets.
     :param domains_lost: number of domains that may lose their reclaimable servers at
         the same time.
+    :param remaining: number of servers that carry the load without any spare; so many
+        have to remain if one more domain loses its reclaimable servers.
     """
 
     servers: int
     domains_lost: int
+    remaining: int = 0
 
 
 def spread_servers(
@@ -65,8 +68,7 @@
     staying = max(len(domains) - need.domains_lost, 1)
     per_domain = math.ceil(need.servers / staying)
     per_domain = min(max(per_domain, bounds.min_servers), bounds.max_servers)
-    reclaimable = sum(present[domain].reclaimable for domain in domains)
-    shortage = max(need.servers - reclaimable, 0)
+    shortage = _find_shortage(need, present)
     on_demand_targets: dict[FailureDomainId, int] = {}
     for domain in domains:
         on_demand_targets[domain] = _count_on_demand(
@@ -88,6 +90,22 @@
     }
 
 
+def _find_shortage(
+    need: SpreadNeed, present: Mapping[FailureDomainId, DomainServers]
+) -> int:
+    """Return how many on-demand servers the load needs.
+
+    While reclaimable servers of several domains are away, those of the last domain can
+    be reclaimed, too, and replacements start only seconds later. By then the queues
+    of the few servers left are so long that all answers are late.
+    """
+    counts = [current.reclaimable for current in present.values()]
+    shortage = need.servers - sum(counts)
+    if len(counts) > 1:
+        shortage = max(shortage, need.remaining - (sum(counts) - max(counts)))
+    return max(shortage, 0)
+
+
 def _find_reclaimable_targets(
     per_domain: int, present: Mapping[FailureDomainId, DomainServers]
 ) -> dict[FailureDomainId, int]:
--- a/libs/fleet/tests/test_spread.py
+++ b/libs/fleet/tests/test_spread.py
@@ -55,6 +55,31 @@
             assert current.reclaimable + current.on_demand <= BOUNDS.max_servers
 
 
+class TestLastDomain:
+    def test_servers_on_demand_stand_in_for_the_last_reclaimable_domain(self) -> None:
+        # The reclaimable servers of three domains were away, and the fourth domain had
+        # enough for the load. When it lost them too, replacements took four seconds, and
+        # callers got hardly any answer in time for ten.
+        gent, brugge, *others = PRICES
+        present = {
+            gent: DomainServers(0, 0),
+            brugge: DomainServers(28, 0),
+            **dict.fromkeys(others, NOTHING),
+        }
+        need = SpreadNeed(servers=28, domains_lost=3, remaining=18)
+        target = spread_servers(need, SpreadBounds(1, 28), PRICES, present)
+        assert sum(current.on_demand for current in target.values()) >= 18
+
+    def test_no_servers_on_demand_while_two_domains_are_left(self) -> None:
+        gent, brugge, *others = PRICES
+        running = DomainServers(28, 0)
+        present = {gent: running, brugge: running, **dict.fromkeys(others, NOTHING)}
+        need = SpreadNeed(servers=28, domains_lost=3, remaining=18)
+        target = spread_servers(need, SpreadBounds(1, 28), PRICES, present)
+        # The minimum of a domain without reclaimable servers.
+        assert sum(current.on_demand for current in target.values()) == 2
+
+
 class TestWave:
     def test_spread_is_cheaper_than_on_demand_and_serves_more_than_all_spot(
         self,
--- a/libs/serving/fireflyhitch_serving/autoscaler.py
+++ b/libs/serving/fireflyhitch_serving/autoscaler.py
@@ -16,6 +16,7 @@
 )
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.ids import DeploymentId, FailureDomainId
+from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.catalog import Catalog, ScaleBounds, Service
 from fireflyhitch_serving.duty_calls import CallResult, DutyCalls, ServerOrder
 from fireflyhitch_serving.leases import LeaderLease
@@ -34,10 +35,6 @@
 # Decay of a peak per check, half in 23 s: bursts come again, and reclaimable servers
 # that were released may be unavailable for some time after a reclaim.
 PEAK_DECAY = 0.985
-# Fraction of the time for which an engine may be busy with prefill: requests come in
-# bursts, and above this the prompt queue grows.
-TARGET_UTILIZATION = 0.5
-
 # A leader that has seen no load yet assumes that this fraction of the present servers
 # is needed: orders for no load would leave the first callers only a few servers.
 INITIAL_FLOOR_FRACTION = 0.6
@@ -54,13 +51,29 @@
 # If this many servers are listed, and none is reclaimable, all seem to be on demand.
 MIN_LISTED_ON_DEMAND = 2
 
-# Fraction of an engine's batch that is planned to be in use: a full batch makes
-# requests wait for a slot, and steps longer.
-TARGET_BATCH_FRACTION = 0.5
-
 _OrderKey = tuple[DeploymentId, FailureDomainId, bool]
 
 
+@immutable
+class EngineLoad:
+    """How much an engine is used.
+
+    :param utilization: fraction of the time for which it is busy with prefill.
+    :param batch_fraction: fraction of its batch that is in use.
+    """
+
+    utilization: float
+    batch_fraction: float
+
+
+# Requests come in bursts: above this the prompt queue grows, and a full batch makes
+# requests wait for a slot, and steps longer.
+PLANNED_LOAD = EngineLoad(utilization=0.5, batch_fraction=0.5)
+# The most that engines bear for some seconds, until others have started.
+MAX_FRACTION = 0.8
+FULL_LOAD = EngineLoad(utilization=MAX_FRACTION, batch_fraction=MAX_FRACTION)
+
+
 @dataclass(slots=True)
 class _Listing:
     count: int
@@ -167,8 +180,9 @@
         if not settled:
             # More servers may be listed yet.
             self._floors.pop(service.name)
-        needed = max(self._count_needed(service), math.ceil(floor))
-        need = SpreadNeed(needed, domains_lost)
+        needed = max(self._count_needed(service, PLANNED_LOAD), math.ceil(floor))
+        remaining = self._count_needed(service, FULL_LOAD)
+        need = SpreadNeed(needed, domains_lost, remaining)
         prices = {domain: scale.domain_prices[domain] for domain in present}
         target = spread_servers(
             need, SpreadBounds(scale.min_servers, scale.max_servers), prices, present
@@ -246,12 +260,15 @@
         busy = self._workloads.find_busy_seconds(service, self._demand())
         self._peaks.setdefault(service, _Peak()).update(busy, requests)
 
-    def _count_needed(self, service: Service) -> int:
-        """Return the number of servers that carry the recent peak load."""
+    def _count_needed(self, service: Service, load: EngineLoad) -> int:
+        """Return the number of servers that carry the recent peak load.
+
+        :param load: the load of each engine.
+        """
         peak = self._peaks[service.name]
         batch = service.engine.batch if service.engine else 1
-        for_prefill = math.ceil(peak.busy / TARGET_UTILIZATION)
-        for_slots = math.ceil(peak.requests / (batch * TARGET_BATCH_FRACTION))
+        for_prefill = math.ceil(peak.busy / load.utilization)
+        for_slots = math.ceil(peak.requests / (batch * load.batch_fraction))
         return max(MIN_NEEDED, for_prefill, for_slots)
 
     def _count_tolerated_losses(self, scale: ScaleBounds) -> int:
