Keep summaries within the size of a datagram, and compress them

Cause, from the lines: 1.2 s after 35 servers had crashed all four hubs were taken for gone in the same tenth of a second, and daemons on links of 5 Mbit/s took over, each sending 1.9 MB in the next second. A hub sends its own and the other domains' summaries in one datagram (30 kB on average before the crashes); each summary also holds the records of all crashes. Beyond 64 kB the kernel refuses it, and that error was passed over in silence. That the size was the reason is inferred: the lines do not tell sizes.

A datagram that the kernel refuses is logged. Compressed values have one module for the three kinds of message.

Evidence: with 600 crashes a domain all summaries arrive, in datagrams of an allowed size; tests of summaries, hubs and large changes pass.

--- a/libs/serving/fireflyhitch_serving/changes.py
+++ b/libs/serving/fireflyhitch_serving/changes.py
@@ -1,17 +1,11 @@
 """Types and datagrams for store changes that daemons broadcast."""
 
-import zlib
-from typing import Any
-
-import cbor2
-
 from fireflyhitch_model.ids import ABSENT, Revision
 from fireflyhitch_model.records import immutable
+from fireflyhitch_serving.packing import pack, unpack
 from fireflyhitch_serving.peer_state import decode_rows, encode_rows
 
 CHANGES = 'changes'
-# Values are JSON with few distinct words; the fastest level removes most of the size.
-COMPRESSION_LEVEL = 1
 
 
 @immutable
@@ -54,28 +48,19 @@
     span = message.span
     rows: list[object] = [(message.sender, span.prefix, span.after, span.upto)]
     rows.extend((change.key, change.value, change.revision) for change in span.changes)
-    packed = zlib.compress(cbor2.dumps(rows), COMPRESSION_LEVEL)
-    return encode_rows(CHANGES, [packed])
+    return encode_rows(CHANGES, [pack(rows)])
 
 
 def decode_changes(data: bytes) -> ChangeMessage | None:
     """Decode a datagram; return ``None`` for one of another kind."""
-    packed = decode_rows(CHANGES, data, _unpack)
-    if not packed:
+    unpacked = decode_rows(CHANGES, data, unpack)
+    if not unpacked:
         return None
-    (sender, prefix, after, upto), *changes = packed[0]
+    (sender, prefix, after, upto), *changes = unpacked[0]
     span = ChangeSpan(prefix, [Change(*row) for row in changes], after, upto)
     return ChangeMessage(sender, span)
 
 
-def _unpack(packed: bytes) -> list[Any]:
-    try:
-        rows: list[Any] = cbor2.loads(zlib.decompress(packed))
-    except zlib.error as error:
-        raise ValueError('cannot decompress changes') from error
-    return rows
-
-
 def split_span(span: ChangeSpan, max_changes: int) -> list[ChangeSpan]:
     """Split a span into spans of at most ``max_changes`` changes, one per datagram.
 
--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/packing.py
@@ -0,0 +1,27 @@
+"""Compressed values in messages between daemons."""
+
+import zlib
+from typing import Any
+
+import cbor2
+
+from fireflyhitch_serving.peer_state import encode_value
+
+# The fastest level: values repeat few distinct words, and it removes most of the size.
+COMPRESSION_LEVEL = 1
+
+
+def pack(value: object) -> bytes:
+    """Encode and compress a value."""
+    return zlib.compress(cbor2.dumps(value, default=encode_value), COMPRESSION_LEVEL)
+
+
+def unpack(packed: bytes) -> Any:
+    """Return a packed value.
+
+    :raises ValueError: if it is malformed.
+    """
+    try:
+        return cbor2.loads(zlib.decompress(packed))
+    except (zlib.error, cbor2.CBORDecodeError) as error:
+        raise ValueError(f'malformed message: {error!r}') from error
--- a/libs/serving/fireflyhitch_serving/peer_channel.py
+++ b/libs/serving/fireflyhitch_serving/peer_channel.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from errno import EMSGSIZE
 from typing import cast
 
 from loguru import logger
@@ -99,7 +100,12 @@
             self._handlers.receive(state)
 
     def error_received(self, exc: Exception) -> None:
-        """Ignore an unreachable peer; it will be found unresponsive."""
+        """Log a datagram that cannot be sent.
+
+        An unreachable peer is ignored; it will be found unresponsive.
+        """
+        if isinstance(exc, OSError) and exc.errno == EMSGSIZE:
+            logger.bind(error=repr(exc)).error('datagram too large')
 
     async def run(self) -> None:
         """Send this daemon's state until cancelled."""
--- a/libs/serving/fireflyhitch_serving/peer_listings.py
+++ b/libs/serving/fireflyhitch_serving/peer_listings.py
@@ -6,12 +6,10 @@
 """
 
 import random
-import zlib
 from collections.abc import Awaitable, Callable, Sequence
 from http import HTTPStatus
 from urllib.parse import parse_qs, urlencode, urlsplit
 
-import cbor2
 from cachetools import LRUCache
 from loguru import logger
 
@@ -24,16 +22,14 @@
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.errors import ServerError
 from fireflyhitch_serving.messages import CallerRequest
+from fireflyhitch_serving.packing import pack, unpack
 from fireflyhitch_serving.peers import PeerRegistry
 
 # A peer answers from memory; another one is asked sooner than a slow one answers.
 READ_TIMEOUT_SECONDS = 0.6
-# Fastest level: values are JSON with few distinct words.
-COMPRESSION_LEVEL = 1
 MAX_READ_PEERS = 3
 PATH = '/listing'
 MAX_CLIENTS = 16
-DECODE_ERRORS = (cbor2.CBORDecodeError, zlib.error, TypeError, ValueError)
 
 # Reads a prefix from the peer at an address; raises ``ServerError``.
 ReadPeer = Callable[[Address, str], Awaitable[Listing]]
@@ -44,12 +40,12 @@
 def encode_listing(listing: Listing) -> bytes:
     """Return the body of a response."""
     rows = [(item.key, item.value, item.revision) for item in listing.items]
-    return zlib.compress(cbor2.dumps((listing.revision, rows)), COMPRESSION_LEVEL)
+    return pack((listing.revision, rows))
 
 
 def decode_listing(body: bytes) -> Listing:
     """Decode the body of a response; it is malformed if this raises."""
-    revision, rows = cbor2.loads(zlib.decompress(body))
+    revision, rows = unpack(body)
     items = tuple(KeyValue(key, value, at, at) for key, value, at in rows)
     return Listing(Revision(revision), items)
 
@@ -77,7 +73,7 @@
             raise _make_error(address, f'status {response.status}')
         try:
             return decode_listing(response.body)
-        except DECODE_ERRORS as error:
+        except (TypeError, ValueError) as error:
             raise _make_error(address, f'malformed listing: {error!r}') from error
 
 
--- a/libs/serving/fireflyhitch_serving/server_statistics.py
+++ b/libs/serving/fireflyhitch_serving/server_statistics.py
@@ -34,6 +34,8 @@
 SLOW_THRESHOLD = 1.3
 # Added to both times, so that a few ms of delay on a short prompt do not count as late.
 LATENCY_TOLERANCE_SECONDS = 0.05
+# Counts are told to other daemons in fractions of this.
+STEPS = 64
 
 
 class AnswerCounts(NamedTuple):
@@ -48,6 +50,10 @@
     failed: float = 0
     relative_latency_sum: float = 0
 
+    def quantize(self) -> 'AnswerCounts':
+        """Return the counts in steps of 1/64, whose encoding compresses well."""
+        return AnswerCounts(*(round(count * STEPS) / STEPS for count in self))
+
     def decay(self, seconds: float) -> 'AnswerCounts':
         """Return the counts decayed by some seconds."""
         factor = math.exp(-max(seconds, 0) / DECAY_SECONDS)
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -292,7 +292,7 @@
     def _collect_answers(self) -> dict[BackendServerId, AnswerCounts]:
         now = self._components.clock.monotonic()
         local_answers = {
-            server_id: record.evidence.read_local(now)
+            server_id: record.evidence.read_local(now).quantize()
             for server_id, record in self._components.servers.all().items()
             if record.evidence.has_local_answers
         }
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -8,7 +8,8 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import field, fields
+from dataclasses import field, fields, replace
+from itertools import chain
 from typing import Any
 
 from loguru import logger
@@ -26,6 +27,7 @@
 from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.crashes import CrashReport
 from fireflyhitch_routing.server_limits import LimitReport
+from fireflyhitch_serving.packing import pack, unpack
 from fireflyhitch_serving.peer_state import (
     Member,
     PeerState,
@@ -33,6 +35,7 @@
     decode_values,
     encode_rows,
 )
+from fireflyhitch_serving.peers import MAX_DATAGRAM_BYTES
 from fireflyhitch_serving.quotas import QuotaReport
 from fireflyhitch_serving.server_statistics import AnswerCounts
 from fireflyhitch_serving.servers import InFlight
@@ -91,17 +94,47 @@
 
 
 def encode_summaries(summaries: Sequence[DomainSummary]) -> bytes:
-    """Return a datagram."""
+    """Return a datagram, whatever its size."""
     rows = [
         {field.name: getattr(summary, field.name) for field in fields(summary)}
         for summary in summaries
     ]
-    return encode_rows(SUMMARIES, rows)
+    return encode_rows(SUMMARIES, [pack(rows)])
+
+
+def pack_summaries(summaries: Sequence[DomainSummary]) -> list[bytes]:
+    """Return datagrams of an allowed size that hold the summaries.
+
+    After many servers have crashed at once, those of all domains do not fit into one.
+    No receiver would hear of a hub any more, and each would look for another one.
+    """
+    data = encode_summaries(summaries)
+    if len(data) <= MAX_DATAGRAM_BYTES:
+        return [data]
+    if len(summaries) > 1:
+        middle = len(summaries) // 2
+        return [
+            *pack_summaries(summaries[:middle]),
+            *pack_summaries(summaries[middle:]),
+        ]
+    summary = summaries[0]
+    logger.bind(domain=summary.domain, size=len(data)).warning(
+        'summary too large for a datagram'
+    )
+    if not (summary.crashes or summary.fresh_parts):
+        return []
+    # Those parts are told again by the daemons that they come from.
+    return pack_summaries([replace(summary, crashes={}, fresh_parts={})])
 
 
 def decode_summaries(data: bytes) -> list[DomainSummary] | None:
     """Decode a datagram; return ``None`` for one of another kind."""
-    return decode_rows(SUMMARIES, data, _decode_summary)
+    packed = decode_rows(SUMMARIES, data, _unpack_summaries)
+    return None if packed is None else list(chain.from_iterable(packed))
+
+
+def _unpack_summaries(packed: bytes) -> list[DomainSummary]:
+    return [_decode_summary(row) for row in unpack(packed)]
 
 
 def _decode_summary(row: dict[str, Any]) -> DomainSummary:
--- a/libs/serving/fireflyhitch_serving/summary_relay.py
+++ b/libs/serving/fireflyhitch_serving/summary_relay.py
@@ -18,9 +18,9 @@
 from fireflyhitch_serving.summaries import (
     DomainSummary,
     SummaryTable,
-    encode_summaries,
     merge_newest,
     merge_parts,
+    pack_summaries,
     sum_work,
 )
 
@@ -117,7 +117,7 @@
             if known is not None and known.relay not in likely:
                 likely.append(known.relay)
             daemons.extend(likely)
-        self._send(encode_summaries([summary]), daemons)
+        self._send_summaries([summary], daemons)
 
     def send_to_members(self, summary: DomainSummary) -> None:
         """Send this domain's summary, and new summaries of other domains."""
@@ -130,7 +130,13 @@
         # Sent to all listed daemons, so that those that have lost their hub find this
         # one.
         local = [name for name in self._peers.listed_local() if name != self._peers.own]
-        self._send(encode_summaries(outgoing), local)
+        self._send_summaries(outgoing, local)
+
+    def _send_summaries(
+        self, summaries: list[DomainSummary], daemons: list[str]
+    ) -> None:
+        for data in pack_summaries(summaries):
+            self._send(data, daemons)
 
     def build_summary(self) -> DomainSummary | None:
         """Return this domain's summary, once this daemon has sent its own state."""
