Choose plain servers at random by free slots

Cause: a request takes 90 ms, and other daemons hear of it after 100 to 500. Each daemon sent to the server with the most free slots, so that one was full a moment later and the others idle, and requests were held back by counts that were over.

Kept: local first, then by free slots; more than the slots are sent, up to twice.

--- a/libs/serving/fireflyhitch_serving/attempt_policy.py
+++ b/libs/serving/fireflyhitch_serving/attempt_policy.py
@@ -124,7 +124,7 @@
         info = exchange.info
         locality = Locality(self._deps.own_domain, self._deps.unreachable_domains())
         if info.prompt_tokens is None:
-            return place_plain(candidates, locality, now)
+            return place_plain(candidates, locality, now, self._deps.rng)
         prompt = PromptRequest(
             info.prompt_tokens,
             info.parts,
--- a/libs/serving/fireflyhitch_serving/placement.py
+++ b/libs/serving/fireflyhitch_serving/placement.py
@@ -6,6 +6,7 @@
 few requests at once and queue the rest.
 """
 
+import random
 from collections.abc import Container, Iterable, Sequence
 
 from fireflyhitch_model.hashing import hash_text
@@ -47,6 +48,17 @@
 # target.
 COLD_SERVER_SECONDS = 0.15
 
+# A plain server gets more requests than it has slots, up to this multiple: by the time
+# they arrive, some of the known ones have ended. Its own queue is a few times as long.
+MAX_LOAD_FACTOR = 2.0
+# A local server is preferred while less than this fraction of its slots is used.
+MAX_LOCAL_FRACTION = 0.75
+# Counted as free at a server whose slots are all used.
+MIN_FREE_SLOTS = 0.5
+
+# A server and the number of its slots that are used.
+_Load = tuple[ServerRecord, int]
+
 
 @immutable
 class PromptRequest:
@@ -131,24 +143,50 @@
 
 
 def place_plain(
-    records: Sequence[ServerRecord], locality: Locality, now: float
+    records: Sequence[ServerRecord],
+    locality: Locality,
+    now: float,
+    rng: random.Random,
 ) -> Placement | None:
-    """Choose the server with the lowest share of used slots, preferably a local one.
+    """Choose a server at random, by its free slots, preferably a local one.
 
-    :returns: ``None`` if all slots of all servers are used.
+    A request takes less time than news of it takes to reach the other daemons. If all
+    sent to the server that had the most free slots, it would be full a moment later, and
+    the others idle.
+
+    :returns: ``None`` if enough requests wait at all servers.
     """
-    best: Placement | None = None
-    lowest_cost = float('inf')
-    for record in records:
-        used_slots = _count_used_slots(record, now)
-        if used_slots >= record.server.slots:
-            continue
-        cost = record.slowness * (used_slots + 1) / record.server.slots
-        cost += 10 * _find_locality_cost(record, locality, now)
-        if cost < lowest_cost:
-            lowest_cost = cost
-            best = Placement(record, 0, 0, used_slots, 0)
-    return best
+    loads = [(record, _count_used_slots(record, now)) for record in records]
+    loads = [
+        (record, used)
+        for record, used in loads
+        if used < record.server.slots * MAX_LOAD_FACTOR
+    ]
+    candidates = _select_near(loads, locality)
+    if not candidates:
+        return None
+    weights = [
+        max(record.server.slots - used, MIN_FREE_SLOTS) / record.slowness
+        for record, used in candidates
+    ]
+    record, used = rng.choices(candidates, weights)[0]
+    return Placement(record, 0, 0, used, 0)
+
+
+def _select_near(loads: Sequence[_Load], locality: Locality) -> Sequence[_Load]:
+    """Return the local servers with free slots, or else all that are reachable."""
+    local = [
+        (record, used)
+        for record, used in loads
+        if record.server.failure_domain == locality.own_domain
+        and used < record.server.slots * MAX_LOCAL_FRACTION
+    ]
+    reachable = [
+        (record, used)
+        for record, used in loads
+        if record.server.failure_domain not in locality.unreachable_domains
+    ]
+    return local or reachable or loads
 
 
 def count_cached_tokens(
