--- a/libs/serving/fireflyhitch_serving/request_handler.py
+++ b/libs/serving/fireflyhitch_serving/request_handler.py
@@ -22,6 +22,7 @@
 from fireflyhitch_serving.messages import CallerRequest, RequestInfo, ResponseInfo
 from fireflyhitch_serving.metrics_endpoint import RequestRecord
 from fireflyhitch_serving.placement import Placement
+from fireflyhitch_serving.request_log import log_failure, log_success
 from fireflyhitch_serving.server_statistics import (
     MAX_RELATIVE_LATENCY,
     compute_relative_latency,
@@ -100,7 +101,7 @@
             placement = await self._wait_for_placement(exchange)
             failure = await self._run_attempt(exchange, placement)
             if failure is None:
-                self._log_success(exchange, placement)
+                log_success(exchange, placement, self._clock.monotonic())
                 return
             if not self._policy.may_retry(exchange, failure):
                 self._send_failure(exchange, failure)
@@ -176,7 +177,7 @@
             _release_load(exchange, record)
             self._record_attempt(exchange, record, ending, sent=attempt.sent)
         if failure is not None:
-            self._log_failure(exchange, placement, failure)
+            log_failure(exchange, placement, failure, self._clock.monotonic())
         return failure
 
     def _record_attempt(
@@ -361,38 +362,6 @@
         except CallerDisconnected:
             logger.bind(request_id=request_id).info('caller left before the refusal')
 
-    def _log_failure(
-        self, exchange: Exchange, placement: Placement, failure: AttemptFailure
-    ) -> None:
-        logger.bind(
-            request_id=exchange.info.request_id,
-            route=exchange.route.name,
-            content=exchange.content,
-            server=placement.record.server.server_id,
-            beside=placement.record.requests,
-            seconds=round(self._clock.monotonic() - exchange.attempt_started, 3),
-            ending=failure.ending.value,
-            outcome=failure.outcome.value,
-            detail=failure.detail,
-        ).warning('attempt failed')
-
-    def _log_success(self, exchange: Exchange, placement: Placement) -> None:
-        now = self._clock.monotonic()
-        arrived = exchange.request.arrived
-        logger.bind(
-            request_id=exchange.info.request_id,
-            customer=exchange.customer and exchange.customer.name,
-            route=exchange.route.name,
-            server=placement.record.server.server_id,
-            sends=exchange.sends,
-            first=round((exchange.first_event_at or now) - arrived, 3),
-            seconds=round(now - arrived, 3),
-            expected=round(placement.wait, 3),
-            requests=placement.requests,
-            queued_tokens=placement.queued_tokens,
-            fresh_tokens=placement.fresh_tokens,
-        ).info('request answered')
-
 
 def _release_load(exchange: Exchange, record: ServerRecord) -> None:
     record.requests -= 1
--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/request_log.py
@@ -0,0 +1,41 @@
+"""Log lines on the attempts at a request."""
+
+from loguru import logger
+
+from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
+from fireflyhitch_serving.placement import Placement
+
+
+def log_failure(
+    exchange: Exchange, placement: Placement, failure: AttemptFailure, now: float
+) -> None:
+    """Log a failed attempt."""
+    logger.bind(
+        request_id=exchange.info.request_id,
+        route=exchange.route.name,
+        content=exchange.content,
+        server=placement.record.server.server_id,
+        beside=placement.record.requests,
+        seconds=round(now - exchange.attempt_started, 3),
+        ending=failure.ending.value,
+        outcome=failure.outcome.value,
+        detail=failure.detail,
+    ).warning('attempt failed')
+
+
+def log_success(exchange: Exchange, placement: Placement, now: float) -> None:
+    """Log a complete response."""
+    arrived = exchange.request.arrived
+    logger.bind(
+        request_id=exchange.info.request_id,
+        customer=exchange.customer and exchange.customer.name,
+        route=exchange.route.name,
+        server=placement.record.server.server_id,
+        sends=exchange.sends,
+        first=round((exchange.first_event_at or now) - arrived, 3),
+        seconds=round(now - arrived, 3),
+        expected=round(placement.wait, 3),
+        requests=placement.requests,
+        queued_tokens=placement.queued_tokens,
+        fresh_tokens=placement.fresh_tokens,
+    ).info('request answered')
