Keep running servers on demand, and ask for reclaimable ones each second

Cause, from the lines: when the last domain's reclaimable servers went at 28.7 s, 26 servers on demand ran in another one. The shortage of 42 was given to the cheapest domains first: 26 ordered there, which started at 33 s, and 10 of the running ones released at once.

Now the shortage goes to running servers first, then to the cheapest domains; orders for which there were none are repeated each second (some 30 calls more in a reclaim).

Evidence: the new test of the spread is red before.

--- a/libs/fleet/fireflyhitch_fleet/spread.py
+++ b/libs/fleet/fireflyhitch_fleet/spread.py
@@ -62,9 +62,12 @@
     """Return the target number of servers for each failure domain.
 
     On-demand servers are kept until the reclaimable ones have started. A shortage of
-    reclaimable servers is covered on demand in the cheapest domains.
+    reclaimable servers is covered by the on-demand ones that run, and then by others in
+    the cheapest domains: ones that run serve now, and new ones only after their start.
     """
-    domains = sorted(prices, key=lambda domain: (prices[domain], domain))
+    domains = sorted(
+        prices, key=lambda domain: (-present[domain].on_demand, prices[domain], domain)
+    )
     staying = max(len(domains) - need.domains_lost, 1)
     per_domain = math.ceil(need.servers / staying)
     per_domain = min(max(per_domain, bounds.min_servers), bounds.max_servers)
--- a/libs/fleet/tests/test_spread.py
+++ b/libs/fleet/tests/test_spread.py
@@ -70,6 +70,18 @@
         target = spread_servers(need, SpreadBounds(1, 28), PRICES, present)
         assert sum(current.on_demand for current in target.values()) >= 18
 
+    def test_running_servers_are_kept_if_the_last_domain_is_lost(self) -> None:
+        # The servers on demand of one domain were released for ones of a cheaper domain,
+        # which had yet to start, while callers waited for both.
+        gent, brugge, kortrijk, _ = PRICES
+        present = dict.fromkeys(PRICES, DomainServers(0, 1))
+        present[kortrijk] = DomainServers(0, 21)
+        need = SpreadNeed(servers=40, domains_lost=3, remaining=25)
+        target = spread_servers(need, SpreadBounds(1, 28), PRICES, present)
+        assert target[kortrijk].on_demand == 21
+        assert target[brugge].on_demand > target[gent].on_demand
+        assert sum(current.on_demand for current in target.values()) == 40
+
     def test_no_servers_on_demand_while_two_domains_are_left(self) -> None:
         gent, brugge, *others = PRICES
         running = DomainServers(28, 0)
--- a/libs/serving/fireflyhitch_serving/autoscaler.py
+++ b/libs/serving/fireflyhitch_serving/autoscaler.py
@@ -24,9 +24,12 @@
 from fireflyhitch_serving.workloads import Workloads
 
 CHECK_INTERVAL_SECONDS = 0.5
-# An order for which no servers were available is repeated after this; so is one whose
-# servers are not listed this long after they should have started.
+# An order whose servers are not listed this long after they should have started is
+# repeated.
 REORDER_SECONDS = 2.5
+# So is one for which no servers were available: after a reclaim there may be some only
+# until the next one, a few tenths of a second later.
+UNAVAILABLE_SECONDS = 1.0
 # Failure domains are reclaimed one by one, and others may follow before the first one's
 # servers are replaced. Spare reclaimable servers cost less than on-demand servers
 # bought for the last domains, and need no start first.
@@ -332,9 +335,9 @@
         if result is CallResult.FAILED:
             self._placed_orders.pop(key, None)
             return
-        wait = REORDER_SECONDS
+        wait = UNAVAILABLE_SECONDS
         if result is CallResult.DONE:
-            wait += start_seconds
+            wait = REORDER_SECONDS + start_seconds
         self._placed_orders[key] = _PlacedOrder(
             order.count, self._clock.monotonic(), present, wait
         )
