Look up home regions once a request instead of once a server

Now the regions of route and customer are joined once, and servers are compared only if there are any; a test for both together.

--- a/libs/serving/fireflyhitch_serving/attempt_policy.py
+++ b/libs/serving/fireflyhitch_serving/attempt_policy.py
@@ -43,14 +43,19 @@
         """Return the servers to which an attempt may be sent."""
         now = self._clock.monotonic()
         servers = self._deps.servers
-        find_region = self._deps.find_region
         servers.evaluate(exchange.service, now)
         listed = [
             record
             for record in servers.find_by_service(exchange.service)
             if record.accepts_requests
-            and exchange.allows_region(find_region(record.server.failure_domain))
         ]
+        homes = exchange.find_home_regions()
+        if homes is not None:
+            listed = [
+                record
+                for record in listed
+                if self._deps.find_region(record.server.failure_domain) in homes
+            ]
         versions = frozenset(record.server.version for record in listed)
         allowed = self._deps.versions.pick(exchange.service, versions, self._deps.rng)
         ready = [record for record in listed if record.server.version in allowed]
--- a/libs/serving/fireflyhitch_serving/exchanges.py
+++ b/libs/serving/fireflyhitch_serving/exchanges.py
@@ -53,15 +53,16 @@
     relative_latency: float = 1
     events: EventSplitter = field(default_factory=EventSplitter)
 
-    def allows_region(self, region: RegionId | None) -> bool:
-        """Return whether servers of a region may get it.
+    def find_home_regions(self) -> frozenset[RegionId] | None:
+        """Return the regions whose servers may get it, ``None`` for all.
 
         Both its route and its customer may name home regions, and both bind.
         """
-        homes = [self.route.home_regions]
-        if self.customer is not None:
-            homes.append(self.customer.home_regions)
-        return all(region in regions for regions in homes if regions)
+        route_homes = self.route.home_regions
+        homes = self.customer.home_regions if self.customer else route_homes
+        if route_homes and homes:
+            return route_homes & homes
+        return route_homes or homes or None
 
     @property
     def urgency(self) -> int:
--- a/libs/serving/tests/test_home_regions.py
+++ b/libs/serving/tests/test_home_regions.py
@@ -60,3 +60,21 @@
         return make_catalog(routes=(replace(ROUTE, home_regions=homes),))
     customer = Customer(CUSTOMER, UNLIMITED, home_regions=homes)
     return make_catalog(customers={KEY: customer})
+
+
+class TestBoth:
+    def test_regions_of_route_and_customer_both_bind(self) -> None:
+        # With no region in common there is no server, whatever each allows alone.
+        route = replace(ROUTE, home_regions=frozenset((RegionId('flanders'),)))
+        homes = frozenset((RegionId('wallonia'),))
+        customer = Customer(CUSTOMER, UNLIMITED, home_regions=homes)
+        catalog = make_catalog(routes=(route,), customers={KEY: customer})
+
+        async def script(harness: RequestHarness) -> None:
+            await harness.add('home', respond(200, b'done'))
+            await harness.add(
+                'abroad', respond(200, b'done'), failure_domain=REMOTE_DOMAIN
+            )
+            assert (await harness.ask()).status == 503
+
+        run_scenario(RequestHarness(catalog), script)
