--- a/libs/serving/fireflyhitch_serving/relays.py
+++ b/libs/serving/fireflyhitch_serving/relays.py
@@ -95,10 +95,13 @@
 
         The others are backups for a first watcher that is stuck or has just stopped.
         """
-        if self._find_watchers()[0] == self._own:
+        if self._is_first_watcher():
             return PRIMARY_PAUSE_SECONDS
         return BACKUP_PAUSE_SECONDS if self._has_followers() else PRIMARY_PAUSE_SECONDS
 
+    def _is_first_watcher(self) -> bool:
+        return self._find_watchers()[0] == self._own
+
     def _has_followers(self) -> bool:
         """Return whether the group has more daemons than watch."""
         return len(self._peers.responsive_members()) >= WATCHERS
@@ -147,7 +150,7 @@
         self._send_span(
             span,
             [*members, *without_store],
-            includes_large=self._find_watchers()[0] == self._own,
+            includes_large=self._is_first_watcher(),
         )
 
     def forward(self, message: ChangeMessage) -> None:
@@ -165,7 +168,7 @@
 
         :param relays: one daemon of each such group, which forwards the changes there.
         """
-        if self._find_watchers()[0] != self._own:
+        if not self._is_first_watcher():
             self._assisted = set()
             return
         added = [daemon for daemon in relays if daemon not in self._assisted]
@@ -190,7 +193,7 @@
         The first watcher of each failure domain does; the other watchers send them
         nothing.
         """
-        if self._find_watchers()[0] != self._own:
+        if not self._is_first_watcher():
             return []
         group = self._peers.responsive_members()
         return [daemon for daemon, member in group.items() if not member.hears_store]
