Read the wall clock that is passed in where a daemon tells its own

Peers' wall clocks were told from the system's clock although one is passed in, so that tests in virtual time counted usage in windows of the real time, and of virtual time again once a daemon was alone. Nothing changes in the product, where the clock passed in is the system's.

--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -5,7 +5,6 @@
 of the others; the leader also receives each daemon's state, for its counts.
 """
 
-import time
 from collections.abc import Callable, Mapping
 
 from fireflyhitch_model.clock import Clock
@@ -103,7 +102,7 @@
             process=self._process,
             failure_domain=components.peers.own_domain,
             sequence=self._sequence,
-            wall=time.time(),
+            wall=components.peers.read_local_wall_clock(),
             work={
                 server_id: record.own
                 for server_id, record in components.servers.all().items()
