Have deputies save usage counts while a stopped leader has no successor

Cause: only the leader saves counts. From its stop, kill or cut until its lease has expired and a successor has claimed, four seconds and more, nobody does; if all daemons are killed meanwhile these counts are lost.

Change: saving needs no lease, as counts only grow and are merged. While the leader is stopping, unresponsive or without the store, the first daemon to claim saves them, or with more than 20 daemons the hub of each failure domain, which alone has the states of its daemons. Each writes under a key of its failure domain, so that it never contends with a leader.

Writes: one a second and failure domain at most. Ruled out: saving at each daemon (a write a second and daemon); resigning.

--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/saved_counts.py
@@ -0,0 +1,53 @@
+"""Usage counts in the store, for the case that all daemons are killed at once."""
+
+import json
+
+from fireflyhitch_model.ids import ABSENT, FailureDomainId, Revision
+from fireflyhitch_platform.keyvalue import Written
+from fireflyhitch_serving.store import AsyncStore, Put
+from fireflyhitch_serving.usage import UsageTracker, WindowCounts
+
+# No watch is triggered by keys with this prefix.
+SAVED_PREFIX = 'fireflyhitch-counts/'
+SAVED_KEY = f'{SAVED_PREFIX}recent'
+
+
+def make_deputy_key(domain: FailureDomainId) -> str:
+    """Return the key below which a failure domain's deputy saves counts."""
+    return f'{SAVED_PREFIX}deputy-{domain}'
+
+
+class SavedCounts:
+    """Loads all saved counts, and saves some below one key."""
+
+    def __init__(self, store: AsyncStore, tracker: UsageTracker) -> None:
+        """Create it; nothing is loaded yet."""
+        self._store = store
+        self._tracker = tracker
+        self._revisions: dict[str, Revision] = {}
+
+    async def load(self) -> None:
+        """Merge all saved counts into the tracker.
+
+        :raises PlatformError: if they cannot be read.
+        """
+        listing = await self._store.list(SAVED_PREFIX)
+        self._revisions = {item.key: item.revision for item in listing.items}
+        for item in listing.items:
+            for process, windows in json.loads(item.value).items():
+                counts = {int(window): found for window, found in windows.items()}
+                self._tracker.merge_counts(process, counts)
+
+    async def save(self, key: str, counts: dict[str, WindowCounts]) -> bool:
+        """Save counts unless the key has been written by another daemon.
+
+        :returns: whether they were saved.
+        :raises PlatformError: if it is not known whether they were.
+        """
+        value = json.dumps(counts).encode()
+        put = Put(key, value, self._revisions.get(key, ABSENT))
+        result = await self._store.put([put])
+        if not isinstance(result, Written):
+            return False
+        self._revisions[key] = result.revision
+        return True
--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -13,9 +13,10 @@
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import ABSENT, CustomerId, FencingNumber
 from fireflyhitch_model.records import immutable
-from fireflyhitch_platform.keyvalue import Conflict, Written
+from fireflyhitch_platform.keyvalue import Conflict
 from fireflyhitch_serving.duty_calls import CallResult, DutyCalls
-from fireflyhitch_serving.leases import LeaderLease, Leadership
+from fireflyhitch_serving.leases import LeaderLease
+from fireflyhitch_serving.saved_counts import SAVED_KEY, SavedCounts
 from fireflyhitch_serving.store import AsyncStore, Put
 from fireflyhitch_serving.usage import UsageTracker
 
@@ -33,15 +34,15 @@
 # All daemons may be killed at once, and their counts with them. The leader saves the
 # counts that it received this often; otherwise a window's report would lack most of its
 # requests. It saves all windows that are not fixed yet: the lead may be taken, or a
-# report held back for an unresponsive daemon, some windows after the requests. Only a
-# new leader reads them, so no watch is triggered.
+# report held back for an unresponsive daemon, some windows after the requests. While
+# a stopped leader has no successor, its deputies save theirs.
 SAVE_SECONDS = 1.0
-SAVED_PREFIX = 'fireflyhitch-counts/'
-SAVED_KEY = f'{SAVED_PREFIX}recent'
 # Fixed counts have no lease: leases may expire during a store outage, and a window must
 # not be fixed twice. They are deleted once no leader can need them any more.
 RETAINED_FIXED_WINDOWS = 60
 RETAINED_REPORTED_WINDOWS = 64
+# Stands for the fencing number of a deputy, which has none and only saves counts.
+DEPUTY = FencingNumber(ABSENT)
 
 
 @immutable
@@ -56,6 +57,21 @@
     late_seconds: float
 
 
+@immutable
+class PeerCounts:
+    """What is known of the other daemons and their counts.
+
+    :param all_heard: returns whether every daemon has sent a message recently.
+    :param propagation_seconds: returns the time in which each daemon has sent its
+        counts.
+    :param is_deputy: returns whether this daemon saves counts in the leader's place.
+    """
+
+    all_heard: Callable[[], bool]
+    propagation_seconds: Callable[[], float]
+    is_deputy: Callable[[], bool]
+
+
 class UsageReporter:
     """Reports windows while this daemon leads."""
 
@@ -66,30 +82,28 @@
         store: AsyncStore,
         calls: DutyCalls,
         wall_clock: Callable[[], float],
-        all_heard: Callable[[], bool],
-        propagation_seconds: Callable[[], float],
+        peers: PeerCounts,
         schedule: UsageSchedule,
+        deputy_key: str,
     ) -> None:
         """Create a reporter that has reported nothing.
 
-        :param all_heard: returns whether every daemon has sent a message recently.
-        :param propagation_seconds: returns the time in which each daemon has sent its
-            counts.
+        :param deputy_key: the key below which it saves counts as a deputy.
         """
         self._tracker = tracker
         self._lease = lease
         self._store = store
         self._calls = calls
         self._wall_clock = wall_clock
-        self._all_heard = all_heard
-        self._propagation_seconds = propagation_seconds
+        self._peers = peers
+        self._saved = SavedCounts(store, tracker)
+        self._deputy_key = deputy_key
         self._window_seconds = schedule.window_seconds
         self._late_seconds = schedule.late_seconds
         # Number of windows before the newest whose reports may still be due.
         self._span = int(schedule.late_seconds // schedule.window_seconds) + 1
         self._fixed: dict[int, dict[CustomerId, int]] = {}
         self._reported_windows: list[int] = []
-        self._saved_revision = ABSENT
         self._saved_at = 0.0
         self._loaded_under: FencingNumber | None = None
 
@@ -99,44 +113,41 @@
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             self._forget_old()
             leadership = self._lease.current_leadership()
-            if leadership is None:
-                continue
-            try:
-                await self._persist_counts(leadership)
-            except PlatformError as error:
-                logger.bind(error=str(error)).warning('counts not kept')
-            if self._loaded_under == leadership.fencing:
+            if leadership is not None:
+                await self._persist_counts(leadership.fencing)
+            elif self._peers.is_deputy():
+                await self._persist_counts(DEPUTY)
+            if leadership is not None and self._loaded_under == leadership.fencing:
                 # A report made before the counts of an earlier leader are loaded would
                 # lack them permanently.
                 await self._report_due()
 
-    async def _persist_counts(self, leadership: Leadership) -> None:
-        """Load the saved counts on taking the lead, then save counts periodically."""
-        if self._loaded_under != leadership.fencing:
+    async def _persist_counts(self, fencing: FencingNumber) -> None:
+        try:
+            await self._load_or_save(fencing)
+        except PlatformError as error:
+            logger.bind(error=str(error)).warning('counts not kept')
+
+    async def _load_or_save(self, fencing: FencingNumber) -> None:
+        """Load the saved counts on taking over, then save counts periodically."""
+        if self._loaded_under != fencing:
             await self._load_persisted()
-            self._loaded_under = leadership.fencing
+            self._loaded_under = fencing
+            logger.bind(fencing=fencing, deputy=fencing == DEPUTY).info('counts loaded')
         now = self._wall_clock()
         if now - self._saved_at < SAVE_SECONDS:
             return
         unfixed = self._tracker.find_unfixed(self._find_oldest_due(now), self._fixed)
         if not unfixed:
             return
-        value = json.dumps(unfixed).encode()
-        result = await self._store.put([Put(SAVED_KEY, value, self._saved_revision)])
-        if isinstance(result, Written):
-            self._saved_revision = result.revision
+        key = self._deputy_key if fencing == DEPUTY else SAVED_KEY
+        if await self._saved.save(key, unfixed):
             self._saved_at = now
         else:
             await self._load_persisted()
 
     async def _load_persisted(self) -> None:
-        listing = await self._store.list(SAVED_PREFIX)
-        self._saved_revision = ABSENT
-        for item in listing.items:
-            self._saved_revision = item.revision
-            for process, windows in json.loads(item.value).items():
-                counts = {int(window): found for window, found in windows.items()}
-                self._tracker.merge_counts(process, counts)
+        await self._saved.load()
         fixed = await self._store.list(USAGE_PREFIX)
         for item in fixed.items:
             window = int(item.key.removeprefix(USAGE_PREFIX))
@@ -168,9 +179,11 @@
 
     def _is_settled(self, window: int, now: float) -> bool:
         elapsed = now - (window + 1) * self._window_seconds
-        if elapsed < SETTLE_SECONDS + SETTLE_ROUNDS * self._propagation_seconds():
+        if elapsed < SETTLE_SECONDS + SETTLE_ROUNDS * self._peers.propagation_seconds():
             return False
-        return self._all_heard() or elapsed > self._late_seconds * MAX_WAIT_FRACTION
+        return (
+            self._peers.all_heard() or elapsed > self._late_seconds * MAX_WAIT_FRACTION
+        )
 
     async def _report(self, window: int) -> None:
         counts = self._fixed.get(window)
@@ -184,7 +197,7 @@
             window=window,
             requests=sum(counts.values()),
             processes=self._tracker.count_reporters(window),
-            all_heard=self._all_heard(),
+            all_heard=self._peers.all_heard(),
             fencing=leadership.fencing,
             result=result.value,
         ).info('usage reported')
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -14,6 +14,7 @@
 from fireflyhitch_model.ids import (
     BackendServerId,
     ContentId,
+    CustomerId,
     DeploymentId,
     FailureDomainId,
     ProcessId,
@@ -26,6 +27,8 @@
 from fireflyhitch_serving.changes import decode_changes
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.dependencies import RecentPromptParts, make_crash_tracking
+from fireflyhitch_serving.deputies import LeaderDeputy
+from fireflyhitch_serving.duty_calls import CallResult
 from fireflyhitch_serving.duty_ranking import LeadershipOrder
 from fireflyhitch_serving.errors import ServerError
 from fireflyhitch_serving.holds import HOLDS_PREFIX, HoldManager
@@ -46,6 +49,7 @@
 )
 from fireflyhitch_serving.relays import ChangeRelay
 from fireflyhitch_serving.retry_budget import RetryBounds, RetryBudget
+from fireflyhitch_serving.saved_counts import make_deputy_key
 from fireflyhitch_serving.servers import ServerEntry, ServerRegistry
 from fireflyhitch_serving.shared_state import SharedComponents, SharedState
 from fireflyhitch_serving.stalls import StallDetector
@@ -56,6 +60,11 @@
 from fireflyhitch_serving.summary_relay import RelayedTrackers, SummaryRelay
 from fireflyhitch_serving.traffic import ControlTraffic
 from fireflyhitch_serving.usage import UsageTracker
+from fireflyhitch_serving.usage_reports import (
+    PeerCounts,
+    UsageReporter,
+    UsageSchedule,
+)
 from fireflyhitch_serving.versions import VersionShares
 
 SERVERS = 'servers/'
@@ -63,6 +72,19 @@
 LEAVING = b'draining'
 LINK_DELAY_SECONDS = 0.001
 USAGE_WINDOW_SECONDS = 5
+USAGE_LATE_SECONDS = 10
+
+
+class _NoDuties:
+    """The platform's side of the leader's duties; it cannot be reached."""
+
+    async def report_usage(self, *details: object) -> CallResult:
+        """Fail."""
+        return CallResult.FAILED
+
+    async def order_servers(self, *details: object) -> CallResult:
+        """Fail."""
+        return CallResult.FAILED
 
 
 class _Transport:
@@ -159,6 +181,8 @@
         )
         self.hubs = HubTracker(self._peers, self._clock)
         self._servers = make_servers()
+        self.stopping = False
+        self.usage = UsageTracker(self._process, USAGE_WINDOW_SECONDS)
         self.limits = ServerLimits(name, self._peers.list_all, self._peers.wall)
         self.crashes = make_crash_tracking(self._clock, self._servers)
         self._summaries = SummaryTable(self._clock, lambda source: None)
@@ -171,15 +195,33 @@
         self._registrations = RegistrationManager(
             self._store, self._peers, name, registration, self._health, self._clock
         )
+        leadership_order = LeadershipOrder(
+            self._peers, self._summaries, self._registrations.has_discovered_peers
+        )
+        deputy = LeaderDeputy(self._peers, self.hubs, self._summaries, leadership_order)
         self._lease = LeaderLease(
             self._store,
             self._clock.monotonic,
             self._process,
             rng,
             self._health,
-            LeadershipOrder(
-                self._peers, self._summaries, self._registrations.has_discovered_peers
-            ).find,
+            leadership_order.find,
+        )
+        self._reporter = UsageReporter(
+            self.usage,
+            self._lease,
+            self._store,
+            _NoDuties(),
+            self._peers.wall,
+            PeerCounts(
+                lambda: self._shared.has_heard_from_all(),
+                self._peers.propagation_seconds,
+                lambda: (
+                    self._health.answers and deputy.acts_for(self._lease.find_leader())
+                ),
+            ),
+            UsageSchedule(USAGE_WINDOW_SECONDS, USAGE_LATE_SECONDS),
+            make_deputy_key(self._domain),
         )
         self._holds = HoldManager(
             self.crashes.quarantine,
@@ -237,6 +279,27 @@
         crash = ServerCrash(now, now - 0.05)
         self.crashes.tracker.record_crash(content, ProcessId(process), crash, now)
 
+    def leads(self) -> bool:
+        """Return whether it is the leader."""
+        return self._lease.current_leadership() is not None
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self.stopping = True
+        self._lease.stopping = True
+
+    def count_request(self, customer: CustomerId) -> None:
+        """Count a request that began to run here."""
+        self.usage.count(customer, self._peers.wall())
+
+    def count_known(self, customer: CustomerId) -> int:
+        """Return how many requests it knows of, by all daemons, in the latest windows."""
+        newest = self.usage.find_window(self._peers.wall())
+        return sum(
+            self.usage.sum_window(window).get(customer, 0)
+            for window in range(newest - 4, newest + 1)
+        )
+
     def kill(self) -> None:
         """Stop without notice."""
         for task in self._tasks:
@@ -250,14 +313,14 @@
             summaries=self._summaries,
             servers=self._servers,
             quotas=Quotas(QuotaSlack()),
-            usage=UsageTracker(self._process, USAGE_WINDOW_SECONDS),
+            usage=self.usage,
             budget=RetryBudget(RetryBounds()),
             moves=MoveTracker(VersionShares(), 0.1),
             crashes=self.crashes.tracker,
             limits=self.limits,
             fresh_parts=RecentPromptParts(),
             health=self._health,
-            stopping=bool,
+            stopping=lambda: self.stopping,
             newest=lambda: {view.prefix: view.newest for view in self._views},
         )
 
@@ -310,6 +373,7 @@
         parts = (
             *self._views,
             self._lease,
+            self._reporter,
             self._registrations,
             sweeper,
             self._holds,
--- a/libs/serving/tests/test_usage_reports.py
+++ b/libs/serving/tests/test_usage_reports.py
@@ -11,11 +11,11 @@
 from fireflyhitch_platform.keyvalue import KeyValue, Listing, Written
 from fireflyhitch_serving.duty_calls import CallResult
 from fireflyhitch_serving.leases import Leadership
+from fireflyhitch_serving.saved_counts import SAVED_KEY, SAVED_PREFIX
 from fireflyhitch_serving.store import Put
 from fireflyhitch_serving.usage import UsageTracker
 from fireflyhitch_serving.usage_reports import (
-    SAVED_KEY,
-    SAVED_PREFIX,
+    PeerCounts,
     UsageReporter,
     UsageSchedule,
 )
@@ -65,9 +65,9 @@
         leader,  # type: ignore[arg-type]
         leader,  # type: ignore[arg-type]
         wall_clock,
-        lambda: True,
-        lambda: propagation_seconds,
+        PeerCounts(lambda: True, lambda: propagation_seconds, bool),
         UsageSchedule(5, 10),
+        SAVED_KEY,
     )
 
 
