Count requests at leaving servers once in the capacity plan

What operators saw: after a reclaim the plan's in_flight was up to a third too high (docs/design/shifted.md, open).

Cause: requests at servers that leave were counted there, and at the servers that they were sent to again.

Change: only servers that may get requests count.

Evidence: TestLeavingServers: 160 counted instead of 120, 27 servers ordered a failure domain instead of 20; it failed before.

--- a/libs/serving/fireflyhitch_serving/autoscaler.py
+++ b/libs/serving/fireflyhitch_serving/autoscaler.py
@@ -253,12 +253,14 @@
         """Apply the current load, also while another daemon leads.
 
         A daemon that becomes leader during a burst would otherwise order for less than
-        the peak.
+        the peak. Requests at leaving servers end there, or are counted at the servers
+        that they are sent to again.
         """
         now = self._clock.monotonic()
         requests = sum(
             record.total(now).requests
             for record in self._servers.find_by_service(service)
+            if record.server.ready
         )
         busy = self._workloads.find_busy_seconds(service, self._demand())
         self._peaks.setdefault(service, _Peak()).update(busy, requests)
--- a/libs/serving/tests/test_autoscaler.py
+++ b/libs/serving/tests/test_autoscaler.py
@@ -203,6 +203,24 @@
         assert min(ordered.values()) >= 20
 
 
+class TestLeavingServers:
+    def test_requests_sent_again_elsewhere_are_counted_once(self, monkeypatch) -> None:
+        # After a reclaim, requests at the leaving servers were counted there and at the
+        # servers that they were sent to again: up to a third more was ordered.
+        monkeypatch.setattr(f'{Autoscaler.__module__}.CHECK_INTERVAL_SECONDS', 0)
+        harness = ScalingHarness(demand=1)
+        harness.list_servers(range(16))
+        for record in list(harness.registry.all().values())[:4]:
+            harness.registry.put(replace(record.server, ready=False))
+        for record in harness.registry.all().values():
+            record.requests = 10
+        asyncio.run(harness.advance_time(1))
+        # 120 requests in batches of 12, half full, need 20 servers.
+        assert {
+            order.count for order in harness.leader.orders if order.reclaimable
+        } == {20}
+
+
 class OrderLog:
     """Records when reclaimable servers were ordered for one failure domain."""
 
