--- a/libs/serving/tests/test_leaving_servers.py
+++ b/libs/serving/tests/test_leaving_servers.py
@@ -38,6 +38,13 @@
     cluster.leave(SERVER)
 
 
+async def partition_all_watchers_from_store(cluster: Daemons) -> None:
+    """Make the store unresponsive to the watchers of all failure domains at once."""
+    for domain in ('gent', 'aalst'):
+        cluster.store.unresponsive_to.update(cluster.find_watchers(domain))
+    cluster.leave(SERVER)
+
+
 async def stall_watches(cluster: Daemons) -> None:
     """Keep the pending watches of a failure domain from ever receiving a change."""
     cluster.store.stalled_watchers.update(cluster.find_watchers('gent'))
@@ -67,6 +74,7 @@
         [
             drop_messages_of_killed_watchers,
             partition_watchers_from_store,
+            partition_all_watchers_from_store,
             stall_watches,
             kill_watchers,
             start_unheard_daemon,
