--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from virtual_store import StoreClient, VirtualStore
 from virtual_time import LoopClock
@@ -279,6 +279,16 @@
         crash = ServerCrash(now, now - 0.05)
         self.crashes.tracker.record_crash(content, ProcessId(process), crash, now)
 
+    def list_servers(self, servers: Iterable[ServerEntry]) -> None:
+        """List servers that the store's simulated keys do not hold."""
+        for server in servers:
+            self._servers.put(server)
+
+    def list_daemon(self, name: str, domain: str) -> None:
+        """List a daemon that the store's simulated keys do not hold."""
+        address = Address('127.0.0.1', 1)
+        self._peers.register(name, address, FailureDomainId(domain))
+
     def leads(self) -> bool:
         """Return whether it is the leader."""
         return self._lease.current_leadership() is not None
