--- a/libs/standins/fireflyhitch_standins/users_store.py
+++ b/libs/standins/fireflyhitch_standins/users_store.py
@@ -1,7 +1,8 @@
 """A stand-in for the users' platform's key-value store, by its published protocol.
 
 Serves HTTP on its own event loop. Tests set its faults: ``down`` refuses all calls with
-503, ``drop_responses`` executes each POST and closes the connection without a response.
+503, ``drop_responses`` executes each POST and closes the connection without a response,
+``malformed`` answers everything with an empty document.
 """
 
 import base64
@@ -47,6 +48,7 @@
         """Create an empty store; ``start`` makes it listen."""
         self.down = False
         self.drop_responses = False
+        self.malformed = False
         self.writes: list[list[str]] = []
         self._server = AsyncHttpServer(self._serve)
         self._revision = FIRST_REVISION
@@ -91,6 +93,9 @@
         if self.down:
             reply.send_json({}, HTTPStatus.SERVICE_UNAVAILABLE)
             return
+        if self.malformed:
+            reply.send_json({}, HTTPStatus.OK)
+            return
         answer = self._answer(request, reply)
         if answer is None:
             return
--- /dev/null
+++ b/tests/users_platform/test_store.py
@@ -0,0 +1,54 @@
+"""Tests of the client of the platform's store."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+
+import pytest
+
+from fireflyhitch_model.clock import SystemClock
+from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.ids import ABSENT
+from fireflyhitch_serving.client import HttpClient
+from fireflyhitch_serving.connections import Address
+from fireflyhitch_serving.store import Put
+from fireflyhitch_serving.traffic import ControlTraffic
+from fireflyhitch_standins.users_store import UsersStore
+from fireflyhitch_users_platform.store import PlatformStore
+
+Call = Callable[[PlatformStore], Awaitable[object]]
+
+
+@pytest.fixture
+def malformed_store() -> Iterator[UsersStore]:
+    """Provide a store whose answers lack all fields."""
+    store = UsersStore()
+    store.malformed = True
+    store.start()
+    yield store
+    store.stop()
+
+
+class TestMalformedAnswers:
+    @pytest.mark.parametrize(
+        'call',
+        [
+            lambda store: store.list('servers/'),
+            lambda store: store.watch('servers/', ABSENT, 1),
+            lambda store: store.put([Put('key', b'', ABSENT)]),
+            lambda store: store.grant_lease(4),
+        ],
+        ids=['list', 'watch', 'put', 'lease'],
+    )
+    def test_an_answer_without_its_fields_is_a_platform_error(
+        self, malformed_store: UsersStore, call: Call
+    ) -> None:
+        # A bare KeyError ended the loops that follow the store, for good: changes came
+        # to be known by occasional reads only.
+        host, _, port = malformed_store.address.rpartition(':')
+
+        async def script() -> None:
+            client = HttpClient(Address(host, int(port)), SystemClock())
+            with pytest.raises(PlatformError, match='malformed'):
+                await call(PlatformStore(client, ControlTraffic()))
+
+        asyncio.run(script())
