--- a/libs/daemon/tests/test_tls.py
+++ b/libs/daemon/tests/test_tls.py
@@ -2,8 +2,9 @@
 
 import pytest
 import trustme
+import urllib3
 from local_cluster import LocalCluster
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, SSLError
 
 
 def write_files(authority, directory):
@@ -49,3 +50,17 @@
                 cluster.http.request('GET', f'{plain}/v1/models', timeout=2)
         finally:
             cluster.close()
+
+    def test_caller_that_does_not_trust_the_authority_gets_no_answer(
+        self, authority, tmp_path
+    ):
+        """A certificate that any authority could have issued would protect nobody."""
+        other = tmp_path / 'other.pem'
+        other.write_bytes(trustme.CA().cert_pem.bytes())
+        cluster = LocalCluster(write_files(authority, tmp_path))
+        try:
+            callers = urllib3.PoolManager(retries=False, ca_certs=str(other))
+            with pytest.raises(SSLError):
+                callers.request('GET', f'{cluster.entry(0)}/v1/models', timeout=2)
+        finally:
+            cluster.close()
