--- a/libs/serving/fireflyhitch_serving/deputies.py
+++ b/libs/serving/fireflyhitch_serving/deputies.py
@@ -6,7 +6,9 @@
 
 from fireflyhitch_serving.duty_ranking import LeadershipOrder
 from fireflyhitch_serving.hubs import HubTracker
+from fireflyhitch_serving.leases import LeaderLease
 from fireflyhitch_serving.peers import PeerRegistry
+from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.summaries import SummaryTable
 
 
@@ -19,23 +21,28 @@
         hubs: HubTracker,
         summaries: SummaryTable,
         order: LeadershipOrder,
+        lease: LeaderLease,
+        health: StoreHealth,
     ) -> None:
         """Create a deputy from what is known of all daemons."""
         self._peers = peers
         self._hubs = hubs
         self._summaries = summaries
         self._order = order
+        self._lease = lease
+        self._health = health
 
-    def acts_for(self, leader: str | None) -> bool:
-        """Return whether this daemon acts for a leader that does not.
+    def acts(self) -> bool:
+        """Return whether this daemon acts in the leader's place.
 
         With few daemons the first to claim the lead is the deputy. With many, each
         failure domain's hub is one: only it has the state of the domain's daemons.
-
-        :param leader: the daemon that leads, as far as known.
         """
+        leader = self._lease.find_leader()
         if leader is not None and self._is_active(leader):
             return False
+        if not self._health.answers:
+            return False
         if self._peers.uses_summaries():
             return self._hubs.is_hub()
         return self._order.find() == 0
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -198,7 +198,6 @@
         leadership_order = LeadershipOrder(
             self._peers, self._summaries, self._registrations.has_discovered_peers
         )
-        deputy = LeaderDeputy(self._peers, self.hubs, self._summaries, leadership_order)
         self._lease = LeaderLease(
             self._store,
             self._clock.monotonic,
@@ -207,6 +206,14 @@
             self._health,
             leadership_order.find,
         )
+        deputy = LeaderDeputy(
+            self._peers,
+            self.hubs,
+            self._summaries,
+            leadership_order,
+            self._lease,
+            self._health,
+        )
         self._reporter = UsageReporter(
             self.usage,
             self._lease,
@@ -216,9 +223,7 @@
             PeerCounts(
                 lambda: self._shared.has_heard_from_all(),
                 self._peers.propagation_seconds,
-                lambda: (
-                    self._health.answers and deputy.acts_for(self._lease.find_leader())
-                ),
+                deputy.acts,
             ),
             UsageSchedule(USAGE_WINDOW_SECONDS, USAGE_LATE_SECONDS),
             make_deputy_key(self._domain),
