--- a/libs/serving/tests/test_control_cost.py
+++ b/libs/serving/tests/test_control_cost.py
@@ -7,9 +7,11 @@
 import asyncio
 import random
 import time
+from dataclasses import replace
 
 import pytest
 from daemons_scene import Daemon, SimulatedNetwork
+from test_summary_sizes import make_summary as make_quiet_summary
 from virtual_store import VirtualStore
 from virtual_time import run_virtual
 
@@ -49,12 +51,9 @@
 def make_summary(domain: str, sequence: int, rng: random.Random) -> DomainSummary:
     """Return a domain's summary; its daemons use most of the servers."""
     names = [server.server_id for server in make_servers()]
-    hub = f'{domain}-1'
-    return DomainSummary(
-        FailureDomainId(domain),
-        hub,
-        f'{hub}/1',
-        sequence,
+    return replace(
+        make_quiet_summary(domain, 0, rng, 1),
+        sequence=sequence,
         members={
             f'{domain}-{number + 1}': Member(sequence)
             for number in range(DAEMONS_PER_DOMAIN)
@@ -64,11 +63,6 @@
             for name in names
             if rng.random() < 0.7
         },
-        customers={},
-        fresh_parts={},
-        evidence={},
-        newest={},
-        store_settled=True,
         answers={
             name: AnswerCounts(rng.random() * 3, 0, rng.random() * 3).quantize()
             for name in names
--- a/libs/serving/tests/test_saved_counts.py
+++ b/libs/serving/tests/test_saved_counts.py
@@ -1,4 +1,7 @@
-"""Tests that usage counts are saved while no daemon leads, in virtual time."""
+"""Tests that usage counts are saved while no daemon leads, in virtual time.
+
+The simulated store's leases last for ever, so that no successor leads.
+"""
 
 import asyncio
 import json
@@ -10,13 +13,11 @@
 from virtual_time import run_virtual
 
 from fireflyhitch_model.ids import CustomerId
+from fireflyhitch_serving.leases import LEASE_SECONDS
 from fireflyhitch_serving.saved_counts import SAVED_PREFIX
 from fireflyhitch_serving.usage_reports import SAVE_SECONDS
 
 BAKERY = CustomerId('bakery')
-# Only after this long another daemon can lead: the lease of the one that stopped has to
-# expire, and to be claimed. The simulated store's leases last for ever.
-LEASE_SECONDS = 4.0
 
 Stop = Callable[[Daemons, str], None]
 
