Test daemons whose store comes back from an older copy

The stand-in of the users' store learns the term: Store-Era in all answers, an older copy in place of what it holds, revisions and leases given out again, 410 for a revision that it doesn't have, watches that stay open, stale reads that still return what was lost.

--- a/libs/standins/fireflyhitch_standins/users_store.py
+++ b/libs/standins/fireflyhitch_standins/users_store.py
@@ -2,11 +2,13 @@
 
 Serves HTTP on its own event loop. Tests set its faults: ``down`` refuses all calls with
 503, ``drop_responses`` executes each POST and closes the connection without a response,
-``malformed`` answers everything with an empty document.
+``malformed`` answers everything with an empty document. ``restore`` puts an older copy
+in place of what the store holds.
 """
 
 import base64
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -14,6 +16,9 @@
 from fireflyhitch_standins.asyncio_http import AsyncHttpServer, Reply, Request
 
 FIRST_REVISION = 7
+FIRST_ERA = 1
+# Keys that only operators and backend servers write.
+OTHERS_PREFIXES = ('op/', 'servers/')
 
 
 @dataclass(slots=True)
@@ -41,15 +46,36 @@
     reply: Reply
 
 
+@dataclass(slots=True)
+class StoreCopy:
+    """What the store held at some time.
+
+    :param leases: seconds that each lease is granted for.
+    """
+
+    revision: int
+    items: dict[str, _Item]
+    events: list[dict[str, Any]]
+    oldest: int
+    leases: dict[int, float]
+
+
 class UsersStore:
-    """The store; its state is accessed only on the server's event loop."""
+    """The store; its state is accessed only on the server's event loop.
+
+    :ivar stale_after_restore: whether stale reads still return what was lost by a
+        restore.
+    """
 
     def __init__(self) -> None:
         """Create an empty store; ``start`` makes it listen."""
         self.down = False
         self.drop_responses = False
         self.malformed = False
+        self.stale_after_restore = False
         self.writes: list[list[str]] = []
+        self._era = FIRST_ERA
+        self._lost: StoreCopy | None = None
         self._server = AsyncHttpServer(self._serve)
         self._revision = FIRST_REVISION
         self._items: dict[str, _Item] = {}
@@ -89,9 +115,25 @@
         """Discard the event history and abort waiting watches."""
         self._server.call(self._compact)
 
+    def copy(self) -> StoreCopy:
+        """Return what the store holds now."""
+        return self._server.call(self._copy)  # type: ignore[no-any-return]
+
+    def restore(self, copy: StoreCopy, *, keeps_watches: bool = False) -> None:
+        """Come back from an older copy, in a new era.
+
+        :param keeps_watches: whether waiting watches stay open, and see only revisions
+            above the one that they wait for.
+        """
+        self._server.call(lambda: self._restore(copy, keeps_watches=keeps_watches))
+
+    def rewrite_others(self) -> None:
+        """Write again what the restore lost of operators and backend servers."""
+        self._server.call(self._rewrite_others)
+
     def _serve(self, request: Request, reply: Reply) -> None:
         if self.down:
-            reply.send_json({}, HTTPStatus.SERVICE_UNAVAILABLE)
+            self._send(reply, {}, HTTPStatus.SERVICE_UNAVAILABLE)
             return
         if self.malformed:
             reply.send_json({}, HTTPStatus.OK)
@@ -103,7 +145,13 @@
             reply.abort()
             return
         status, body = answer
-        reply.send_json(body, status)
+        self._send(reply, body, status)
+
+    def _send(
+        self, reply: Reply, body: Mapping[str, Any], status: int = HTTPStatus.OK
+    ) -> None:
+        headers = {'Content-Type': 'application/json', 'Store-Era': str(self._era)}
+        reply.send(json.dumps(body).encode(), headers, status)
 
     def _answer(
         self, request: Request, reply: Reply
@@ -111,7 +159,7 @@
         name = request.path.removeprefix('/api/').split('/')[0]
         body = json.loads(request.body or b'{}')
         if name == 'kv-range':
-            return HTTPStatus.OK, self._list(request.query.get('prefix', ''))
+            return HTTPStatus.OK, self._list_as_asked(request.query)
         if name == 'kv-watch':
             return self._watch(request, reply)
         if name == 'kv-txn':
@@ -123,19 +171,21 @@
         self._delete_lease(int(request.path.rsplit('/', 1)[1]))
         return HTTPStatus.OK, {}
 
+    def _list_as_asked(self, query: Mapping[str, str]) -> dict[str, Any]:
+        prefix = query.get('prefix', '')
+        is_stale = self.stale_after_restore and query.get('serializable') == '1'
+        if not is_stale or self._lost is None:
+            return self._list(prefix)
+        return _render_items(prefix, self._lost.items, self._lost.revision)
+
     def _list(self, prefix: str) -> dict[str, Any]:
-        items = [
-            item.render(key)
-            for key, item in sorted(self._items.items())
-            if key.startswith(prefix)
-        ]
-        return {'items': items, 'truncated': False, 'current_rev': self._revision}
+        return _render_items(prefix, self._items, self._revision)
 
     def _watch(
         self, request: Request, reply: Reply
     ) -> tuple[HTTPStatus, dict[str, Any]] | None:
         after = int(request.query['after'])
-        if after < self._oldest:
+        if not self._oldest <= after <= self._revision:
             return HTTPStatus.GONE, {}
         watch = _Watch(request.query.get('prefix', ''), after, reply)
         events = self._find_events(watch)
@@ -158,7 +208,7 @@
             self._watches.remove(watch)
         if not watch.reply.ended:
             events = self._find_events(watch)
-            watch.reply.send_json({'events': events, 'current_rev': self._revision})
+            self._send(watch.reply, {'events': events, 'current_rev': self._revision})
 
     def _change(self, body: dict[str, Any]) -> tuple[HTTPStatus, dict[str, Any]]:
         for row in body['expected_revision']:
@@ -208,10 +258,45 @@
     def _compact(self) -> None:
         self._events.clear()
         self._oldest = self._revision
+        self._abort_watches()
+
+    def _abort_watches(self) -> None:
         for watch in self._watches:
             watch.reply.abort()
         self._watches.clear()
 
+    def _copy(self) -> StoreCopy:
+        leases = {lease: held[1] for lease, held in self._leases.items()}
+        return StoreCopy(
+            self._revision, dict(self._items), list(self._events), self._oldest, leases
+        )
+
+    def _restore(self, copy: StoreCopy, *, keeps_watches: bool) -> None:
+        self._lost = self._copy()
+        self._era += 1
+        for timer, _ in self._leases.values():
+            timer.cancel()
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._events = list(copy.events)
+        self._oldest = copy.oldest
+        self._leases = dict.fromkeys(copy.leases)
+        for lease, seconds in copy.leases.items():
+            self._extend(lease, seconds)
+        if not keeps_watches:
+            self._abort_watches()
+
+    def _rewrite_others(self) -> None:
+        lost = {} if self._lost is None else self._lost.items
+        for key in sorted({*lost, *self._items}):
+            if not key.startswith(OTHERS_PREFIXES):
+                continue
+            item = lost.get(key)
+            if item is None:
+                self._delete([key])
+            elif key not in self._items or self._items[key].value != item.value:
+                self._write({key: (item.value, 0)})
+
     def _grant(self, milliseconds: int) -> dict[str, Any]:
         self._revision += 1
         lease = self._revision
@@ -240,6 +325,17 @@
         self._delete([key for key, item in self._items.items() if item.lease == lease])
 
 
+def _render_items(
+    prefix: str, items: Mapping[str, _Item], revision: int
+) -> dict[str, Any]:
+    found = [
+        item.render(key)
+        for key, item in sorted(items.items())
+        if key.startswith(prefix)
+    ]
+    return {'items': found, 'truncated': False, 'current_rev': revision}
+
+
 class UsersDuties:
     """A stand-in for the receiver of duty calls; records all calls.
 
