--- a/libs/model/fireflyhitch_model/ids.py
+++ b/libs/model/fireflyhitch_model/ids.py
@@ -21,7 +21,9 @@
 DutyId = NewType('DutyId', str)
 LeaseId = NewType('LeaseId', int)
 
-# A revision of the store; 0 means "does not exist".
+# Counts the times that the store came back from an older copy of its data.
+StoreEra = NewType('StoreEra', int)
+# A revision of the store, with its era (see ``eras``); 0 means "does not exist".
 Revision = NewType('Revision', int)
 # Increases with each restart of the same instance or process.
 Incarnation = NewType('Incarnation', int)
--- a/libs/serving/fireflyhitch_serving/client.py
+++ b/libs/serving/fireflyhitch_serving/client.py
@@ -1,6 +1,7 @@
 """HTTP client for the platform's services."""
 
 import asyncio
+from dataclasses import field
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.records import immutable
@@ -23,6 +24,7 @@
 
     status: int
     body: bytes
+    headers: Headers = field(default_factory=list)
 
 
 class HttpClient:
@@ -82,4 +84,5 @@
 async def _exchange(connection: ServerConnection, request: bytes) -> HttpResponse:
     connection.send(request)
     head = await connection.read_head()
-    return HttpResponse(head.status, await connection.read_whole_body())
+    body = await connection.read_whole_body()
+    return HttpResponse(head.status, body, head.headers)
--- a/libs/serving/fireflyhitch_serving/key_revisions.py
+++ b/libs/serving/fireflyhitch_serving/key_revisions.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 
+from fireflyhitch_model.eras import find_era
 from fireflyhitch_model.ids import Revision
 from fireflyhitch_platform.keyvalue import KeyValue, Listing
 from fireflyhitch_serving.changes import Change, ChangeSpan
@@ -23,15 +24,20 @@
     """The newest revision of each key, and which keys were removed or are missing."""
 
     def __init__(
-        self, is_settled: Callable[[], bool], on_change: ChangeCallback
+        self,
+        is_settled: Callable[[], bool],
+        on_change: ChangeCallback,
+        on_missing: Callable[[str], None],
     ) -> None:
         """Create an empty table.
 
         :param is_settled: returns whether keys that the store lacks now are gone for
             good.
+        :param on_missing: called with a key that is kept although the store lacks it.
         """
         self._is_settled = is_settled
         self._on_change = on_change
+        self._on_missing = on_missing
         self._revisions: dict[str, Revision] = {}
         self._values: dict[str, bytes] = {}
         self._removed: dict[str, Revision] = {}
@@ -66,19 +72,35 @@
         found = [
             Change(item.key, item.value, item.revision)
             for item in listing.items
-            if self.is_newer(item.key, item.revision)
+            if self.is_newer(item.key, item.revision) and not self._is_reread(item)
         ]
         present = {item.key for item in listing.items}
         gone = sorted(self._revisions.keys() - present)
         found.extend(Change(key, None, listing.revision) for key in gone)
         return found
 
+    def _is_reread(self, item: KeyValue) -> bool:
+        """Return whether a key has the value that it had before the store was restored.
+
+        The store holds all keys again then; those that are as before are no change.
+        """
+        known = self._revisions.get(item.key)
+        return (
+            known is not None
+            and find_era(item.revision) > find_era(known)
+            and item.value == self._values[item.key]
+            and item.key not in self._missing
+        )
+
     def find_span(self, prefix: str, listing: Listing, since: Revision) -> ChangeSpan:
-        """Return all changes since a revision, new here or not."""
+        """Return all changes since a revision that are known here.
+
+        :param listing: applied before.
+        """
         changes = [
-            Change(item.key, item.value, item.revision)
-            for item in listing.items
-            if item.revision > since
+            Change(key, self._values[key], revision)
+            for key, revision in self._revisions.items()
+            if revision > since and key not in self._missing
         ]
         removed = {**self._removed, **self._missing}
         changes.extend(
@@ -122,8 +144,9 @@
             return
         if self._is_settled():
             self._remove(key, revision)
-        else:
+        elif key not in self._missing:
             self._missing[key] = revision
+            self._on_missing(key)
 
     def _remove(self, key: str, revision: Revision) -> None:
         self._revisions.pop(key, None)
--- /dev/null
+++ b/libs/serving/fireflyhitch_serving/move_orders.py
@@ -0,0 +1,161 @@
+"""Orders and records of moves, also across a restore of the store from an older copy."""
+
+import json
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from fireflyhitch_model.eras import find_era, find_number
+from fireflyhitch_model.ids import ABSENT, DeploymentId, Revision
+from fireflyhitch_model.records import immutable
+from fireflyhitch_rollout.short_moves import MoveEnd
+
+# Earlier orders of a service that a restored store may hold again.
+MAX_EARLIER = 8
+
+
+@immutable
+class MoveOrder:
+    """An operator's order to move a service to a version.
+
+    :param revision: revision of the order in the store; a later order has a higher one.
+    :param seconds: time within which the move is completed or rolled back.
+    """
+
+    service: DeploymentId
+    target: str
+    seconds: float
+    revision: Revision
+
+    @property
+    def number(self) -> int:
+        """Return the number that records and results name the order by.
+
+        It is the same in a new era of the store, if the copy holds the order.
+        """
+        return find_number(self.revision)
+
+    def repeats(self, other: 'MoveOrder') -> bool:
+        """Return whether it orders the same as another one."""
+        return (self.target, self.seconds) == (other.target, other.seconds)
+
+
+@immutable
+class MoveRecord:
+    """A move's start and end.
+
+    :param order: number of the order.
+    :param began: seconds since 1970.
+    """
+
+    order: int = 0
+    began: float = 0
+    end: MoveEnd | None = None
+
+
+def encode_record(record: MoveRecord) -> bytes:
+    """Return a record as stored."""
+    end = record.end.value if record.end else None
+    fields = {'order': record.order, 'began': record.began, 'end': end}
+    return json.dumps(fields).encode()
+
+
+def decode_record(value: bytes) -> MoveRecord:
+    """Decode a record as stored."""
+    fields = json.loads(value)
+    end = MoveEnd(fields['end']) if fields['end'] else None
+    return MoveRecord(fields['order'], fields['began'], end)
+
+
+@dataclass(slots=True)
+class Move:
+    """A service's newest order, and what is known of its move.
+
+    :param is_stored: whether the store holds the record.
+    :param withdrawn: number of the last order whose version was withdrawn here.
+    """
+
+    order: MoveOrder | None = None
+    record: MoveRecord = field(default_factory=MoveRecord)
+    is_stored: bool = True
+    withdrawn: int = 0
+    _revision: Revision = ABSENT
+    _earlier: deque[MoveOrder] = field(
+        default_factory=lambda: deque(maxlen=MAX_EARLIER)
+    )
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the newest order's start is recorded."""
+        return self.order is not None and self.record.order == self.order.number
+
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the newest order has ended."""
+        return self.has_begun and self.record.end is not None
+
+    @property
+    def is_withdrawn(self) -> bool:
+        """Return whether the newest order's version was withdrawn here."""
+        return self.order is not None and self.withdrawn == self.order.number
+
+    def apply_order(self, order: MoveOrder, *, is_rewritten: bool) -> bool:
+        """Apply an order; return whether it is a new one.
+
+        A restored store first holds an earlier order, or none, until the operators have
+        written the newest one again.
+
+        :param is_rewritten: whether the store came back from an older copy a moment ago.
+        """
+        known = self.order
+        if known is not None and order.revision <= known.revision:
+            return False
+        if known is None or find_era(order.revision) == find_era(known.revision):
+            self._replace_order(order)
+            return True
+        if order.repeats(known) and (is_rewritten or order.number == known.number):
+            self._adopt(order, known)
+            return False
+        if any(_is_same(order, earlier) for earlier in self._earlier):
+            return False
+        self._replace_order(order)
+        return True
+
+    def apply_record(self, record: MoveRecord | None, revision: Revision) -> None:
+        """Apply a record from the store; ``None`` if it holds none.
+
+        What is known of the newest order's move stays known if a restored store lacks
+        it, or holds an earlier state.
+        """
+        is_restored = find_era(revision) > find_era(self._revision)
+        self._revision = revision
+        if self.has_begun and is_restored and self._precedes(record):
+            self.is_stored = False
+            return
+        self.record = record or MoveRecord()
+        self.is_stored = True
+
+    def _precedes(self, record: MoveRecord | None) -> bool:
+        """Return whether a record is of an earlier state than the one known."""
+        if record is None or record.order != self.record.order:
+            return True
+        return record.end is None and self.record.end is not None
+
+    def _replace_order(self, order: MoveOrder) -> None:
+        if self.order is not None:
+            self._earlier.append(self.order)
+        self.order = order
+
+    def _adopt(self, order: MoveOrder, known: MoveOrder) -> None:
+        """Go on with the move under the number that its order has now."""
+        self.order = order
+        if order.number == known.number:
+            return
+        if self.record.order == known.number:
+            self.record = replace(self.record, order=order.number)
+            self.is_stored = False
+        if self.withdrawn == known.number:
+            self.withdrawn = order.number
+
+
+def _is_same(order: MoveOrder, earlier: MoveOrder) -> bool:
+    return order.number == earlier.number and order.repeats(earlier)
--- a/libs/serving/fireflyhitch_serving/moves.py
+++ b/libs/serving/fireflyhitch_serving/moves.py
@@ -6,9 +6,7 @@
 """
 
 import asyncio
-import json
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 from itertools import chain
 
 from loguru import logger
@@ -16,7 +14,7 @@
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import ABSENT, DeploymentId, Revision
 from fireflyhitch_model.records import immutable
-from fireflyhitch_platform.keyvalue import Written
+from fireflyhitch_platform.keyvalue import KeyValue, Written
 from fireflyhitch_rollout.short_moves import (
     MoveEnd,
     MoveEvidence,
@@ -26,6 +24,13 @@
     find_share,
 )
 from fireflyhitch_serving.leases import FIREFLYHITCH_PREFIX, LeaderLease
+from fireflyhitch_serving.move_orders import (
+    Move,
+    MoveOrder,
+    MoveRecord,
+    decode_record,
+    encode_record,
+)
 from fireflyhitch_serving.store import AsyncStore, Put
 from fireflyhitch_serving.versions import VersionShare, VersionShares
 
@@ -42,20 +47,6 @@
 Counts = list[int]
 
 
-@immutable
-class MoveOrder:
-    """An operator's order to move a service to a version.
-
-    :param revision: revision of the order in the store; a later order has a higher one.
-    :param seconds: time within which the move is completed or rolled back.
-    """
-
-    service: DeploymentId
-    target: str
-    seconds: float
-    revision: Revision
-
-
 @immutable
 class StatusFormat:
     """The platform's format of a move's state in the store.
@@ -68,33 +59,6 @@
     render: Callable[[MoveOrder, MoveEnd | None], bytes]
 
 
-@dataclass(slots=True)
-class _Record:
-    """A move's start and end in the store.
-
-    :param began: seconds since 1970.
-    """
-
-    order: Revision = ABSENT
-    began: float = 0
-    end: MoveEnd | None = None
-    revision: Revision = ABSENT
-
-
-@dataclass(slots=True)
-class _Move:
-    order: MoveOrder | None = None
-    record: _Record = field(default_factory=_Record)
-    withdrawn: Revision = ABSENT
-
-    @property
-    def has_ended(self) -> bool:
-        """Return whether the newest order has ended."""
-        order = self.order
-        ended = self.record.end is not None
-        return ended and order is not None and self.record.order == order.revision
-
-
 class MoveTracker:
     """All moves, the results of their versions, and the resulting traffic shares."""
 
@@ -106,7 +70,7 @@
         """
         self._shares = shares
         self._exposure_fraction = exposure_fraction
-        self._moves: dict[DeploymentId, _Move] = {}
+        self._moves: dict[DeploymentId, Move] = {}
         self._peer_counts: dict[str, Mapping[str, Counts]] = {}
         self._counts: dict[str, Counts] = {}
         self._baselines: dict[tuple[DeploymentId, str], float] = {}
@@ -115,15 +79,17 @@
         """Return the services for which a move was ordered."""
         return tuple(self._moves)
 
-    def find(self, service: DeploymentId) -> _Move:
+    def find(self, service: DeploymentId) -> Move:
         """Return a service's move."""
-        return self._moves.setdefault(service, _Move())
+        return self._moves.setdefault(service, Move())
+
+    def apply_order(self, order: MoveOrder, *, is_rewritten: bool = False) -> None:
+        """Apply an order.
 
-    def apply_order(self, order: MoveOrder) -> None:
-        """Apply an order."""
+        :param is_rewritten: whether operators write what a restore has lost.
+        """
         move = self.find(order.service)
-        if move.order is None or order.revision > move.order.revision:
-            move.order = order
+        if move.apply_order(order, is_rewritten=is_rewritten):
             self._drop_counts(order.service)
             logger.bind(service=order.service, target=order.target).info('move ordered')
         self.apply(order.service)
@@ -133,12 +99,7 @@
     ) -> None:
         """Apply a move's start or end from the store."""
         move = self.find(service)
-        if value is None:
-            move.record = _Record()
-            return
-        fields = json.loads(value)
-        end = MoveEnd(fields['end']) if fields['end'] else None
-        move.record = _Record(fields['order'], fields['began'], end, revision)
+        move.apply_record(None if value is None else decode_record(value), revision)
         if move.has_ended:
             self._drop_counts(service)
         self.apply(service)
@@ -189,7 +150,7 @@
         """Return the results of all daemons for a move."""
         old: dict[str, RouteResults] = {}
         new: dict[str, RouteResults] = {}
-        prefix = f'{order.service}|{order.revision}|'
+        prefix = f'{order.service}|{order.number}|'
         all_counts = [self._counts, *self._peer_counts.values()]
         for key, numbers in chain.from_iterable(
             counts.items() for counts in all_counts
@@ -220,18 +181,17 @@
             if not key.startswith(prefix)
         }
 
-    def _find_share(self, move: _Move) -> float:
+    def _find_share(self, move: Move) -> float:
         order = move.order
         assert order is not None
-        record = move.record
-        if record.order != order.revision or move.withdrawn == order.revision:
+        if not move.has_begun or move.is_withdrawn:
             return 0
-        if record.end is not None:
-            return float(record.end is MoveEnd.COMPLETED)
+        if move.record.end is not None:
+            return float(move.record.end is MoveEnd.COMPLETED)
         evidence = self.sum_evidence(order)
         fault = find_fault(evidence)
         if fault is not None:
-            move.withdrawn = order.revision
+            move.withdrawn = order.number
             logger.bind(
                 service=order.service, target=order.target, evidence=fault
             ).warning('version withdrawn here')
@@ -296,58 +256,68 @@
         if order is None:
             return
         record = move.record
-        if record.order != order.revision:
-            await self._write(move, order, self._wall_clock(), None)
+        if not move.has_begun:
+            record = MoveRecord(order.number, self._wall_clock())
+            await self._write(move, order, record)
+            return
+        if not move.is_stored:
+            await self._write(move, order, record)
             return
         if record.end is not None:
             return
         evidence = self._tracker.sum_evidence(order)
         end = find_end(evidence, self._wall_clock() - record.began, order.seconds)
-        if move.withdrawn == order.revision:
+        if move.is_withdrawn:
             end = MoveEnd.ROLLED_BACK
         if end is not None:
-            await self._write(move, order, record.began, end)
+            await self._write(move, order, MoveRecord(order.number, record.began, end))
 
-    async def _write(
-        self, move: _Move, order: MoveOrder, began: float, end: MoveEnd | None
-    ) -> None:
-        """Write record and state together, conditional on their known revisions.
+    async def _write(self, move: Move, order: MoveOrder, record: MoveRecord) -> None:
+        """Write record and state together, conditional on what the store holds.
 
-        If another leader wrote in between, this write fails and the watch delivers what
-        that leader wrote. So a move ends only once.
+        If another leader wrote in between, nothing is written, and the watch delivers
+        what that leader wrote. So a move ends only once.
         """
+        record_key = f'{MOVES_PREFIX}{order.service}'
         status_key = self._status_format.key(order.service)
-        listing = await self._store.list(status_key)
-        revisions = {item.key: item.revision for item in listing.items}
-        record = {
-            'order': order.revision,
-            'began': began,
-            'end': end.value if end else None,
-        }
+        stored_record = await self._read(record_key)
+        stored_status = await self._read(status_key)
+        if move.is_stored and not _is_record(stored_record, move.record):
+            return
         result = await self._store.put(
             [
-                Put(
-                    f'{MOVES_PREFIX}{order.service}',
-                    json.dumps(record).encode(),
-                    move.record.revision,
-                ),
+                Put(record_key, encode_record(record), _find_revision(stored_record)),
                 Put(
                     status_key,
-                    self._status_format.render(order, end),
-                    revisions.get(status_key, ABSENT),
+                    self._status_format.render(order, record.end),
+                    _find_revision(stored_status),
                 ),
             ]
         )
         logger.bind(
             service=order.service,
             target=order.target,
-            end=end.value if end else 'running',
+            end=record.end.value if record.end else 'running',
             written=isinstance(result, Written),
         ).info('move recorded')
         if isinstance(result, Written):
-            move.record = _Record(order.revision, began, end, result.revision)
+            move.apply_record(record, result.revision)
             self._tracker.apply(order.service)
 
+    async def _read(self, key: str) -> KeyValue | None:
+        listing = await self._store.list(key)
+        return next((item for item in listing.items if item.key == key), None)
+
+
+def _is_record(stored: KeyValue | None, record: MoveRecord) -> bool:
+    """Return whether the store holds a record; none stands for no move."""
+    held = MoveRecord() if stored is None else decode_record(stored.value)
+    return held == record
+
+
+def _find_revision(stored: KeyValue | None) -> Revision:
+    return ABSENT if stored is None else stored.revision
+
 
 def _make_key(service: DeploymentId, order: MoveOrder, version: str, route: str) -> str:
-    return f'{service}|{order.revision}|{version}|{route}'
+    return f'{service}|{order.number}|{version}|{route}'
--- a/libs/serving/fireflyhitch_serving/peer_listings.py
+++ b/libs/serving/fireflyhitch_serving/peer_listings.py
@@ -14,22 +14,27 @@
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.ids import Revision
+from fireflyhitch_model.eras import find_era, find_number, make_revision
+from fireflyhitch_model.ids import Revision, StoreEra
 from fireflyhitch_model.states import Outcome, Step
 from fireflyhitch_platform.keyvalue import KeyValue, Listing
 from fireflyhitch_serving.callers import Reply
-from fireflyhitch_serving.client import HttpClient
+from fireflyhitch_serving.client import HttpClient, HttpResponse
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.errors import ServerError
-from fireflyhitch_serving.messages import CallerRequest
+from fireflyhitch_serving.messages import CallerRequest, find_header
 from fireflyhitch_serving.packing import pack, unpack
 from fireflyhitch_serving.peers import PeerRegistry
+from fireflyhitch_serving.store_eras import EraTracker
 
 # A peer answers from memory; another one is asked sooner than a slow one answers.
 READ_TIMEOUT_SECONDS = 0.6
 MAX_READ_PEERS = 3
 PATH = '/listing'
 MAX_CLIENTS = 16
+ERA_HEADER = b'listing-era'
+# Below all numbers that the store gives to keys that have changed in an era.
+LOWEST_NUMBER = 1
 
 # Reads a prefix from the peer at an address; raises ``ServerError``.
 ReadPeer = Callable[[Address, str], Awaitable[Listing]]
@@ -38,24 +43,45 @@
 
 
 def encode_listing(listing: Listing) -> bytes:
-    """Return the body of a response."""
-    rows = [(item.key, item.value, item.revision) for item in listing.items]
-    return pack((listing.revision, rows))
-
-
-def decode_listing(body: bytes) -> Listing:
-    """Decode the body of a response; it is malformed if this raises."""
-    revision, rows = unpack(body)
-    items = tuple(KeyValue(key, value, at, at) for key, value, at in rows)
-    return Listing(Revision(revision), items)
+    """Return the body of a response; the era is in a header.
+
+    Keys that have not changed since an earlier era get the lowest number: theirs might
+    be higher than that of a later change.
+    """
+    era = find_era(listing.revision)
+    rows = [
+        (
+            item.key,
+            item.value,
+            find_number(item.revision)
+            if find_era(item.revision) == era
+            else LOWEST_NUMBER,
+        )
+        for item in listing.items
+    ]
+    return pack((find_number(listing.revision), rows))
+
+
+def decode_listing(body: bytes, era: StoreEra) -> Listing:
+    """Decode the body of a response; it is malformed if this raises.
+
+    :param era: that the response belongs to.
+    """
+    number, rows = unpack(body)
+    items: list[KeyValue] = []
+    for key, value, at in rows:
+        revision = make_revision(era, at)
+        items.append(KeyValue(key, value, revision, revision))
+    return Listing(make_revision(era, number), tuple(items))
 
 
 class PeerReader:
     """Reads listings from peers over HTTP."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, eras: EraTracker) -> None:
         """Create a reader without connections."""
         self._clock = clock
+        self._eras = eras
         self._clients: LRUCache[Address, HttpClient] = LRUCache(MAX_CLIENTS)
 
     async def read(self, address: Address, prefix: str) -> Listing:
@@ -72,9 +98,16 @@
         if response.status != HTTPStatus.OK:
             raise _make_error(address, f'status {response.status}')
         try:
-            return decode_listing(response.body)
+            era = self._find_era(response)
+            listing = decode_listing(response.body, era)
         except (TypeError, ValueError) as error:
             raise _make_error(address, f'malformed listing: {error!r}') from error
+        self._eras.record_revision(listing.revision, f'peer {address}')
+        return listing
+
+    def _find_era(self, response: HttpResponse) -> StoreEra:
+        era = find_header(response.headers, ERA_HEADER)
+        return self._eras.first if era is None else StoreEra(int(era))
 
 
 def _make_error(address: Address, reason: str) -> ServerError:
@@ -156,4 +189,5 @@
         reply.send_response(HTTPStatus.NOT_FOUND, [], b'')
         return
     body = encode_listing(listing)
-    reply.send_response(HTTPStatus.OK, [], body)
+    era = b'%d' % find_era(listing.revision)
+    reply.send_response(HTTPStatus.OK, [(ERA_HEADER, era)], body)
--- a/libs/serving/fireflyhitch_serving/peer_state.py
+++ b/libs/serving/fireflyhitch_serving/peer_state.py
@@ -12,7 +12,6 @@
     ContentId,
     CustomerId,
     FailureDomainId,
-    Revision,
 )
 from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.announcements import Report, ReportsByKind
@@ -20,6 +19,7 @@
 from fireflyhitch_serving.quotas import QuotaReport
 from fireflyhitch_serving.server_statistics import AnswerCounts
 from fireflyhitch_serving.servers import InFlight
+from fireflyhitch_serving.store_eras import ReportedRevisions
 
 DECODE_ERRORS = (cbor2.CBORDecodeError, KeyError, TypeError, ValueError, AttributeError)
 Row = TypeVar('Row')
@@ -57,7 +57,7 @@
     :param store_settled: whether it has done so for some seconds.
     :param stopping: whether it is about to stop.
     :param reaches_servers: whether it can connect to any server.
-    :param newest: revision of the newest change received, by key prefix.
+    :param newest: the newest change received, as ``EraTracker`` reports it.
     """
 
     daemon: str
@@ -70,7 +70,7 @@
     usage: Mapping[int, Mapping[CustomerId, int]]
     fresh_parts: Mapping[BackendServerId, list[str]]
     evidence: Mapping[str, list[int]]
-    newest: Mapping[str, Revision]
+    newest: ReportedRevisions
     answers: Mapping[BackendServerId, AnswerCounts] = field(default_factory=dict)
     crashes: Mapping[ContentId, CrashReport] = field(default_factory=dict)
     announcements: ReportsByKind = field(default_factory=dict)
--- a/libs/serving/fireflyhitch_serving/progress.py
+++ b/libs/serving/fireflyhitch_serving/progress.py
@@ -6,7 +6,9 @@
 """
 
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.eras import find_era
 from fireflyhitch_model.ids import ABSENT, Revision
+from fireflyhitch_serving.store_eras import EraTracker
 
 # Changes reported by peers have arrived by then, unless lost: watchers pause for a
 # quarter of a second between two results, and states are sent every 0.1 to 0.4 s.
@@ -16,9 +18,13 @@
 class ViewProgress:
     """Which changes below one prefix have been received."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Create the progress of an empty view."""
+    def __init__(self, clock: Clock, eras: EraTracker | None = None) -> None:
+        """Create the progress of an empty view.
+
+        :param eras: of the store; without any, it stays in the same one.
+        """
         self._clock = clock
+        self._eras = eras or EraTracker(clock)
         self._complete = ABSENT
         self._shared = ABSENT
         self._newest = ABSENT
@@ -68,11 +74,30 @@
         if after <= self._shared < upto:
             self._shared = upto
 
+    def is_of_earlier_era(self, revision: Revision) -> bool:
+        """Return whether a restore has lost what was read or told at a revision."""
+        return find_era(revision) < find_era(self._complete)
+
+    @property
+    def may_read_stale(self) -> bool:
+        """Return whether stale reads certainly return nothing that a restore lost."""
+        return not self._eras.is_recent()
+
+    def find_wanted(self, reported: Revision) -> Revision:
+        """Return the revision up to which all changes should be known.
+
+        All keys have to be read again in a new era.
+
+        :param reported: the newest change that any peer has received.
+        """
+        return max(reported, self._eras.floor)
+
     def is_behind(self, reported: Revision) -> bool:
         """Return whether a change was missed.
 
         :param reported: the newest change that any peer has received.
         """
+        reported = self.find_wanted(reported)
         if reported <= self._complete:
             return False
         now = self._clock.monotonic()
--- a/libs/serving/fireflyhitch_serving/shared_state.py
+++ b/libs/serving/fireflyhitch_serving/shared_state.py
@@ -14,6 +14,7 @@
     BackendServerId,
     FailureDomainId,
     Revision,
+    StoreEra,
 )
 from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.announcements import AnnouncementTables
@@ -33,6 +34,7 @@
     AnswersByServer,
 )
 from fireflyhitch_serving.servers import InFlight, ServerRegistry
+from fireflyhitch_serving.store_eras import ERA, EraTracker, ReportedRevisions
 from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.summaries import (
     DomainSummary,
@@ -51,6 +53,7 @@
     :param stopping: returns whether this daemon is about to stop.
     :param reaches_servers: returns whether this daemon reaches any server.
     :param newest: returns the revision of the newest change received, by key prefix.
+    :param eras: the store's, as known here.
     """
 
     clock: Clock
@@ -69,6 +72,7 @@
     stopping: Callable[[], bool]
     reaches_servers: Callable[[], bool]
     newest: Callable[[], Mapping[str, Revision]]
+    eras: EraTracker
 
 
 class SharedState:
@@ -119,7 +123,7 @@
             store_settled=components.health.is_stable(),
             stopping=components.stopping(),
             reaches_servers=components.reaches_servers(),
-            newest=components.newest(),
+            newest=components.eras.report(components.newest()),
             answers=self._collect_answers(),
             crashes=components.crashes.build_reports(now, include_received=False),
             announcements=components.announcements.build_reports(
@@ -132,6 +136,7 @@
     def apply_peer_state(self, state: PeerState) -> None:
         """Apply another daemon's state."""
         components = self._components
+        self._record_era(state.newest, f'peer {state.daemon}')
         components.usage.merge_counts(state.process, state.usage)
         components.moves.update_peer_evidence(state.process, state.evidence)
         now = components.clock.monotonic()
@@ -156,6 +161,7 @@
         if summaries is None:
             return False
         for summary in summaries:
+            self._record_era(summary.newest, f'hub {summary.relay}')
             now = self._components.clock.monotonic()
             self._components.crashes.apply_reports(summary.crashes, now)
             self._components.announcements.apply_reports(summary.announcements, now)
@@ -193,10 +199,13 @@
         return len(peers.responsive_states()) >= peers.count_daemons() - 1
 
     def is_store_settled_for_peers(self) -> bool:
-        """Return whether another daemon has reached the store without interruption."""
-        states = self._components.peers.responsive_states().values()
-        return any(state.store_settled for state in states) or any(
-            summary.store_settled for summary in self._live_summaries()
+        """Return whether another daemon has reached the store without interruption.
+
+        One that has not heard of the store's newest era cannot know.
+        """
+        return any(
+            reporter.store_settled and self._components.eras.is_current(reporter.newest)
+            for reporter in self._list_reporters()
         )
 
     def _live_summaries(self) -> list[DomainSummary]:
@@ -226,20 +235,26 @@
 
     def find_newest_revision(self, prefix: str) -> Revision:
         """Return the newest change below a prefix that any other daemon has received."""
-        from_states = [
-            state.newest
-            for state in self._components.peers.responsive_states().values()
-        ]
-        from_summaries = [summary.newest for summary in self._live_summaries()]
         reported = (
-            newest.get(prefix, ABSENT) for newest in (*from_states, *from_summaries)
+            self._components.eras.find_reported(reporter.newest, prefix)
+            for reporter in self._list_reporters()
         )
         return max(reported, default=ABSENT)
 
+    def _list_reporters(self) -> list[PeerState | DomainSummary]:
+        """Return the responsive daemons' states and the domains' summaries."""
+        states = self._components.peers.responsive_states().values()
+        return [*states, *self._live_summaries()]
+
     def sum_demand(self) -> float:
         """Return the units per second that customers demand at all daemons."""
         return self._components.quotas.sum_demand(self._components.clock.monotonic())
 
+    def _record_era(self, reported: ReportedRevisions, source: str) -> None:
+        era = reported.get(ERA)
+        if era is not None:
+            self._components.eras.record(StoreEra(era), source)
+
     def _find_hub_wall_clock(self) -> float | None:
         return (
             None if self._uses_direct_state else self._components.hubs.find_wall_clock()
--- a/libs/serving/fireflyhitch_serving/store_health.py
+++ b/libs/serving/fireflyhitch_serving/store_health.py
@@ -64,6 +64,15 @@
             for callback in self._on_return:
                 callback()
 
+    def record_restore(self) -> None:
+        """Record that the store came back from an older copy.
+
+        It lacks keys that live servers write again, as after an outage.
+        """
+        self._returned_at = self._clock.monotonic()
+        for callback in self._on_return:
+            callback()
+
     async def track(self, call: Awaitable[Answer]) -> Answer:
         """Await a store call, and record that it was answered."""
         answer = await call
--- a/libs/serving/fireflyhitch_serving/store_view.py
+++ b/libs/serving/fireflyhitch_serving/store_view.py
@@ -27,6 +27,9 @@
 WATCH_SECONDS = 15.0
 INITIAL_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 1.0
+# Least interval between two listings after a watch that the store refused: where no
+# listing helps, a daemon would list dozens of times a second.
+RELIST_SECONDS = 0.25
 # Each retry waits between this fraction of its interval and the whole interval.
 MIN_WAIT_FRACTION = 0.5
 # Interval at which the watch returns while keys are missing, to check whether they
@@ -53,6 +56,10 @@
     PEER_LIST = 'list of peer'
 
 
+def _ignore_missing(key: str) -> None:
+    """Do nothing."""
+
+
 @immutable
 class ViewCallbacks:
     """Callbacks of a view; they must return at once.
@@ -60,11 +67,13 @@
     :param changed: called with a key's new value; ``None`` if the key was removed.
     :param listed: called after all keys were read.
     :param is_incomplete: returns whether the keys read so far are not sufficient.
+    :param missing: called with a key that is kept although the store lacks it.
     """
 
     changed: ChangeCallback
     listed: Callable[[], None]
     is_incomplete: Callable[[], bool] = bool
+    missing: Callable[[str], None] = _ignore_missing
 
 
 FetchListing = Callable[[str, Revision], Awaitable[Listing | None]]
@@ -115,7 +124,8 @@
         self._peers = peers
         self._relay = relay
         self._probed_newest = ABSENT
-        self._keys = KeyRevisions(health.is_settled, events.changed)
+        self._keys = KeyRevisions(health.is_settled, events.changed, events.missing)
+        self._relisted_at = float('-inf')
         self.current = False
         self._store = store
         self._health = health
@@ -139,6 +149,7 @@
                 logger.bind(
                     prefix=self.prefix, reason=str(reason) or 'history compacted'
                 ).info('listing anew')
+                await self._wait_to_relist()
                 continue
             except PlatformError as error:
                 self._health.record_failure(error)
@@ -149,6 +160,11 @@
             wait = min(wait * 2, MAX_RETRY_SECONDS)
             await self._wait_for_store()
 
+    async def _wait_to_relist(self) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(self._relisted_at + RELIST_SECONDS - loop.time())
+        self._relisted_at = loop.time()
+
     async def _wait_for_store(self) -> None:
         """Wait while the store is unreachable; ``StoreProbe`` detects its return.
 
@@ -163,8 +179,7 @@
         """Read all keys from peers; whether they lack changes is found as usual."""
         if self._peers.fetch is None:
             return
-        wanted = self._peers.find_newest_revision(self.prefix)
-        listing = await self._peers.fetch(self.prefix, wanted)
+        listing = await self._peers.fetch(self.prefix, self._find_wanted())
         if listing is not None:
             self._apply_keys(listing, Source.PEER_LIST)
 
@@ -175,17 +190,26 @@
         return Listing(self._progress.complete, self._keys.list_items())
 
     async def probe(self) -> None:
-        """Read all keys from a snapshot that may be some seconds old.
+        """Read all keys, from a snapshot that may be some seconds old if that does.
 
         :raises PlatformError: if the store does not answer.
         """
-        listing = await self._store.list(self.prefix, stale=True)
+        listing = await self._read_snapshot()
         if self._watch_task is None:
             self._apply_listing(listing, Source.STALE_LIST)
         else:
             self._mark_current()
             self._check_missed(listing)
 
+    async def _read_snapshot(self) -> Listing:
+        listing: Listing | None = None
+        if self._progress.may_read_stale:
+            listing = await self._store.list(self.prefix, stale=True)
+        if listing is not None and self._progress.may_read_stale:
+            return listing
+        # Such a read may still return what a restore has lost.
+        return await self._store.list(self.prefix)
+
     async def _follow(self) -> None:
         """Follow the store, or the daemons that do, until the role changes."""
         if not self.current and not self._is_watcher():
@@ -239,7 +263,7 @@
         A peer is asked first, as the store may not answer this daemon, then the store by
         a cheap stale read, then by a current one.
         """
-        reported = self._peers.find_newest_revision(self.prefix)
+        reported = self._find_wanted()
         logger.bind(
             prefix=self.prefix, told=reported, known=self._progress.complete
         ).info('catching up')
@@ -268,6 +292,10 @@
     def _is_watcher(self) -> bool:
         return self._relay is None or self._relay.watches()
 
+    def _find_wanted(self) -> Revision:
+        reported = self._peers.find_newest_revision(self.prefix)
+        return self._progress.find_wanted(reported)
+
     def _is_behind(self) -> bool:
         reported = max(
             self._peers.find_newest_revision(self.prefix), self._probed_newest
@@ -280,6 +308,11 @@
         self._apply_keys(listing, source)
 
     def _apply_keys(self, listing: Listing, source: Source) -> None:
+        if self._progress.is_of_earlier_era(listing.revision):
+            logger.bind(
+                prefix=self.prefix, upto=listing.revision, source=source.value
+            ).info('listing of an earlier era ignored')
+            return
         for change in self._keys.find_changes(listing):
             self.apply_change(change, source.value)
         self._progress.record_listing(listing.revision)
@@ -365,6 +398,8 @@
 
     def apply_change(self, change: Change, source: str) -> None:
         """Apply a change below the prefix that was listed, watched or broadcast."""
+        if self._progress.is_of_earlier_era(change.revision):
+            return
         if change.value is not None or source == Source.WATCH.value:
             # A key missing from a listing was removed at some earlier revision.
             self._progress.record_change(change.revision)
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -7,7 +7,7 @@
 grows with its own domain and the number of domains, not with all daemons.
 """
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import field, fields, replace
 from itertools import chain
 from typing import Any
@@ -16,12 +16,10 @@
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.ids import (
-    ABSENT,
     BackendServerId,
     ContentId,
     CustomerId,
     FailureDomainId,
-    Revision,
 )
 from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.announcements import ReportsByKind
@@ -38,6 +36,7 @@
 from fireflyhitch_serving.quotas import QuotaReport
 from fireflyhitch_serving.server_statistics import AnswerCounts
 from fireflyhitch_serving.servers import InFlight
+from fireflyhitch_serving.store_eras import ReportedRevisions
 
 SUMMARIES = 'summaries'
 # Several intervals between a relay's messages; a stopped relay is replaced within that
@@ -63,8 +62,8 @@
         force.
     :param crashes: new records of requests during which servers crashed.
     :param announcements: what servers have recently announced, by kind.
-    :param newest: revision of the newest change that one of them has received, by
-        prefix.
+    :param newest: the newest change that one of them has received, as ``EraTracker``
+        reports it.
     :param store_settled: whether one of them has reached the store without
         interruption.
     :param wall: seconds since 1970 that they agree on.
@@ -79,7 +78,7 @@
     customers: Mapping[CustomerId, QuotaReport]
     fresh_parts: Mapping[BackendServerId, list[str]]
     evidence: Mapping[str, Mapping[str, list[int]]]
-    newest: Mapping[str, Revision]
+    newest: ReportedRevisions
     store_settled: bool
     wall: float = 0
     answers: Mapping[BackendServerId, AnswerCounts] = field(default_factory=dict)
@@ -163,15 +162,6 @@
     return {server: list(found) for server, found in merged.items()}
 
 
-def merge_newest(reports: Iterable[Mapping[str, Revision]]) -> dict[str, Revision]:
-    """Return the newest change that any daemon has received, by prefix."""
-    merged: dict[str, Revision] = {}
-    for newest in reports:
-        for prefix, revision in newest.items():
-            merged[prefix] = max(merged.get(prefix, ABSENT), revision)
-    return merged
-
-
 @immutable
 class _Received:
     summary: DomainSummary
--- a/libs/serving/fireflyhitch_serving/summary_relay.py
+++ b/libs/serving/fireflyhitch_serving/summary_relay.py
@@ -15,10 +15,10 @@
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.quotas import Quotas
 from fireflyhitch_serving.server_statistics import sum_answers
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.summaries import (
     DomainSummary,
     SummaryTable,
-    merge_newest,
     merge_parts,
     pack_summaries,
     sum_work,
@@ -44,6 +44,7 @@
     quotas: Quotas
     crashes: CrashTracker
     announcements: AnnouncementTables
+    eras: EraTracker
 
 
 class SummaryRelay:
@@ -144,6 +145,7 @@
         if own is None:
             return None
         states = [own, *self._peers.responsive_local_states().values()]
+        eras = self._trackers.eras
         self._sequence += 1
         return DomainSummary(
             domain=self._peers.own_domain,
@@ -165,8 +167,11 @@
             evidence={
                 state.process: state.evidence for state in states if state.evidence
             },
-            newest=merge_newest(state.newest for state in states),
-            store_settled=any(state.store_settled for state in states),
+            newest=eras.merge_reports(state.newest for state in states),
+            store_settled=any(
+                state.store_settled and eras.is_current(state.newest)
+                for state in states
+            ),
             wall=self._peers.wall(),
             answers=sum_answers(state.answers for state in states),
             crashes=self._trackers.crashes.build_reports(
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -11,6 +11,7 @@
 from virtual_store import StoreClient, VirtualStore
 from virtual_time import LoopClock
 
+from fireflyhitch_model.eras import UNKNOWN_ERA
 from fireflyhitch_model.ids import (
     BackendServerId,
     ContentId,
@@ -55,6 +56,7 @@
 from fireflyhitch_serving.servers import ServerEntry, ServerRegistry
 from fireflyhitch_serving.shared_state import SharedComponents, SharedState
 from fireflyhitch_serving.stalls import StallDetector
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.store_probe import StoreProbe
 from fireflyhitch_serving.store_view import PeerReports, StoreView, ViewCallbacks
@@ -174,10 +176,12 @@
         self.entries: dict[str, bytes | None] = {}
         self._rng = rng
         self._clock = LoopClock()
+        self.eras = EraTracker(self._clock)
         self._process = f'{name}/{address.port}'
         self._domain = FailureDomainId(name.partition('-')[0])
-        self._store = StoreClient(store, name)
+        self._store = StoreClient(store, name, self.eras)
         self._health = StoreHealth(self._clock)
+        self.eras.add_callback(self._health.record_restore)
         self._peers = PeerRegistry(
             name, self._domain, self._clock, self._clock.monotonic
         )
@@ -346,6 +350,7 @@
             stopping=lambda: self.stopping,
             reaches_servers=lambda: not self.reachability.lost,
             newest=lambda: {view.prefix: view.newest for view in self._views},
+            eras=self.eras,
         )
 
     def _make_channel(self) -> PeerChannel:
@@ -370,7 +375,7 @@
             prefix,
             events,
             self._rng,
-            ViewProgress(self._clock),
+            ViewProgress(self._clock, self.eras),
             PeerReports(
                 self._shared.find_newest_revision,
                 self._shared.is_store_settled_for_peers,
@@ -385,7 +390,10 @@
             self.hubs,
             self._summaries,
             RelayedTrackers(
-                Quotas(QuotaSlack()), self.crashes.tracker, self._announcements
+                Quotas(QuotaSlack()),
+                self.crashes.tracker,
+                self._announcements,
+                self.eras,
             ),
             self._clock.monotonic,
             self._channel.send_to,
@@ -427,13 +435,14 @@
         self.relay.update_group()
 
     def _receive_other(self, data: bytes) -> bool:
-        message = decode_changes(data)
+        message = decode_changes(data, self.eras.first)
         if message is None:
             is_summary = self._shared.apply_summaries(data)
             if is_summary:
                 self.relay.update_group()
                 self.relay.assist_domains(self._shared.find_relays_without_store())
             return is_summary
+        self.eras.record_revision(message.newest, message.sender)
         self.relay.forward(message)
         for view in self._views:
             view.apply_span(message.span, f'peer {message.sender}')
@@ -526,4 +535,4 @@
 
 def is_change_message(data: bytes) -> bool:
     """Return whether a datagram carries changes."""
-    return decode_changes(data) is not None
+    return decode_changes(data, UNKNOWN_ERA) is not None
--- a/libs/serving/tests/test_large_changes.py
+++ b/libs/serving/tests/test_large_changes.py
@@ -9,6 +9,7 @@
 from virtual_time import run_virtual
 
 from fireflyhitch_model.clock import SystemClock
+from fireflyhitch_model.eras import UNKNOWN_ERA
 from fireflyhitch_model.ids import FailureDomainId, Revision
 from fireflyhitch_model.states import Outcome, Step
 from fireflyhitch_platform.keyvalue import KeyValue, Listing
@@ -60,7 +61,7 @@
     def test_listing_is_decoded_as_it_was(self) -> None:
         item = KeyValue('op/config', b'{"version": 4}', Revision(7), Revision(7))
         listing = Listing(Revision(9), (item,))
-        assert decode_listing(encode_listing(listing)) == listing
+        assert decode_listing(encode_listing(listing), UNKNOWN_ERA) == listing
 
 
 class TestChoice:
--- a/libs/serving/tests/test_leases.py
+++ b/libs/serving/tests/test_leases.py
@@ -9,6 +9,7 @@
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.states import Step
 from fireflyhitch_serving.leases import LeaderLease
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.store_health import StoreHealth
 
 
@@ -20,8 +21,9 @@
             store = VirtualStore()
             clock = LoopClock()
             health = StoreHealth(clock)
+            eras = EraTracker(clock)
             lease = LeaderLease(
-                StoreClient(store, 'gent-1'),
+                StoreClient(store, 'gent-1', eras),
                 clock.monotonic,
                 'gent-1/a1',
                 random.Random(1),  # noqa: S311
--- a/libs/serving/tests/test_progress.py
+++ b/libs/serving/tests/test_progress.py
@@ -11,6 +11,7 @@
 from fireflyhitch_model.ids import ABSENT, Revision
 from fireflyhitch_serving.changes import Change, ChangeSpan
 from fireflyhitch_serving.progress import ARRIVAL_SECONDS, ViewProgress
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.store_view import PeerReports, StoreView, ViewCallbacks
 
@@ -88,7 +89,7 @@
 ) -> StoreView:
     """Return a view whose peers report ``reported`` as their newest change."""
     return StoreView(
-        StoreClient(store, 'gent-1'),
+        StoreClient(store, 'gent-1', EraTracker(LoopClock())),
         StoreHealth(LoopClock()),
         prefix,
         ViewCallbacks(lambda key, value, revision: None, lambda: None),
--- a/libs/serving/tests/test_registrations.py
+++ b/libs/serving/tests/test_registrations.py
@@ -18,6 +18,7 @@
     RegistrationManager,
     decode_registration,
 )
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.store_health import StoreHealth
 
 OWN = Registration(Address('10.1.0.14', 7600), FailureDomainId('gent'), 10)
@@ -43,7 +44,7 @@
     """Return the manager of a daemon that has just started."""
     clock = LoopClock()
     return RegistrationManager(
-        StoreClient(store, 'front-1'),
+        StoreClient(store, 'front-1', EraTracker(clock)),
         PeerRegistry('front-1', OWN.failure_domain, clock, clock.monotonic),
         'front-1',
         OWN,
--- a/libs/serving/tests/test_relays.py
+++ b/libs/serving/tests/test_relays.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from fireflyhitch_model.clock import ManualClock
+from fireflyhitch_model.eras import UNKNOWN_ERA
 from fireflyhitch_model.ids import FailureDomainId, Revision
 from fireflyhitch_serving.changes import (
     Change,
@@ -69,7 +70,7 @@
         asyncio.run(run())
 
     def _send(self, data: bytes, daemons: list[str]) -> None:
-        message = decode_changes(data)
+        message = decode_changes(data, UNKNOWN_ERA)
         assert message is not None
         for daemon in daemons:
             self.sent_changes.setdefault(daemon, []).extend(message.span.changes)
@@ -108,7 +109,7 @@
         message = ChangeMessage(
             PEER, ChangeSpan('servers/', changes, Revision(5), Revision(9))
         )
-        assert decode_changes(encode_changes(message)) == message
+        assert decode_changes(encode_changes(message), UNKNOWN_ERA) == message
 
     def test_parts_of_a_span_do_not_claim_completeness(self) -> None:
         """Guards against losing one part of many changes without noticing."""
--- a/libs/serving/tests/test_summaries.py
+++ b/libs/serving/tests/test_summaries.py
@@ -25,6 +25,7 @@
 from fireflyhitch_serving.retry_budget import RetryBounds, RetryBudget
 from fireflyhitch_serving.servers import InFlight, ServerEntry, ServerRegistry
 from fireflyhitch_serving.shared_state import SharedComponents, SharedState
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.store_health import StoreHealth
 from fireflyhitch_serving.summaries import (
     SUSPECT_SECONDS,
@@ -97,6 +98,7 @@
         record.requests = 1
         record.prompt_tokens = 50
         self.crashes = CrashTracker()
+        self.eras = EraTracker(self.clock)
         self.reaches_servers = True
         self.limits = ServerLimits(self.name, self.peers.list_all, self.peers.wall)
         self.announcements = AnnouncementTables(
@@ -107,7 +109,7 @@
             self.peers,
             self.hubs,
             self.summaries,
-            RelayedTrackers(self.quotas, self.crashes, self.announcements),
+            RelayedTrackers(self.quotas, self.crashes, self.announcements, self.eras),
             self.clock.monotonic,
             self.record_datagram,
             random.Random(1),  # noqa: S311
@@ -131,6 +133,7 @@
             stopping=bool,
             reaches_servers=lambda: self.reaches_servers,
             newest=dict,
+            eras=self.eras,
         )
 
     def record_datagram(self, data: bytes, names: list[str]) -> None:
--- a/libs/serving/tests/virtual_store.py
+++ b/libs/serving/tests/virtual_store.py
@@ -5,18 +5,21 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from fireflyhitch_model.eras import UNKNOWN_ERA, find_number, make_revision
 from fireflyhitch_model.errors import PlatformError
-from fireflyhitch_model.ids import ABSENT, LeaseId, Revision
+from fireflyhitch_model.ids import ABSENT, LeaseId, Revision, StoreEra
 from fireflyhitch_model.states import Outcome, Step
 from fireflyhitch_platform.keyvalue import (
     Conflict,
     KeyValue,
     Listing,
+    WatchCompacted,
     WatchEvent,
     WriteResult,
     Written,
 )
 from fireflyhitch_serving.store import Put, WatchResult
+from fireflyhitch_serving.store_eras import EraTracker
 
 ANSWER_SECONDS = 0.004
 # How long a daemon waits for an answer that does not come.
@@ -39,6 +42,8 @@
     history: list[tuple[float, WatchEvent]] = field(default_factory=list)
     leases: int = 0
     calls: Counter[str] = field(default_factory=Counter)
+    era: StoreEra = UNKNOWN_ERA
+    kept_leases: set[int] = field(default_factory=set)
     _revision: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -46,7 +51,7 @@
         """Write a key, or delete it."""
         self._revision += 1
         now = asyncio.get_running_loop().time()
-        event = WatchEvent(key, value, Revision(self._revision))
+        event = WatchEvent(key, value, make_revision(self.era, self._revision))
         self.history.append((now, event))
         self._changed.set()
         self._changed = asyncio.Event()
@@ -55,27 +60,46 @@
     def read(self, prefix: str, until: float) -> Listing:
         """Return the keys below a prefix as of a time."""
         items: dict[str, KeyValue] = {}
-        revision = Revision(0)
+        number = 0
         for at, event in self.history:
             if at > until:
                 break
-            revision = event.revision
+            number = find_number(event.revision)
             if event.value is None:
                 items.pop(event.key, None)
             elif event.key.startswith(prefix):
-                items[event.key] = KeyValue(
-                    event.key, event.value, event.revision, event.revision
-                )
-        return Listing(revision, tuple(items.values()))
+                revision = self._as_now(event.revision)
+                items[event.key] = KeyValue(event.key, event.value, revision, revision)
+        return Listing(make_revision(self.era, number), tuple(items.values()))
 
     def find_events(self, prefix: str, after: Revision) -> tuple[WatchEvent, ...]:
         """Return the changes below a prefix after a revision."""
         return tuple(
-            event
+            WatchEvent(event.key, event.value, self._as_now(event.revision))
             for _, event in self.history
-            if event.revision > after and event.key.startswith(prefix)
+            if find_number(event.revision) > find_number(after)
+            and event.key.startswith(prefix)
         )
 
+    def restore(self, seconds: float) -> dict[str, bytes | None]:
+        """Come back as of some seconds ago, in a new era.
+
+        :returns: the last values written since, by key.
+        """
+        until = asyncio.get_running_loop().time() - seconds
+        lost = {event.key: event.value for at, event in self.history if at > until}
+        self.history = [(at, event) for at, event in self.history if at <= until]
+        self._revision = max(
+            (find_number(event.revision) for _, event in self.history), default=0
+        )
+        self.era = StoreEra(self.era + 1)
+        self.kept_leases = set()
+        return lost
+
+    def _as_now(self, revision: Revision) -> Revision:
+        """Return a revision as answers of the current era hold it."""
+        return make_revision(self.era, find_number(revision))
+
     async def wait_for_change(self) -> None:
         """Wait for the next write."""
         await self._changed.wait()
@@ -83,15 +107,16 @@
     @property
     def revision(self) -> Revision:
         """Return the revision of the last write."""
-        return Revision(self._revision)
+        return make_revision(self.era, self._revision)
 
 
 class StoreClient:
     """One daemon's calls."""
 
-    def __init__(self, store: VirtualStore, daemon: str) -> None:
+    def __init__(self, store: VirtualStore, daemon: str, eras: EraTracker) -> None:
         self._store = store
         self._daemon = daemon
+        self._eras = eras
 
     async def list(self, prefix: str, *, stale: bool = False) -> Listing:
         """Read all values below a prefix."""
@@ -102,11 +127,14 @@
     async def watch(self, prefix: str, after: Revision, seconds: float) -> WatchResult:
         """Wait for changes after a revision."""
         await self._reach()
+        self._check_era(after)
         ends = asyncio.get_running_loop().time() + seconds
         while asyncio.get_running_loop().time() < ends:
             if self._daemon in self._store.unresponsive_to:
                 await self._reach()
             events = self._store.find_events(prefix, after)
+            if events:
+                self._check_era(after)
             if events and self._daemon not in self._store.stalled_watchers:
                 return WatchResult(events, self._store.revision)
             left = ends - asyncio.get_running_loop().time()
@@ -123,7 +151,12 @@
         """Write if the keys are at the expected revisions."""
         await self._reach()
         now = asyncio.get_running_loop().time()
+        puts = list(puts)
+        if any(put.expected and put.expected < self._eras.floor for put in puts):
+            return Conflict(None)
         for put in puts:
+            if put.lease is not None and put.lease not in self._store.kept_leases:
+                raise PlatformError('no such lease', step=Step.STORE_LEASE)
             found = {item.key: item for item in self._store.read(put.key, now).items}
             current = found.get(put.key)
             revision = current.revision if current else ABSENT
@@ -138,21 +171,28 @@
         """Create a lease; it never expires."""
         await self._reach()
         self._store.leases += 1
+        self._store.kept_leases.add(self._store.leases)
         return LeaseId(self._store.leases)
 
     async def keep_lease(self, lease: LeaseId) -> bool:
         """Renew a lease."""
         await self._reach()
-        return True
+        return lease in self._store.kept_leases
 
     async def end_lease(self, lease: LeaseId) -> None:
         """Revoke a lease."""
         await self._reach()
 
+    def _check_era(self, after: Revision) -> None:
+        self._eras.record(self._store.era, 'store')
+        if after < self._eras.floor:
+            raise WatchCompacted
+
     async def _reach(self) -> None:
         self._store.calls[self._daemon] += 1
         await asyncio.sleep(ANSWER_SECONDS)
         if self._daemon not in self._store.unresponsive_to:
+            self._eras.record(self._store.era, 'store')
             return
         await asyncio.sleep(CALL_SECONDS)
         raise PlatformError('no answer', step=Step.STORE_READ, outcome=Outcome.UNKNOWN)
--- a/tests/users_platform/test_evacuation.py
+++ b/tests/users_platform/test_evacuation.py
@@ -149,7 +149,7 @@
     unused = cast('Any', None)
     registrations = cast('Any', SimpleNamespace(apply=None))
     return StoreConsumers(
-        ServerRegistry(), unused, unused, unused, registrations, unused
+        unused, ServerRegistry(), unused, unused, unused, registrations, unused
     )
 
 
--- a/tests/users_platform/test_moves.py
+++ b/tests/users_platform/test_moves.py
@@ -2,7 +2,8 @@
 
 from fireflyhitch_model.ids import DeploymentId, Revision
 from fireflyhitch_rollout.short_moves import MoveEnd
-from fireflyhitch_serving.moves import MoveOrder, MoveTracker
+from fireflyhitch_serving.move_orders import MoveOrder
+from fireflyhitch_serving.moves import MoveTracker
 from fireflyhitch_serving.versions import VersionShares
 
 PLANNING = DeploymentId('planning')
--- a/tests/users_platform/test_restored_store.py
+++ b/tests/users_platform/test_restored_store.py
@@ -29,7 +29,7 @@
 
 
 def put_configuration(
-    cluster: Cluster, version: int, key: str = KEY, *routes: str
+    cluster: Cluster, version: int, key: str = KEY, routes: tuple[str, ...] = ()
 ) -> None:
     """Put a configuration with one customer's key and some more routes in force."""
     base = make_configuration(version)
@@ -91,11 +91,11 @@
     async def check_change(self) -> None:
         """Revoke a key and add a route, and check that both are in force in time."""
         self.version += 2
-        put_configuration(self.cluster, self.version, NEW_KEY, 'added')
+        put_configuration(self.cluster, self.version, NEW_KEY, ('added',))
         await asyncio.sleep(MAX_DELAY_SECONDS)
         revoked = [await self.send(daemon, '/read/1', KEY) for daemon in DAEMONS]
         added = [await self.send(daemon, '/added/1', NEW_KEY) for daemon in DAEMONS]
-        assert (revoked, added) == ([401] * len(DAEMONS), [200] * len(DAEMONS))
+        assert (set(revoked), set(added)) == ({401}, {200})
 
 
 def run_drill(folder: Path, script: Callable[[Drill], Awaitable[None]]) -> None:
@@ -108,7 +108,6 @@
 
 
 class TestConfiguration:
-    @pytest.mark.xfail(raises=AssertionError)
     @pytest.mark.parametrize(
         ('away', 'keeps_watches', 'stale_after_restore'),
         [
@@ -135,7 +134,6 @@
 
         run_drill(tmp_path, script)
 
-    @pytest.mark.xfail(raises=AssertionError)
     @pytest.mark.parametrize('keeps_watches', [False, True])
     def test_a_change_is_in_force_if_revisions_pass_those_of_before_at_once(
         self, tmp_path, keeps_watches: bool
@@ -148,16 +146,15 @@
             await drill.write_some()
             await drill.restore(copy, 0, keeps_watches=keeps_watches)
             drill.version += 1
-            put_configuration(drill.cluster, drill.version, NEW_KEY, 'added')
+            put_configuration(drill.cluster, drill.version, NEW_KEY, ('added',))
             for number in range(30):
                 drill.cluster.store.put(f'op/other-{number}', {})
             await asyncio.sleep(MAX_DELAY_SECONDS)
             statuses = [await drill.send(name, '/read/1', KEY) for name in DAEMONS]
-            assert statuses == [401] * len(DAEMONS)
+            assert set(statuses) == {401}
 
         run_drill(tmp_path, script)
 
-    @pytest.mark.xfail(raises=AssertionError)
     def test_changes_are_in_force_in_time_after_restores_in_series(
         self, tmp_path
     ) -> None:
@@ -180,7 +177,7 @@
         async def script(drill: Drill) -> None:
             await drill.start()
             copy = drill.cluster.store.copy()
-            put_configuration(drill.cluster, 20, NEW_KEY, 'added')
+            put_configuration(drill.cluster, 20, NEW_KEY, ('added',))
             await asyncio.sleep(MAX_DELAY_SECONDS)
             drill.cluster.store.restore(copy)
             for _ in range(20):
@@ -301,7 +298,6 @@
 
         run_drill(tmp_path, script)
 
-    @pytest.mark.xfail(raises=AssertionError)
     def test_an_evacuation_that_the_copy_lacks_stays_in_force(self, tmp_path) -> None:
         """Servers of an evacuated failure domain must get nothing meanwhile."""
 
@@ -358,14 +354,14 @@
 
 def _check_holders(cluster: Cluster) -> None:
     """Check that fencing numbers grow, and differ from holder to holder."""
-    calls = [(holder, fencing) for _, holder, fencing, _ in cluster.duties.calls]
+    calls = [(name, fencing) for _, name, fencing, _ in cluster.duties.calls]
     numbers = [fencing for _, fencing in calls]
     assert numbers == sorted(numbers)
     holders: dict[int, set[str]] = {}
-    for holder, fencing in calls:
-        holders.setdefault(fencing, set()).add(holder)
+    for name, fencing in calls:
+        holders.setdefault(fencing, set()).add(name)
     assert all(len(names) == 1 for names in holders.values())
-    turns = [holder for holder, _ in itertools.groupby(calls, lambda call: call[0])]
+    turns = [who for who, _ in itertools.groupby(calls, lambda call: call[0])]
     assert len(turns) == len(set(turns))
 
 
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -11,6 +11,7 @@
 from fireflyhitch_serving.client import HttpClient
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.store import Put
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.traffic import ControlTraffic
 from fireflyhitch_standins.users_store import UsersStore
 from fireflyhitch_users_platform.store import PlatformStore
@@ -47,8 +48,10 @@
         host, _, port = malformed_store.address.rpartition(':')
 
         async def script() -> None:
-            client = HttpClient(Address(host, int(port)), SystemClock())
+            clock = SystemClock()
+            client = HttpClient(Address(host, int(port)), clock)
+            store = PlatformStore(client, ControlTraffic(), EraTracker(clock))
             with pytest.raises(PlatformError, match='malformed'):
-                await call(PlatformStore(client, ControlTraffic()))
+                await call(store)
 
         asyncio.run(script())
