--- a/tests/users_platform/test_evacuation.py
+++ b/tests/users_platform/test_evacuation.py
@@ -149,7 +149,7 @@
     unused = cast('Any', None)
     registrations = cast('Any', SimpleNamespace(apply=None))
     return StoreConsumers(
-        unused, ServerRegistry(), unused, unused, unused, registrations, unused
+        unused, ServerRegistry(), unused, unused, unused, unused, registrations, unused
     )
 
 
