--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -109,6 +109,7 @@
         self.should_drop: Callable[[str, str, bytes], bool] = lambda sender, to, data: (
             False
         )
+        self.rewrite: Callable[[str, bytes], bytes] = lambda sender, data: data
         self.names: dict[Address, str] = {}
         self.find_link_mbps: Callable[[str], float] = lambda daemon: 10
         self.daemons: dict[Address, Daemon] = {}
@@ -131,8 +132,9 @@
         """Deliver a datagram unless it is dropped."""
         if self.should_drop(self.names[sender], self.names.get(to, ''), data):
             return
+        sent = self.rewrite(self.names[sender], data)
         asyncio.get_running_loop().call_later(
-            LINK_DELAY_SECONDS, self._deliver, sender, to, data
+            LINK_DELAY_SECONDS, self._deliver, sender, to, sent
         )
 
     def _deliver(self, sender: Address, to: Address, data: bytes) -> None:
--- a/libs/serving/tests/virtual_store.py
+++ b/libs/serving/tests/virtual_store.py
@@ -18,6 +18,7 @@
     WriteResult,
     Written,
 )
+from fireflyhitch_serving.leases import LEASE_SECONDS
 from fireflyhitch_serving.store import Put, WatchResult
 from fireflyhitch_serving.store_eras import EraTracker
 
@@ -34,6 +35,7 @@
     :param stalled_watchers: daemons whose open watches never return changes.
     :param stale_seconds: age of the snapshot that stale reads return.
     :param calls: by daemon, unanswered ones included.
+    :param expires_leases: whether leases end, with their keys, unless renewed.
     """
 
     unresponsive_to: set[str] = field(default_factory=set)
@@ -43,7 +45,11 @@
     leases: int = 0
     calls: Counter[str] = field(default_factory=Counter)
     era: StoreEra = UNKNOWN_ERA
-    kept_leases: set[int] = field(default_factory=set)
+    expires_leases: bool = False
+    kept_leases: dict[int, float] = field(default_factory=dict)
+    key_leases: dict[str, int] = field(default_factory=dict)
+    granted_leases: dict[int, float] = field(default_factory=dict)
+    lease_by_number: dict[int, int] = field(default_factory=dict)
     _revision: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -57,6 +63,15 @@
         self._changed = asyncio.Event()
         return event.revision
 
+    def put_under_lease(self, put: Put) -> None:
+        """Write a key that is deleted with its lease, if it has one."""
+        number = find_number(self.put(put.key, put.value))
+        self.key_leases.pop(put.key, None)
+        self.lease_by_number.pop(number, None)
+        if put.lease is not None:
+            self.key_leases[put.key] = put.lease
+            self.lease_by_number[number] = put.lease
+
     def read(self, prefix: str, until: float) -> Listing:
         """Return the keys below a prefix as of a time."""
         items: dict[str, KeyValue] = {}
@@ -93,9 +108,39 @@
             (find_number(event.revision) for _, event in self.history), default=0
         )
         self.era = StoreEra(self.era + 1)
-        self.kept_leases = set()
+        self._restore_leases(until)
         return lost
 
+    def _restore_leases(self, until: float) -> None:
+        """Hold the leases that were granted until a time, and their keys."""
+        self.kept_leases = {}
+        for lease, granted_at in self.granted_leases.items():
+            if granted_at <= until:
+                self.keep_lease(lease)
+        self.key_leases = {}
+        for item in self.read('', until).items:
+            held_by = self.lease_by_number.get(find_number(item.revision))
+            if held_by is not None:
+                self.key_leases[item.key] = held_by
+
+    def keep_lease(self, lease: int) -> None:
+        """Grant or renew a lease."""
+        now = asyncio.get_running_loop().time()
+        self.kept_leases[lease] = now + LEASE_SECONDS
+
+    def end_leases(self) -> None:
+        """End the leases that have run out, and delete their keys."""
+        now = asyncio.get_running_loop().time()
+        ended = {lease for lease, until in self.kept_leases.items() if until <= now}
+        if not self.expires_leases or not ended:
+            return
+        for lease in ended:
+            del self.kept_leases[lease]
+        for key, lease in tuple(self.key_leases.items()):
+            if lease in ended:
+                del self.key_leases[key]
+                self.put(key, None)
+
     def _as_now(self, revision: Revision) -> Revision:
         """Return a revision as answers of the current era hold it."""
         return make_revision(self.era, find_number(revision))
@@ -162,22 +207,27 @@
             revision = current.revision if current else ABSENT
             if revision != put.expected:
                 return Conflict(current)
-            self._store.put(put.key, put.value)
+            self._store.put_under_lease(put)
         for key in deletes:
             self._store.put(key, None)
         return Written(self._store.revision)
 
     async def grant_lease(self, seconds: float) -> LeaseId:
-        """Create a lease; it never expires."""
+        """Create a lease."""
         await self._reach()
         self._store.leases += 1
-        self._store.kept_leases.add(self._store.leases)
+        now = asyncio.get_running_loop().time()
+        self._store.granted_leases[self._store.leases] = now
+        self._store.keep_lease(self._store.leases)
         return LeaseId(self._store.leases)
 
     async def keep_lease(self, lease: LeaseId) -> bool:
         """Renew a lease."""
         await self._reach()
-        return lease in self._store.kept_leases
+        if lease not in self._store.kept_leases:
+            return False
+        self._store.keep_lease(lease)
+        return True
 
     async def end_lease(self, lease: LeaseId) -> None:
         """Revoke a lease."""
@@ -192,6 +242,7 @@
         self._store.calls[self._daemon] += 1
         await asyncio.sleep(ANSWER_SECONDS)
         if self._daemon not in self._store.unresponsive_to:
+            self._store.end_leases()
             self._eras.record(self._store.era, 'store')
             return
         await asyncio.sleep(CALL_SECONDS)
--- a/tests/users_platform/test_moves.py
+++ b/tests/users_platform/test_moves.py
@@ -1,6 +1,9 @@
 """Tests of a move's evidence and traffic shares at one daemon."""
 
-from fireflyhitch_model.ids import DeploymentId, Revision
+import pytest
+
+from fireflyhitch_model.eras import make_revision
+from fireflyhitch_model.ids import DeploymentId, Revision, StoreEra
 from fireflyhitch_rollout.short_moves import MoveEnd
 from fireflyhitch_serving.move_orders import MoveOrder
 from fireflyhitch_serving.moves import MoveTracker
@@ -106,3 +109,70 @@
         assert tracker.count_reporters() == 1
         tracker.update_peer_evidence('early', {})
         assert not tracker.count_reporters()
+
+
+RUNNING = b'{"order": 9, "began": 99.0, "end": null}'
+COMPLETED = b'{"order": 9, "began": 99.0, "end": "completed"}'
+
+
+def make_completed_move() -> tuple[MoveTracker, VersionShares]:
+    """Return a tracker with a completed move, and the shares."""
+    tracker, shares = make_running_move()
+    tracker.apply_record(PLANNING, COMPLETED, Revision(11))
+    return tracker, shares
+
+
+def restored(number: int) -> Revision:
+    """Return a revision of the era after a restore."""
+    return make_revision(StoreEra(1), number)
+
+
+def find_share(shares: VersionShares) -> float:
+    """Return the share of requests that the service's ordered version gets."""
+    found = shares.find(PLANNING)
+    assert found is not None
+    return found.share
+
+
+class TestRestore:
+    @pytest.mark.parametrize('value', [None, RUNNING])
+    def test_a_completed_move_stays_completed(self, value: bytes | None) -> None:
+        """A copy of before the end sent requests to servers that had been stopped."""
+        tracker, shares = make_completed_move()
+        tracker.apply_record(PLANNING, value, restored(10))
+        tracker.apply(PLANNING)
+        assert find_share(shares) == 1
+        assert not tracker.find(PLANNING).is_stored
+
+    def test_an_order_that_is_written_again_does_not_begin_anew(self) -> None:
+        """Guards against a second move for what the operators write again."""
+        tracker, shares = make_completed_move()
+        again = MoveOrder(PLANNING, 'v2', 60, restored(6))
+        tracker.apply_order(again, is_rewritten=True)
+        tracker.apply(PLANNING)
+        assert find_share(shares) == 1
+        assert tracker.find(PLANNING).record.order == 6
+        assert not tracker.find(PLANNING).is_stored
+
+    def test_an_earlier_order_of_the_copy_changes_nothing(self) -> None:
+        tracker, shares = make_completed_move()
+        tracker.apply_order(MoveOrder(PLANNING, 'v3', 60, Revision(20)))
+        tracker.apply_order(MoveOrder(PLANNING, 'v2', 60, restored(9)))
+        order = tracker.find(PLANNING).order
+        assert order is not None
+        assert order.target == 'v3'
+        assert not find_share(shares)
+
+    def test_an_order_as_before_but_later_is_a_new_one(self) -> None:
+        """An operator may order again what was rolled back."""
+        tracker, shares = make_completed_move()
+        tracker.apply_order(MoveOrder(PLANNING, 'v2', 60, restored(40)))
+        assert not tracker.find(PLANNING).has_begun
+        assert not find_share(shares)
+
+    def test_a_new_process_reads_records_of_an_earlier_era(self) -> None:
+        shares = VersionShares()
+        tracker = MoveTracker(shares, 0.1)
+        tracker.apply_order(MoveOrder(PLANNING, 'v2', 60, restored(9)))
+        tracker.apply_record(PLANNING, COMPLETED, restored(11))
+        assert find_share(shares) == 1
