Have the fault soak bring the store back from an older copy

A fault of its own, beside all others: a copy is taken, the store comes back from it up to 3 s later, with watches that end or stay open, and operators and servers write again within a second. A server that has drained is another process when it is listed again, as on the platform.

--- a/libs/bench/fireflyhitch_bench/fault_soak.py
+++ b/libs/bench/fireflyhitch_bench/fault_soak.py
@@ -56,6 +56,10 @@
 # Between the begin of one fault and the next, so that some overlap.
 FAULT_PAUSE_SECONDS = (0.2, 1.2)
 FAULT_SECONDS = (0.5, 3.0)
+# Until operators and servers have written again what a restore has lost.
+MAX_REWRITE_SECONDS = 1.0
+# How often watches stay open when the store is restored.
+KEEPS_WATCHES = 0.5
 CRASH_PAUSE_SECONDS = (1.0, 4.0)
 # In which a daemon is back after the last fault, on a busy machine too.
 RECOVERY_SECONDS = 30.0
@@ -106,6 +110,7 @@
             'answers lost': self._lose_answers,
             'store away': self._take_store,
             'history gone': self._forget_history,
+            'store restored': self._restore_store,
         }
 
     async def run(self, seconds: float) -> Verdict:
@@ -264,6 +269,8 @@
         name = self._draw.choice(sorted(self._site.servers))
         self._site.list_server(name, 'draining')
         await asyncio.sleep(LEAST_DRAIN_SECONDS)
+        # A server that has drained ends; another process takes its place.
+        self._site.starts[name] += 1
         self._site.list_server(name)
 
     async def _lose_answers(self) -> None:
@@ -281,6 +288,15 @@
     async def _forget_history(self) -> None:
         self._site.store.clear_history()
 
+    async def _restore_store(self) -> None:
+        """Bring the store back from a copy, and have others write again what it lacks."""
+        copy = self._site.store.copy()
+        await self._hold()
+        keeps_watches = self._draw.random() < KEEPS_WATCHES
+        self._site.store.restore(copy, keeps_watches=keeps_watches)
+        await asyncio.sleep(self._draw.uniform(0, MAX_REWRITE_SECONDS))
+        self._site.store.rewrite_others()
+
     # Promises
 
     async def _wait_serving(self) -> None:
--- a/libs/standins/fireflyhitch_standins/users_store.py
+++ b/libs/standins/fireflyhitch_standins/users_store.py
@@ -17,8 +17,6 @@
 
 FIRST_REVISION = 7
 FIRST_ERA = 1
-# Keys that only operators and backend servers write.
-OTHERS_PREFIXES = ('op/', 'servers/')
 
 
 @dataclass(slots=True)
@@ -76,6 +74,8 @@
         self.writes: list[list[str]] = []
         self._era = FIRST_ERA
         self._lost: StoreCopy | None = None
+        # What operators and backend servers wrote last, by key; ``None`` if deleted.
+        self._others: dict[str, bytes | None] = {}
         self._server = AsyncHttpServer(self._serve)
         self._revision = FIRST_REVISION
         self._items: dict[str, _Item] = {}
@@ -100,10 +100,12 @@
     def put(self, key: str, value: object) -> None:
         """Write a key as an operator or a backend server would."""
         data = json.dumps(value).encode()
+        self._others[key] = data
         self._server.call(lambda: self._write({key: (data, 0)}))
 
     def delete(self, key: str) -> None:
         """Delete a key as an operator or a backend server would."""
+        self._others[key] = None
         self._server.call(lambda: self._delete([key]))
 
     def read(self, key: str) -> Any:
@@ -128,7 +130,7 @@
         self._server.call(lambda: self._restore(copy, keeps_watches=keeps_watches))
 
     def rewrite_others(self) -> None:
-        """Write again what the restore lost of operators and backend servers."""
+        """Write again what restores have lost of operators and backend servers."""
         self._server.call(self._rewrite_others)
 
     def _serve(self, request: Request, reply: Reply) -> None:
@@ -287,15 +289,12 @@
             self._abort_watches()
 
     def _rewrite_others(self) -> None:
-        lost = {} if self._lost is None else self._lost.items
-        for key in sorted({*lost, *self._items}):
-            if not key.startswith(OTHERS_PREFIXES):
-                continue
-            item = lost.get(key)
-            if item is None:
+        for key, value in self._others.items():
+            item = self._items.get(key)
+            if value is None:
                 self._delete([key])
-            elif key not in self._items or self._items[key].value != item.value:
-                self._write({key: (item.value, 0)})
+            elif item is None or item.value != value:
+                self._write({key: (value, 0)})
 
     def _grant(self, milliseconds: int) -> dict[str, Any]:
         self._revision += 1
