Notice links to servers that reset each exchange

Cause: whether servers are reached was decided by connecting alone.

Change: once two servers have not responded and none has since, a probe also asks for their health on the new connections; if each is reset, no server is reached, and requests are forwarded as in any other partition. A response that is late shows nothing. The probe goes on so while none is reached. A single crash costs no health check.

Evidence: the partition tests have a fifth kind of cut; its three cases failed before.

--- a/libs/serving/fireflyhitch_serving/catalog.py
+++ b/libs/serving/fireflyhitch_serving/catalog.py
@@ -146,6 +146,7 @@
     """A service, provided by backend servers of one kind.
 
     :param cold_start: ``None`` if its servers bear any load from their start.
+    :param health_path: at which its servers tell their health; empty if they do not.
     """
 
     name: DeploymentId
@@ -153,6 +154,7 @@
     engine: EngineCapacity | None = None
     scale: ScaleBounds | None = None
     cold_start: ColdStart | None = None
+    health_path: str = ''
 
 
 @immutable
--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -14,7 +14,7 @@
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Outcome, Step
 from fireflyhitch_serving.errors import ServerError
-from fireflyhitch_serving.messages import Headers, find_header
+from fireflyhitch_serving.messages import Headers, find_header, render_request
 from fireflyhitch_serving.sockets import (
     enable_keepalive,
     reset_on_close,
@@ -326,6 +326,31 @@
     return ConnectResult.OPEN
 
 
+async def try_exchange(address: Address, target: str, timeout: float) -> bool:
+    """Send a request; return whether its connection lived on until the response.
+
+    A busy server may respond later than the timeout, which shows nothing.
+
+    :param target: path of a request that has no effect.
+    :param timeout: seconds.
+    """
+    host = (b'Host', str(address).encode())
+    connection: ServerConnection | None = None
+    try:
+        async with asyncio.timeout(timeout):
+            connection = await connect(address, timeout)
+            connection.send(render_request(b'GET', target.encode(), [host], b''))
+            await connection.read_head()
+    except TimeoutError:
+        return connection is not None
+    except ServerError:
+        return False
+    finally:
+        if connection is not None:
+            connection.close()
+    return True
+
+
 async def connect(address: Address, timeout: float) -> ServerConnection:
     """Open a connection.
 
--- a/libs/serving/fireflyhitch_serving/reachability.py
+++ b/libs/serving/fireflyhitch_serving/reachability.py
@@ -7,13 +7,19 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_serving.connections import Address, ConnectResult, try_connect
-from fireflyhitch_serving.servers import ServerRegistry
+from fireflyhitch_model.ids import BackendServerId, DeploymentId
+from fireflyhitch_serving.connections import (
+    Address,
+    ConnectResult,
+    try_connect,
+    try_exchange,
+)
+from fireflyhitch_serving.servers import ServerEntry, ServerRegistry
 
 PROBE_TIMEOUT_SECONDS = 0.3
 # Several servers may have crashed at once; a probe connects to this many.
@@ -24,20 +30,44 @@
 PROBE_INTERVAL_SECONDS = 0.3
 
 
+def _find_no_path(service: DeploymentId) -> str:
+    """Return that nothing is known."""
+    return ''
+
+
 class ServerReachability:
     """Whether any backend server can be reached from this daemon."""
 
     def __init__(
-        self, clock: Clock, servers: ServerRegistry, rng: random.Random
+        self,
+        clock: Clock,
+        servers: ServerRegistry,
+        rng: random.Random,
+        find_health_path: Callable[[DeploymentId], str] = _find_no_path,
     ) -> None:
-        """Create a state in which servers are reached."""
+        """Create a state in which servers are reached.
+
+        :param find_health_path: returns where a service's servers tell their health.
+        """
         self.lost = False
+        self._find_health_path = find_health_path
+        # Servers that have not responded since the last response of any.
+        self._unanswered: set[BackendServerId] = set()
         self._clock = clock
         self._servers = servers
         self._rng = rng
         self._lost_since = 0.0
         self._probe: asyncio.Task[None] | None = None
 
+    def record_response(self) -> None:
+        """Record that a server has responded to an attempt."""
+        self._unanswered.clear()
+
+    async def check_after(self, server: BackendServerId) -> None:
+        """Probe some servers after an attempt that a server has not responded to."""
+        self._unanswered.add(server)
+        await self.check()
+
     async def check(self) -> None:
         """Probe some servers after an attempt has failed, unless a probe is running.
 
@@ -59,18 +89,37 @@
                 await self._run_probe()
 
     async def _run_probe(self) -> None:
-        addresses = [
-            record.server.address
+        servers = [
+            record.server
             for record in self._servers.all().values()
             if record.accepts_requests
         ]
-        if len(addresses) < MIN_SERVERS:
+        if len(servers) < MIN_SERVERS:
             self._set_lost(lost=False)
             return
-        count = min(PROBED_SERVERS, len(addresses))
-        reached = await connect_any(self._rng.sample(addresses, count))
+        count = min(PROBED_SERVERS, len(servers))
+        probed = self._rng.sample(servers, count)
+        reached = await connect_any(server.address for server in probed)
+        if reached and len(self._unanswered) >= MIN_SERVERS:
+            reached = await self._exchange_with_any(probed)
         self._set_lost(lost=not reached)
 
+    async def _exchange_with_any(self, servers: Sequence[ServerEntry]) -> bool:
+        """Return whether a server's connection outlives a request.
+
+        A link may let connections open and reset them as soon as anything is sent.
+        """
+        paths = {server: self._find_health_path(server.service) for server in servers}
+        probes = [
+            try_exchange(server.address, path, PROBE_TIMEOUT_SECONDS)
+            for server, path in paths.items()
+            if path
+        ]
+        if not probes or await succeeds_any(probes):
+            self._unanswered.clear()
+            return True
+        return False
+
     def _set_lost(self, *, lost: bool) -> None:
         if lost == self.lost:
             return
@@ -93,12 +142,17 @@
     The other attempts end by themselves: a connection that opens while its attempt is
     cancelled would stay open.
     """
-    loop = asyncio.get_running_loop()
-    probes = [
-        loop.create_task(try_connect(address, PROBE_TIMEOUT_SECONDS))
-        for address in addresses
-    ]
-    for probe in asyncio.as_completed(probes):
-        if await probe is ConnectResult.OPEN:
+    return await succeeds_any(_opens(address) for address in addresses)
+
+
+async def _opens(address: Address) -> bool:
+    result = await try_connect(address, PROBE_TIMEOUT_SECONDS)
+    return result is ConnectResult.OPEN
+
+
+async def succeeds_any(probes: Iterable[Awaitable[bool]]) -> bool:
+    """Run all probes at once; return whether one succeeds, without the others' ends."""
+    for probe in asyncio.as_completed([asyncio.ensure_future(one) for one in probes]):
+        if await probe:
             return True
     return False
--- a/libs/serving/fireflyhitch_serving/request_handler.py
+++ b/libs/serving/fireflyhitch_serving/request_handler.py
@@ -237,7 +237,9 @@
             )
             ending = failure.ending if failure else Ending.GOOD
             if ending in NO_RESPONSE:
-                await self._deps.reachability.check()
+                await self._deps.reachability.check_after(record.server.server_id)
+            elif ending is not Ending.CANCELLED:
+                self._deps.reachability.record_response()
         finally:
             _release_load(exchange, record)
             self._record_attempt(exchange, record, ending, sent=attempt.sent)
--- a/tests/users_platform/partition.py
+++ b/tests/users_platform/partition.py
@@ -22,6 +22,7 @@
     HANG = 'nothing passes on any connection'
     REFUSE_NEW = 'new connections are refused'
     HANG_NEW = 'new connections hang'
+    RESET_EXCHANGES = 'connections are accepted, and reset when a request is sent'
 
 
 class Partition:
@@ -45,11 +46,13 @@
             daemon = DAEMON.get()
             if not daemon or port not in self.server_ports:
                 return await connect(make_protocol, host, port)
-            if daemon in self._daemons:
+            if daemon in self._daemons and self._mode is not CutMode.RESET_EXCHANGES:
                 await self._fail_to_connect()
             transport, protocol = await connect(make_protocol, host, port)
             self._daemons_by_port[transport.get_extra_info('sockname')[1]] = daemon
             self._connections.append((daemon, protocol))
+            if daemon in self._daemons and self._mode is CutMode.RESET_EXCHANGES:
+                _reset_on_send(protocol)
             return transport, protocol
 
         loop.create_connection = create_connection  # type: ignore[method-assign,assignment]
@@ -69,10 +72,12 @@
                 connection.close()
             elif mode is CutMode.HANG:
                 _hang(connection)
+            elif mode is CutMode.RESET_EXCHANGES:
+                _reset_on_send(connection)
 
     def heal(self) -> None:
         """End the partition; connections that hung are reset."""
-        if self._mode is CutMode.HANG:
+        if self._mode in {CutMode.HANG, CutMode.RESET_EXCHANGES}:
             self.cut(CutMode.RESET, *self._daemons)  # type: ignore[misc]
         self._daemons = ()
 
@@ -96,5 +101,17 @@
     transport.write = write
 
 
+def _reset_on_send(connection: ServerConnection) -> None:
+    """Reset a connection as soon as a request is sent on it."""
+    transport: Any = connection._transport
+    if transport is None or transport.is_closing():
+        return
+
+    def write(data: bytes) -> None:
+        transport.abort()
+
+    transport.write = write
+
+
 def _ignore() -> None:
     """Do nothing."""
