Take a store that tells an era at last for restored

That first one was taken for the era at the start: revisions were right, but neither was the leader's key written again nor were missing keys kept. A response without an era now stands for the lowest one.

test_a_store_that_tells_no_era_before_a_restore_is_seen_restored failed before; the new case of the test of duties passed before too.

--- a/libs/serving/fireflyhitch_serving/store_eras.py
+++ b/libs/serving/fireflyhitch_serving/store_eras.py
@@ -80,7 +80,8 @@
             return
         former = self._current
         self._current = era
-        self._known_since = self._clock.monotonic()
+        if era != UNKNOWN_ERA:
+            self._known_since = self._clock.monotonic()
         log = logger.bind(era=era, source=source)
         if former is None:
             self._first = era
--- a/libs/standins/fireflyhitch_standins/users_store.py
+++ b/libs/standins/fireflyhitch_standins/users_store.py
@@ -63,6 +63,7 @@
 
     :ivar stale_after_restore: whether stale reads still return what was lost by a
         restore.
+    :ivar tells_first_era: whether it tells its era also before the first restore.
     """
 
     def __init__(self) -> None:
@@ -71,6 +72,7 @@
         self.drop_responses = False
         self.malformed = False
         self.stale_after_restore = False
+        self.tells_first_era = True
         self.writes: list[list[str]] = []
         self._era = FIRST_ERA
         self._lost: StoreCopy | None = None
@@ -152,7 +154,9 @@
     def _send(
         self, reply: Reply, body: Mapping[str, Any], status: int = HTTPStatus.OK
     ) -> None:
-        headers = {'Content-Type': 'application/json', 'Store-Era': str(self._era)}
+        headers = {'Content-Type': 'application/json'}
+        if self._era > FIRST_ERA or self.tells_first_era:
+            headers['Store-Era'] = str(self._era)
         reply.send(json.dumps(body).encode(), headers, status)
 
     def _answer(
--- a/tests/users_platform/test_restored_store.py
+++ b/tests/users_platform/test_restored_store.py
@@ -189,11 +189,15 @@
 
 
 class TestDuties:
-    def test_duties_go_on_if_the_copy_lacks_the_leader(self, tmp_path) -> None:
+    @pytest.mark.parametrize('tells_first_era', [True, False])
+    def test_duties_go_on_if_the_copy_lacks_the_leader(
+        self, tmp_path, tells_first_era: bool
+    ) -> None:
         """A leader newer than the copy stopped reporting for over 12 s."""
 
         async def script(drill: Drill) -> None:
             cluster = drill.cluster
+            cluster.store.tells_first_era = tells_first_era
             put_configuration(cluster, drill.version)
             await cluster.add_server('i-1', answer_signed())
             copy = cluster.store.copy()
--- a/tests/users_platform/test_store.py
+++ b/tests/users_platform/test_store.py
@@ -55,3 +55,28 @@
                 await call(store)
 
         asyncio.run(script())
+
+
+class TestEra:
+    def test_a_store_that_tells_no_era_before_a_restore_is_seen_restored(self) -> None:
+        """A leader would have gone on by a lease that the store has lost."""
+        store = UsersStore()
+        store.tells_first_era = False
+        store.start()
+        host, _, port = store.address.rpartition(':')
+        restores: list[bool] = []
+
+        async def script() -> None:
+            clock = SystemClock()
+            eras = EraTracker(clock)
+            eras.add_callback(lambda: restores.append(True))
+            client = HttpClient(Address(host, int(port)), clock)
+            platform = PlatformStore(client, ControlTraffic(), eras)
+            before = await platform.list('op/')
+            store.restore(store.copy())
+            after = await platform.list('op/')
+            assert before.revision < after.revision
+
+        asyncio.run(script())
+        store.stop()
+        assert restores == [True]
