Look up permits by server process in one place

The look-up stood in server limits, cold servers and brittle servers. Behaviour unchanged; tests of the three, of routing and of the program pass.

--- a/libs/routing/fireflyhitch_routing/permits.py
+++ b/libs/routing/fireflyhitch_routing/permits.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from cachetools import LRUCache
+
 from fireflyhitch_model.hashing import hash_text
 from fireflyhitch_model.ids import ProcessId
 from fireflyhitch_model.records import immutable
@@ -50,6 +52,28 @@
             self.used += 1
 
 
+class PermitAccounts:
+    """This daemon's permits by server process; those unused for longest are dropped."""
+
+    def __init__(self, max_accounts: int) -> None:
+        """Create no account yet."""
+        self._accounts: LRUCache[ProcessId, PermitAccount] = LRUCache(max_accounts)
+
+    def find(self, process: ProcessId) -> PermitAccount:
+        """Return a server process's account, an empty one if it had none."""
+        account = self._accounts.get(process)
+        if account is None:
+            account = PermitAccount()
+            self._accounts[process] = account
+        return account
+
+    def use_permit(self, process: ProcessId) -> None:
+        """Use one of a server process's permits, if it has any."""
+        account = self._accounts.get(process)
+        if account is not None and account.count() > 0:
+            account.use_permit()
+
+
 @immutable
 class SlotRules:
     """How permits are issued.
--- a/libs/routing/fireflyhitch_routing/server_limits.py
+++ b/libs/routing/fireflyhitch_routing/server_limits.py
@@ -6,8 +6,6 @@
 import math
 from collections.abc import Callable, Sequence
 
-from cachetools import LRUCache
-
 from fireflyhitch_model.ids import BackendServerId, ProcessId
 from fireflyhitch_routing.announcements import (
     MAX_ANNOUNCEMENTS,
@@ -15,7 +13,7 @@
     Report,
     Reports,
 )
-from fireflyhitch_routing.permits import PermitAccount, PermitAllocator, SlotRules
+from fireflyhitch_routing.permits import PermitAccounts, PermitAllocator, SlotRules
 
 SLOT_RULES = SlotRules(seconds=1, carries_over=True)
 # Requests a second to a server with a limit of 0, to detect when it accepts work again.
@@ -44,7 +42,7 @@
             daemon_id, list_daemons, wall_clock, SLOT_RULES
         )
         self.announcements = Announcements('server limit', self._update_rate)
-        self._accounts: LRUCache[ProcessId, PermitAccount] = LRUCache(MAX_ANNOUNCEMENTS)
+        self._accounts = PermitAccounts(MAX_ANNOUNCEMENTS)
 
     def record_response(
         self,
@@ -77,15 +75,13 @@
         rate = self._find_rate(process)
         if rate is None:
             return True
-        account = self._find_account(process)
+        account = self._accounts.find(process)
         self._allocator.advance(account, process, rate)
         return account.count() > 0
 
     def record_sent(self, process: ProcessId) -> None:
         """Use a permit."""
-        account = self._accounts.get(process)
-        if account is not None and account.count() > 0:
-            account.use_permit()
+        self._accounts.use_permit(process)
 
     def find_local_rate(self, process: ProcessId) -> float:
         """Return the requests a second that this daemon may send to a server."""
@@ -97,13 +93,6 @@
         rate = self.announcements.find(process)
         return None if rate is None else max(rate, MIN_RATE)
 
-    def _find_account(self, process: ProcessId) -> PermitAccount:
-        account = self._accounts.get(process)
-        if account is None:
-            account = PermitAccount()
-            self._accounts[process] = account
-        return account
-
     def _update_rate(self, process: ProcessId, rate: float | None) -> None:
-        account = self._find_account(process)
+        account = self._accounts.find(process)
         self._allocator.update_rate(account, process, max(rate or 0, MIN_RATE))
--- a/libs/serving/fireflyhitch_serving/brittle_servers.py
+++ b/libs/serving/fireflyhitch_serving/brittle_servers.py
@@ -16,7 +16,7 @@
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.ids import DeploymentId, ProcessId
 from fireflyhitch_routing.announcements import MAX_ANNOUNCEMENTS, Announcements
-from fireflyhitch_routing.permits import PermitAccount, PermitAllocator, SlotRules
+from fireflyhitch_routing.permits import PermitAccounts, PermitAllocator, SlotRules
 from fireflyhitch_serving.servers import ServerRecord, ServerRegistry
 
 # Permits for requests beyond a share are dealt in short turns: a server that has just
@@ -84,7 +84,7 @@
         self._list_daemons = list_daemons
         self._servers = servers
         self._permits = PermitAllocator(daemon, list_daemons, wall_clock, SLOT_RULES)
-        self._accounts: LRUCache[ProcessId, PermitAccount] = LRUCache(MAX_ANNOUNCEMENTS)
+        self._accounts = PermitAccounts(MAX_ANNOUNCEMENTS)
         self._shares: LRUCache[ProcessId, int] = LRUCache(MAX_ANNOUNCEMENTS)
         self._shares_at: dict[DeploymentId, float] = {}
         self._pauses: LRUCache[ProcessId, _Pause] = LRUCache(MAX_ANNOUNCEMENTS)
@@ -115,7 +115,7 @@
         if not self.is_brittle(record):
             return
         self._sent_at[record.process] = self._clock.monotonic()
-        account = self._find_account(record)
+        account = self._accounts.find(record.process)
         if account.count() and record.requests > self._find_share(record):
             account.use_permit()
 
@@ -158,7 +158,7 @@
             pause = self._find_pause(record, len(self._list_daemons()))
             if now - self._sent_at.get(record.process, float('-inf')) < pause:
                 return False
-        account = self._find_account(record)
+        account = self._accounts.find(record.process)
         self._permits.advance(account, record.process, self._find_spare_rate(record))
         return account.count() > 0
 
@@ -166,13 +166,6 @@
         """Return the requests a second that all daemons may send beyond their shares."""
         return record.server.slots * SPARE_FRACTION / self._find_seconds(record)
 
-    def _find_account(self, record: ServerRecord) -> PermitAccount:
-        account = self._accounts.get(record.process)
-        if account is None:
-            account = PermitAccount()
-            self._accounts[record.process] = account
-        return account
-
     def _find_pause(self, record: ServerRecord, daemons: int) -> float:
         """Return after how many seconds each of some daemons may be turned away again."""
         limit = self.announcements.find(record.process) or 0
--- a/libs/serving/fireflyhitch_serving/cold_servers.py
+++ b/libs/serving/fireflyhitch_serving/cold_servers.py
@@ -8,13 +8,17 @@
 import math
 from collections.abc import Callable, Iterable, Sequence
 
-from cachetools import LRUCache
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
-from fireflyhitch_model.ids import DeploymentId, ProcessId
+from fireflyhitch_model.ids import DeploymentId
 from fireflyhitch_model.records import immutable
-from fireflyhitch_routing.permits import PermitAccount, PermitAllocator, SlotRules
+from fireflyhitch_routing.permits import (
+    PermitAccount,
+    PermitAccounts,
+    PermitAllocator,
+    SlotRules,
+)
 from fireflyhitch_serving.catalog import ColdStart
 from fireflyhitch_serving.servers import ServerRecord
 
@@ -71,7 +75,7 @@
         self._clock = clock
         self._permits = permits
         self._find_cold_start = find_cold_start
-        self._accounts: LRUCache[ProcessId, PermitAccount] = LRUCache(MAX_ACCOUNTS)
+        self._accounts = PermitAccounts(MAX_ACCOUNTS)
         self._last_end = float('-inf')
 
     @property
@@ -139,10 +143,7 @@
         rate = self._find_rate(record)
         if rate is None:
             return None
-        account = self._accounts.get(record.process)
-        if account is None:
-            account = PermitAccount()
-            self._accounts[record.process] = account
+        account = self._accounts.find(record.process)
         self._permits.advance(account, record.process, rate)
         return account
 
