Keep what was written of a move when the copy's record comes last

After a restore the leader may write a move's record again before its own view delivers the copy's: the move went back to running until the next change was read.

--- a/libs/serving/fireflyhitch_serving/move_orders.py
+++ b/libs/serving/fireflyhitch_serving/move_orders.py
@@ -126,6 +126,9 @@
         What is known of the newest order's move stays known if a restored store lacks
         it, or holds an earlier state.
         """
+        if revision < self._revision:
+            # The view of the store may be behind what this daemon has written.
+            return
         is_restored = find_era(revision) > find_era(self._revision)
         self._revision = revision
         if self.has_begun and is_restored and self._precedes(record):
--- a/tests/users_platform/test_moves.py
+++ b/tests/users_platform/test_moves.py
@@ -170,6 +170,14 @@
         assert not tracker.find(PLANNING).has_begun
         assert not find_share(shares)
 
+    def test_a_record_of_the_copy_does_not_replace_what_was_written_again(self) -> None:
+        """Orders and records are told apart, so the copy's record may come last."""
+        tracker, shares = make_completed_move()
+        tracker.apply_record(PLANNING, COMPLETED, restored(30))
+        tracker.apply_record(PLANNING, RUNNING, restored(10))
+        tracker.apply(PLANNING)
+        assert find_share(shares) == 1
+
     def test_a_new_process_reads_records_of_an_earlier_era(self) -> None:
         shares = VersionShares()
         tracker = MoveTracker(shares, 0.1)
