Have the soak's servers answer health checks

These were health checks, which a daemon now sends when links reset each exchange; the soak's servers took them for callers' requests that name no server. On the platform a health check names none and counts as no request. They are answered on the health path now, and still count as arrivals for a server's limit; all other requests are checked as before.

--- a/libs/bench/fireflyhitch_bench/soak_servers.py
+++ b/libs/bench/fireflyhitch_bench/soak_servers.py
@@ -7,11 +7,12 @@
 
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_standins.scripted_server import ReceivedRequest, ScriptedServer
-from fireflyhitch_standins.users_formats import render_signed_response
+from fireflyhitch_standins.users_formats import HEALTH_PATH, render_signed_response
 
 WORK_SECONDS = 0.02
 # A request to a path that holds this ends the process that begins it.
 CRASHING = 'crashing'
+HEALTH_CHECK = f'GET {HEALTH_PATH} '
 
 
 @dataclass(slots=True)
@@ -71,6 +72,9 @@
         if CRASHING in request.head.partition('\r\n')[0]:
             self.end()
             return
+        if request.head.startswith(HEALTH_CHECK):
+            await self._tell_health(writer)
+            return
         request_id = request.find('request-id')
         if request.find('expect-instance') != self.name:
             self._runs.wrong_server.append(request_id)
@@ -85,3 +89,10 @@
             request_id, self.name, request_id.encode(), limit=self.limit
         )
         writer.write(signed)
+
+    async def _tell_health(self, writer: asyncio.StreamWriter) -> None:
+        """Respond to a health check, which names no server and bears no customer."""
+        if self.loses_answers:
+            writer.transport.abort()
+            return
+        writer.write(render_signed_response('', self.name, b'', limit=self.limit))
--- a/libs/standins/fireflyhitch_standins/users_formats.py
+++ b/libs/standins/fireflyhitch_standins/users_formats.py
@@ -50,7 +50,8 @@
     'header_timeout_ms': 3000,
     'idle_timeout_ms': 15000,
 }
-SERVICES = ({'name': 'planning', 'health_path': '/health', 'max_connections': 100},)
+HEALTH_PATH = '/health'
+SERVICES = ({'name': 'planning', 'health_path': HEALTH_PATH, 'max_connections': 100},)
 
 
 @dataclass(frozen=True, slots=True)
