--- a/libs/serving/fireflyhitch_serving/store_health.py
+++ b/libs/serving/fireflyhitch_serving/store_health.py
@@ -60,15 +60,16 @@
             return
         logger.bind(seconds=round(now - since, 2)).info('store regained')
         if now - since >= MIN_OUTAGE_SECONDS:
-            self._returned_at = now
-            for callback in self._on_return:
-                callback()
+            self._record_return()
 
     def record_restore(self) -> None:
         """Record that the store came back from an older copy.
 
         It lacks keys that live servers write again, as after an outage.
         """
+        self._record_return()
+
+    def _record_return(self) -> None:
         self._returned_at = self._clock.monotonic()
         for callback in self._on_return:
             callback()
--- a/tests/users_platform/test_restored_store.py
+++ b/tests/users_platform/test_restored_store.py
@@ -88,6 +88,13 @@
         )
         return got.status
 
+    async def send_until_rewritten(self) -> None:
+        """Send requests to all daemons while others may write again what was lost."""
+        for _ in range(20):
+            await asyncio.sleep(REWRITE_SECONDS / 20)
+            for daemon in DAEMONS:
+                await self.send(daemon, '/read/1', KEY)
+
     async def check_change(self) -> None:
         """Revoke a key and add a route, and check that both are in force in time."""
         self.version += 2
@@ -250,10 +257,7 @@
             await asyncio.sleep(MAX_DELAY_SECONDS)
             drill.cluster.store.restore(copy)
             before = len(leaving.seen)
-            for _ in range(20):
-                await asyncio.sleep(REWRITE_SECONDS / 20)
-                for daemon in DAEMONS:
-                    await drill.send(daemon, '/read/1', KEY)
+            await drill.send_until_rewritten()
             assert len(leaving.seen) == before
 
         run_drill(tmp_path, script)
@@ -271,10 +275,7 @@
             await asyncio.sleep(MAX_DELAY_SECONDS)
             drill.cluster.store.restore(copy)
             before = len(leaving.seen)
-            for _ in range(20):
-                await asyncio.sleep(REWRITE_SECONDS / 20)
-                for daemon in DAEMONS:
-                    await drill.send(daemon, '/read/1', KEY)
+            await drill.send_until_rewritten()
             assert len(leaving.seen) == before
 
         run_drill(tmp_path, script)
@@ -314,10 +315,7 @@
             await asyncio.sleep(MAX_DELAY_SECONDS)
             before = len(server.seen)
             drill.cluster.store.restore(copy)
-            for _ in range(20):
-                await asyncio.sleep(REWRITE_SECONDS / 20)
-                for daemon in DAEMONS:
-                    await drill.send(daemon, '/read/1', KEY)
+            await drill.send_until_rewritten()
             assert len(server.seen) == before
 
         run_drill(tmp_path, script)
