Log refusals before admission, and what refusals rest on

What callers saw: 400, 408, 413 and 431 of the parser stood in no line, and a 400 for a malformed header had no id in its line and in the answer.

One line each now, with the request's id where it was read, the caller's address, what was counted and the limits. Lines of unknown routes and keys name the path and the version of the configuration. No decision changed.

--- a/libs/serving/fireflyhitch_serving/callers.py
+++ b/libs/serving/fireflyhitch_serving/callers.py
@@ -8,8 +8,11 @@
 from http import HTTPStatus
 
 import httptools
+from loguru import logger
 
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.ids import RequestId
+from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.catalog import CallerLimits
 from fireflyhitch_serving.errors import CallerDisconnected
 from fireflyhitch_serving.messages import (
@@ -33,16 +36,22 @@
 Serve = Callable[[CallerRequest, 'Reply'], Awaitable[None]]
 
 
+def _find_no_id(headers: Headers) -> None:
+    """Return no id."""
+
+
 @dataclass(slots=True)
 class ListenerState:
     """State shared by all connections of a listener.
 
+    :param find_request_id: returns the request's id, if its headers have one.
     :param closing: whether responses ask callers to close their connections.
     """
 
     serve: Serve
     limits: Callable[[], CallerLimits]
     clock: Clock
+    find_request_id: Callable[[Headers], RequestId | None] = _find_no_id
     closing: bool = False
     connections: set['CallerConnection'] = field(default_factory=set)
 
@@ -354,12 +363,28 @@
             return
         self._input_ended = True
         self._stop_timer()
+        self._log_refusal(status)
         if self.busy:
             # Earlier requests get their responses first.
             self._pending_refusal = status
             return
         self._send_refusal(status)
 
+    def _log_refusal(self, status: HTTPStatus) -> None:
+        limits = self.state.limits()
+        peer = self._transport and self._transport.get_extra_info('peername')
+        logger.bind(
+            request_id=self.state.find_request_id(self._headers),
+            peer=peer and f'{peer[0]}:{peer[1]}',
+            status=status.value,
+            code='invalid_request',
+            outcome=Outcome.NOT_RUN.value,
+            head_bytes=self._head_bytes,
+            body_bytes=self._body_bytes,
+            max_head_bytes=limits.header_bytes,
+            max_body_bytes=limits.body_bytes,
+        ).info('request refused')
+
     def _send_refusal(self, status: HTTPStatus) -> None:
         headers = [(b'Content-Length', b'0'), (b'Connection', b'close')]
         with suppress(CallerDisconnected):
--- a/libs/serving/fireflyhitch_serving/edge.py
+++ b/libs/serving/fireflyhitch_serving/edge.py
@@ -73,6 +73,9 @@
         :raises BadRequestError: if a header is missing or invalid.
         """
 
+    def find_request_id(self, headers: Headers) -> RequestId | None:
+        """Return a request's id, if its headers have one."""
+
     def render_request(self, message: CallerRequest, context: AttemptContext) -> bytes:
         """Return the request as it is sent to a server."""
 
--- a/libs/serving/fireflyhitch_serving/request_handler.py
+++ b/libs/serving/fireflyhitch_serving/request_handler.py
@@ -44,6 +44,8 @@
 MAX_FORWARDED = 64
 # What a leaving server's announcement says; it is never withdrawn.
 LEAVING = 1.0
+# Characters of a path in a log line.
+MAX_LOGGED_PATH = 200
 # Customer name in the metrics of requests without a customer.
 ANONYMOUS = CustomerId('')
 
@@ -94,10 +96,10 @@
             exchange = admit(request, info, reply)
         except BadRequestError as error:
             refusal = Refusal(HTTPStatus.BAD_REQUEST, 'bad_request', str(error))
-            self._send_refusal(refusal, info, reply)
+            self._send_refusal(refusal, request, info, reply)
             return
         except RefusedError as error:
-            self._send_refusal(error.refusal, info, reply)
+            self._send_refusal(error.refusal, request, info, reply)
             return
         try:
             await self._serve_with_deadline(exchange)
@@ -112,7 +114,7 @@
         if exchange.reply.begun:
             self._abort_response(exchange, refusal.message)
             return
-        self._send_refusal(refusal, exchange.info, exchange.reply)
+        self._send_refusal(refusal, exchange.request, exchange.info, exchange.reply)
 
     async def _serve_with_deadline(self, exchange: Exchange) -> None:
         now = self._clock.monotonic()
@@ -443,14 +445,23 @@
         )
 
     def _send_refusal(
-        self, refusal: Refusal, info: RequestInfo | None, reply: Reply
+        self,
+        refusal: Refusal,
+        request: CallerRequest,
+        info: RequestInfo | None,
+        reply: Reply,
     ) -> None:
-        request_id = info.request_id if info else None
+        request_id = self._deps.edge.find_request_id(request.headers)
+        catalog = self._deps.catalog()
         logger.bind(
             request_id=request_id,
             status=refusal.status,
             code=refusal.code,
             outcome=refusal.outcome.value,
+            detail=refusal.message,
+            host=info and info.host,
+            path=info and info.path[:MAX_LOGGED_PATH],
+            version=catalog and catalog.version,
         ).info('request refused')
         response = self._deps.edge.render_refusal(refusal, request_id)
         try:
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -48,6 +48,7 @@
 from fireflyhitch_serving.forwarding import Forwarder, ForwardingDependencies
 from fireflyhitch_serving.messages import (
     CallerRequest,
+    Headers,
     RequestInfo,
     ResponseInfo,
     drop_connection_headers,
@@ -93,6 +94,11 @@
             estimated_answer_tokens=None,
         )
 
+    def find_request_id(self, headers: Headers) -> RequestId | None:
+        """Return a request's id, if its headers have one."""
+        value = find_header(headers, b'x-id')
+        return RequestId(value.decode()) if value else None
+
     def render_request(self, message: CallerRequest, context: AttemptContext) -> bytes:
         """Return the request as it is sent to a server."""
         headers = drop_connection_headers(message.headers)
