Have the soak's callers cut their bytes in every way

Callers of the fault soak sent bodies in no request, and each request in one write. Bookings now have bodies by length and in chunks, with trailers, written at once, head first or in pieces, also to daemons that are paused meanwhile, and some are pipelined. A proper request that gets a 3xx or 4xx other than those that say not run breaks a promise, and so does a body that servers get changed.

--- a/libs/bench/fireflyhitch_bench/fault_soak.py
+++ b/libs/bench/fireflyhitch_bench/fault_soak.py
@@ -10,6 +10,8 @@
 - a process that served by a configuration serves no older one afterwards;
 - two reports of one window's usage hold the same counts, and fencing numbers grow;
 - when the faults are over, every daemon serves again;
+- a proper request gets no 3xx or 4xx but those that say "not run", however its bytes
+  are cut, and servers get its body as it was sent;
 - a request that ends each server that begins it is held back then, and no other ever is;
 - a server that names a limit gets no more then than all daemons together may send.
 
@@ -36,14 +38,21 @@
 
 from fireflyhitch_bench.loopback_proxy import LinkFault
 from fireflyhitch_bench.soak_quiet import CRASHING_PATH, HELD, Answer, QuietChecks
+from fireflyhitch_bench.soak_requests import (
+    DEADLINE_MS,
+    KEY,
+    Framing,
+    Writes,
+    cut,
+    render_post,
+)
 from fireflyhitch_bench.soak_site import (
     GRACE_SECONDS,
-    KEY,
     LEAST_DRAIN_SECONDS,
     DaemonProcess,
     SoakSite,
 )
-from fireflyhitch_serving.connections import connect
+from fireflyhitch_serving.connections import ServerConnection, connect
 from fireflyhitch_serving.errors import ServerError
 from fireflyhitch_serving.messages import find_header
 from fireflyhitch_standins.users_formats import render_call
@@ -51,8 +60,11 @@
 DAEMONS = 4
 CALLERS = 8
 CALL_SECONDS = 4.0
-DEADLINE_MS = 3000
+KINDS = ('read', 'book', 'pipelined', 'probe')
+PIPELINED = 3
 PAUSE_SECONDS = 0.05
+# Between two writes of one request: a daemon that runs has read the first.
+WRITE_PAUSE_SECONDS = 0.01
 # Between the begin of one fault and the next, so that some overlap.
 FAULT_PAUSE_SECONDS = (0.2, 1.2)
 FAULT_SECONDS = (0.5, 3.0)
@@ -72,6 +84,8 @@
         HTTPStatus.MISDIRECTED_REQUEST,
     )
 )
+# Statuses that say that a request is wrong, which no proper one may get.
+DENIALS = frozenset(range(300, 500)) - NOT_RUN
 
 
 @dataclass(slots=True)
@@ -135,7 +149,7 @@
     async def _call(self) -> None:
         while not self._over:
             daemon = self._draw.choice(self._site.daemons)
-            await self._call_once(daemon, self._draw.choice(('read', 'book', 'probe')))
+            await self._call_once(daemon, self._draw.choice(KINDS))
             await asyncio.sleep(PAUSE_SECONDS)
 
     async def _crash(self) -> None:
@@ -152,9 +166,20 @@
             await self._probe(daemon)
             return
         request_id = self._make_id()
+        if kind == 'pipelined':
+            await self._call_pipelined(daemon)
+            return
         if kind == 'book':
             self._bookings.add(request_id)
-        answer = await self._ask(daemon, f'/{kind}/1', request_id)
+        if kind == 'book':
+            answer = await self._post(daemon, f'/{kind}/1', request_id)
+        else:
+            answer = await self._ask(daemon, f'/{kind}/1', request_id)
+        self._check_answer(daemon, kind, request_id, answer)
+
+    def _check_answer(
+        self, daemon: DaemonProcess, kind: str, request_id: str, answer: Answer
+    ) -> None:
         self.verdict.answers[str(answer.status)] += 1
         if answer.status in NOT_RUN:
             self._refused.add(request_id)
@@ -162,8 +187,30 @@
             self._check_own(request_id, answer)
         elif HELD in answer.body:
             self.verdict.broken.append(f'{daemon.name} holds /{kind}/')
-        elif answer.status == HTTPStatus.NOT_FOUND:
-            self.verdict.broken.append(f'{daemon.name} denied /{kind}/')
+        elif answer.status in DENIALS:
+            self.verdict.broken.append(
+                f'{daemon.name} denied {request_id} of /{kind}/ with {answer.status}'
+            )
+
+    async def _call_pipelined(self, daemon: DaemonProcess) -> None:
+        """Send several requests in one write, and read their answers in order."""
+        ids = [self._make_id() for _ in range(PIPELINED)]
+        self._bookings.update(ids)
+        sent = [render_post('/book/1', one, Framing.LENGTH) for one in ids]
+        pieces = [b''.join(part for post in sent for part in post)]
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                answers = await _exchange(daemon, pieces, PIPELINED)
+        except (ServerError, OSError, TimeoutError):
+            return
+        for request_id, answer in zip(ids, answers, strict=True):
+            self._check_answer(daemon, 'book', request_id, answer)
+
+    async def _post(self, daemon: DaemonProcess, path: str, request_id: str) -> Answer:
+        framing = self._draw.choice(list(Framing))
+        writes = self._draw.choice(list(Writes))
+        head, body = render_post(path, request_id, framing)
+        return await self._send(daemon, cut(head, body, writes, self._draw))
 
     async def _probe(self, daemon: DaemonProcess) -> None:
         """Ask one process for the newest route, and then for the one before."""
@@ -182,9 +229,13 @@
 
     async def _ask(self, daemon: DaemonProcess, path: str, request_id: str) -> Answer:
         request = render_call(path, KEY, request_id, deadline_ms=DEADLINE_MS)
+        return await self._send(daemon, [request])
+
+    async def _send(self, daemon: DaemonProcess, pieces: list[bytes]) -> Answer:
         try:
             async with asyncio.timeout(CALL_SECONDS):
-                return await _exchange(daemon, request)
+                answers = await _exchange(daemon, pieces)
+                return answers[0]
         except (ServerError, OSError, TimeoutError):
             # Ended, frozen or cut: nothing is known of the request, and none is wrong.
             return Answer(None)
@@ -329,6 +380,7 @@
             if runs.by_request[one]
         )
         broken.extend(f'{one} reached another server' for one in runs.wrong_server)
+        broken.extend(f'{one} ran with another body' for one in runs.wrong_body)
         broken.extend(f'{one} lacked its customer' for one in runs.without_customer)
 
     def _check_duties(self) -> None:
@@ -344,18 +396,27 @@
             highest = max(highest, fencing)
 
 
-async def _exchange(daemon: DaemonProcess, request: bytes) -> Answer:
+async def _exchange(
+    daemon: DaemonProcess, pieces: list[bytes], answers: int = 1
+) -> list[Answer]:
     connection = await connect(daemon.front, CALL_SECONDS)
     try:
-        connection.send(request)
-        head = await connection.read_head()
-        body = await connection.read_whole_body()
-        signed = find_header(head.headers, b'response-stamp') is not None
-        return Answer(head.status, body, signed)
+        connection.send(pieces[0])
+        for piece in pieces[1:]:
+            await asyncio.sleep(WRITE_PAUSE_SECONDS)
+            connection.send(piece)
+        return [await _read_answer(connection) for _ in range(answers)]
     finally:
         connection.close()
 
 
+async def _read_answer(connection: ServerConnection) -> Answer:
+    head = await connection.read_head()
+    body = await connection.read_whole_body()
+    signed = find_header(head.headers, b'response-stamp') is not None
+    return Answer(head.status, body, signed)
+
+
 async def _play(seed: int, site: SoakSite, seconds: float) -> Verdict:
     try:
         return await FaultSoak(seed, site).run(seconds)
--- a/libs/bench/fireflyhitch_bench/soak_servers.py
+++ b/libs/bench/fireflyhitch_bench/soak_servers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fireflyhitch_bench.soak_requests import make_body
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_standins.scripted_server import ReceivedRequest, ScriptedServer
 from fireflyhitch_standins.users_formats import HEALTH_PATH, render_signed_response
@@ -21,12 +22,14 @@
 
     :param by_request: times that each request ran.
     :param wrong_server: requests that named another server.
+    :param wrong_body: requests whose body was not as their caller sent it.
     :param without_customer: requests that bore no customer, or the caller's key.
     :param ended: servers whose process ended under a request.
     """
 
     by_request: Counter[str] = field(default_factory=Counter)
     wrong_server: list[str] = field(default_factory=list)
+    wrong_body: list[str] = field(default_factory=list)
     without_customer: list[str] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
 
@@ -80,6 +83,8 @@
             self._runs.wrong_server.append(request_id)
         if request.find('authorization') or not request.find('tenant'):
             self._runs.without_customer.append(request_id)
+        if request.head.startswith('POST ') and request.body != make_body(request_id):
+            self._runs.wrong_body.append(request_id)
         self._runs.by_request[request_id] += 1
         await asyncio.sleep(WORK_SECONDS)
         if self.loses_answers:
--- a/libs/bench/fireflyhitch_bench/soak_site.py
+++ b/libs/bench/fireflyhitch_bench/soak_site.py
@@ -11,6 +11,7 @@
 from typing import IO
 
 from fireflyhitch_bench.loopback_proxy import LoopbackProxy
+from fireflyhitch_bench.soak_requests import KEY
 from fireflyhitch_bench.soak_servers import Runs, SoakServer
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_standins.ports import find_free_port
@@ -26,7 +27,6 @@
 
 ROOT = Path(__file__).resolve().parents[3]
 PROGRAM = ROOT / 'platform' / 'fireflyhitchd.py'
-KEY = 'key-of-bakery'
 SERVERS = 4
 SLOTS = 64
 DOMAINS = ('gent', 'brugge')
--- a/libs/bench/tests/test_fault_soak.py
+++ b/libs/bench/tests/test_fault_soak.py
@@ -5,15 +5,18 @@
 import pytest
 
 from fireflyhitch_bench.fault_soak import FaultSoak, play_seed
+from fireflyhitch_bench.loopback_proxy import LoopbackProxy
 from fireflyhitch_bench.soak_quiet import Answer, count_most_after
 from fireflyhitch_bench.soak_servers import Runs, SoakServer
-from fireflyhitch_bench.soak_site import SoakSite
+from fireflyhitch_bench.soak_site import DaemonProcess, SoakSite
+from fireflyhitch_serving.connections import Address
 
 # Seeds that ever broke a promise are added here, each with a line on the cause.
 # 1: a daemon's port was the local port of another's open connection (``TestPorts``).
 # 705: a daemon connected while the run's event loop was ending, and the run raised.
 SEEDS = (1, 705)
 SHORT_SECONDS = 3.0
+ANY = Address('127.0.0.1', 1)
 
 
 class TestShortRun:
@@ -45,6 +48,20 @@
         server.arrivals = [0, 1, *(10 + number / 10 for number in range(30))]
         assert count_most_after(server, 5) == 30
 
+    def test_a_proper_request_that_is_denied_is_seen(self, tmp_path: Path) -> None:
+        site = SoakSite(tmp_path)
+        soak = FaultSoak(1, site)
+        daemon = DaemonProcess('d0', ANY, tmp_path, LoopbackProxy(ANY))
+        soak._check_answer(daemon, 'book', 'r1', Answer(431))
+        soak._check_answer(daemon, 'book', 'r2', Answer(408))
+        assert soak.verdict.broken == ['d0 denied r1 of /book/ with 431']
+
+    def test_a_body_that_was_changed_is_seen(self, tmp_path: Path) -> None:
+        soak = FaultSoak(1, SoakSite(tmp_path))
+        soak._site.runs.wrong_body.append('r1')
+        soak._check_runs()
+        assert soak.verdict.broken == ['r1 ran with another body']
+
     def test_another_s_answer_is_seen(self, tmp_path: Path) -> None:
         soak = FaultSoak(1, SoakSite(tmp_path))
         soak._check_own('r1', Answer(200, b'r2', signed=True))
