Remove missing keys also while the store is not reached

Cause: a key that the store lacks is kept until the store has settled. That is looked at while a view follows the store or its peers, and not while it waits for the store's return. Peers tell that they have settled, so it is looked at there too.

--- a/libs/serving/fireflyhitch_serving/store_view.py
+++ b/libs/serving/fireflyhitch_serving/store_view.py
@@ -168,10 +168,12 @@
     async def _wait_for_store(self) -> None:
         """Wait while the store is unreachable; ``StoreProbe`` detects its return.
 
-        The store may turn away this daemon alone, so missed changes are read from peers.
+        The store may turn away this daemon alone, so missed changes are read from peers,
+        and keys that are missing are removed once these know that they stay so.
         """
         while not self._health.answers:
             await asyncio.sleep(CHECK_SECONDS)
+            self._drop_missing()
             if self._is_behind():
                 await self._read_from_peers()
 
--- a/tests/users_platform/cluster.py
+++ b/tests/users_platform/cluster.py
@@ -55,6 +55,8 @@
         self.duties = UsersDuties()
         self.programs: dict[str, Program] = {}
         self.partition = Partition()
+        # Of daemons that do not reach the store directly.
+        self.store_addresses: dict[str, str] = {}
         self._folder = folder
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._ports: dict[str, tuple[int, int, int]] = {}
@@ -91,7 +93,7 @@
             front,
             ready,
             peer_port,
-            self.store.address,
+            self.store_addresses.get(name, self.store.address),
             self.duties.address,
             domain,
             grace,
