Deny no route or key by a configuration that may be outdated

What callers saw: a daemon that hears neither from the store nor from a peer that does, as in a partition, answered requests for routes and keys added since with 404 and 401; callers do not come back after these. So did a daemon for the moment in which its peers report a newer configuration that it lacks.

Such requests get 503 with Retry-After until the daemon knows that its configuration is recent: no peer reports a newer change, and the store has answered a moment ago or a peer reaches it without interruption. What the known configuration allows is served as before. While nobody reaches the store, unknown routes and keys get 503 too.

Red before: a daemon cut off from the store, a route and a key added meanwhile, 404 and 401 3 s later. Five daemons in contact, and one that only the store keeps away, go on denying what nobody knows.

--- a/libs/serving/fireflyhitch_serving/admission.py
+++ b/libs/serving/fireflyhitch_serving/admission.py
@@ -50,9 +50,7 @@
             )
         route = catalog.find_route(info.host, info.path)
         if route is None:
-            raise RefusedError(
-                Refusal(HTTPStatus.NOT_FOUND, 'no_route', 'no such route')
-            )
+            raise self._make_denial(HTTPStatus.NOT_FOUND, 'no_route', 'no such route')
         customer = self._find_customer(catalog, route, info)
         content = find_content(request, customer)
         self._check_quarantine(content, info)
@@ -135,11 +133,23 @@
             return None
         customer = catalog.find_customer(info.key) if info.key else None
         if customer is None:
-            raise RefusedError(
-                Refusal(HTTPStatus.UNAUTHORIZED, 'unknown_key', 'unknown key')
+            raise self._make_denial(
+                HTTPStatus.UNAUTHORIZED, 'unknown_key', 'unknown key'
             )
         return customer
 
+    def _make_denial(self, status: HTTPStatus, code: str, message: str) -> RefusedError:
+        """Return the error for a request that the configuration does not allow.
+
+        A caller does not come back after it, so one whose route or key may be new is
+        asked to retry instead.
+        """
+        if self._deps.is_catalog_recent():
+            return RefusedError(Refusal(status, code, message))
+        return self.build_transient_refusal(
+            f'{code}_yet', f'{message} in a configuration that may be outdated'
+        )
+
     def _pick_service(self, route: Route) -> DeploymentId:
         if len(route.shares) == 1:
             return route.shares[0].service
--- a/libs/serving/fireflyhitch_serving/dependencies.py
+++ b/libs/serving/fireflyhitch_serving/dependencies.py
@@ -108,6 +108,8 @@
     :param leaving: the servers that have said that they leave.
     :param wall: wall clock in seconds since 1970, corrected by the peers' clocks.
     :param catalog: the current configuration, if there is one yet.
+    :param is_catalog_recent: whether no newer one can be in force for longer than a
+        moment.
     :param unreachable_domains: failure domains that are probably partitioned from here.
     :param count_refusal: counts a refusal by its status and code.
     :param find_region: returns a failure domain's region, if it is known.
@@ -119,6 +121,7 @@
     wall: Callable[[], float]
     edge: Edge
     catalog: Callable[[], Catalog | None]
+    is_catalog_recent: Callable[[], bool]
     servers: ServerRegistry
     quotas: Quotas
     budget: RetryBudget
--- a/libs/serving/fireflyhitch_serving/store_health.py
+++ b/libs/serving/fireflyhitch_serving/store_health.py
@@ -96,7 +96,7 @@
         While this daemon cannot reach the store or does not call it, only the peers'
         reports count.
         """
-        if self._is_reachable() and self._has_settled_since(self._returned_at):
+        if self.is_reachable() and self._has_settled_since(self._returned_at):
             return True
         return self.is_settled_for_peers()
 
@@ -105,11 +105,12 @@
 
         A process that has just started cannot know of an interruption before its start.
         """
-        if not self._is_reachable() or self._first_answer_at is None:
+        if not self.is_reachable() or self._first_answer_at is None:
             return False
         return self._has_settled_since(max(self._returned_at, self._first_answer_at))
 
-    def _is_reachable(self) -> bool:
+    def is_reachable(self) -> bool:
+        """Return whether the store has answered this daemon a moment ago."""
         if self._failing_since is not None:
             return False
         return self._clock.monotonic() - self._answered_at <= RECENT_SECONDS
--- a/libs/serving/fireflyhitch_serving/store_view.py
+++ b/libs/serving/fireflyhitch_serving/store_view.py
@@ -191,6 +191,17 @@
             return None
         return Listing(self._progress.complete, self._keys.list_items())
 
+    def is_recent(self) -> bool:
+        """Tell whether no change that is a moment old can be missing here.
+
+        A daemon that hears neither from the store nor from a peer that does, as after a
+        partition or a freeze, cannot know.
+        """
+        reported = self._peers.find_newest_revision(self.prefix)
+        if self._progress.find_wanted(reported) > self._progress.complete:
+            return False
+        return self._health.is_reachable() or self._peers.is_following()
+
     async def probe(self) -> None:
         """Read all keys, from a snapshot that may be some seconds old if that does.
 
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -191,6 +191,7 @@
 
     def __init__(self, catalog: Catalog | None = None) -> None:
         self.catalog: Catalog | None = catalog or make_catalog()
+        self.is_catalog_recent = True
         self.registry = ServerRegistry()
         self.quotas = Quotas(QuotaSlack())
         self.budget = RetryBudget(RetryBounds(ratio=0.2, slack=20))
@@ -225,6 +226,7 @@
                 wall=lambda: 12.0,
                 edge=edge,
                 catalog=lambda: self.catalog,
+                is_catalog_recent=lambda: self.is_catalog_recent,
                 servers=self.registry,
                 quotas=self.quotas,
                 budget=self.budget,
--- a/libs/serving/tests/test_request_handler.py
+++ b/libs/serving/tests/test_request_handler.py
@@ -365,3 +365,22 @@
 
         routes = (replace(BOOK, timeout=5), replace(ROUTE, timeout=0.5))
         run_scenario(RequestHarness(make_catalog(routes=routes)), script)
+
+
+class TestOutdatedConfiguration:
+    @pytest.mark.parametrize(
+        ('recent', 'expected'), [(True, (404, 401)), (False, (503, 503))]
+    )
+    def test_what_may_be_allowed_by_now_is_to_be_retried(
+        self, recent: bool, expected: tuple[int, int]
+    ) -> None:
+        async def script(harness: RequestHarness) -> None:
+            harness.is_catalog_recent = recent
+            unknown_route = await harness.ask('/none/1')
+            unknown_key = await harness.ask(key='none')
+            assert (unknown_route.status, unknown_key.status) == expected
+            for response in (unknown_route, unknown_key):
+                assert ('retry-after' in response.headers) is not recent
+                assert response.headers['x-outcome'] == 'not-run'
+
+        run_scenario(RequestHarness(), script)
--- a/tests/users_platform/test_unreached_store.py
+++ b/tests/users_platform/test_unreached_store.py
@@ -10,6 +10,7 @@
 
 from fireflyhitch_bench.loopback_proxy import LinkFault, LoopbackProxy
 from fireflyhitch_serving.connections import Address
+from fireflyhitch_standins.users_formats import render_route
 
 SERVERS = ('i-1', 'i-2')
 # Long enough for entries of servers to expire.
@@ -18,6 +19,8 @@
 RETURN_SECONDS = 2.0
 # In which daemons know then that a server is gone.
 NEWS_SECONDS = 3.0
+# From then on a daemon without contact counts as cut off.
+CONTACT_SECONDS = 3.0
 REQUESTS = 20
 
 
@@ -96,3 +99,59 @@
             assert len(gone.seen) == before
 
         run(tmp_path, script)
+
+
+def change_configuration(cluster: Cluster) -> None:
+    """Add a route and a key."""
+    tenants = [{'name': 'bakery', 'api_keys': [KEY, 'new-key']}]
+    routes = [render_route('new'), render_route('read')]
+    changed = make_configuration(5, routes=routes, tenants=tenants)
+    cluster.store.put('op/config', changed)
+
+
+class TestUnknownRoutesAndKeys:
+    def test_a_daemon_without_contact_denies_nothing_that_may_be_in_force(
+        self, tmp_path
+    ) -> None:
+        async def script(site: Site) -> None:
+            await site.start('d1')
+            site.links['d1'].set_fault(LinkFault.RESET)
+            change_configuration(site.cluster)
+            await asyncio.sleep(CONTACT_SECONDS)
+            assert await site.ask('d1', '/new/1') == 503
+            assert await site.ask('d1', key='new-key') == 503
+            assert await site.ask('d1') == 200
+            site.links['d1'].set_fault(LinkFault.NONE)
+            state = site.cluster.programs['d1'].store_state
+            await wait_until(lambda: state.catalog.version == 5)  # type: ignore[union-attr]
+            assert await site.ask('d1', '/new/1', 'new-key') == 200
+
+        run(tmp_path, script)
+
+    def test_a_daemon_in_contact_denies_them_also_if_peers_watch_for_it(
+        self, tmp_path
+    ) -> None:
+        async def script(site: Site) -> None:
+            daemons = ('d1', 'd2', 'd3', 'd4', 'd5')
+            await site.start(*daemons)
+            await asyncio.sleep(CONTACT_SECONDS)
+            paths = [await site.ask(daemon, '/new/1') for daemon in daemons]
+            keys = [await site.ask(daemon, key='new-key') for daemon in daemons]
+            assert (set(paths), set(keys)) == ({404}, {401})
+
+        run(tmp_path, script)
+
+    def test_a_daemon_that_the_store_keeps_away_denies_what_peers_know_of(
+        self, tmp_path
+    ) -> None:
+        async def script(site: Site) -> None:
+            await site.start('d1', 'd2', 'd3')
+            site.links['d1'].set_fault(LinkFault.RESET)
+            await asyncio.sleep(CONTACT_SECONDS)
+            assert await site.ask('d1', '/none/1') == 404
+            change_configuration(site.cluster)
+            state = site.cluster.programs['d1'].store_state
+            await wait_until(lambda: state.catalog.version == 5)  # type: ignore[union-attr]
+            assert await site.ask('d1', '/new/1', 'new-key') == 200
+
+        run(tmp_path, script)
