--- a/tests/users_platform/test_caller_input.py
+++ b/tests/users_platform/test_caller_input.py
@@ -101,7 +101,7 @@
     ) -> None:
         async def script(cluster: Cluster) -> None:
             await cluster.start_serving('d1')
-            ambiguous = render_head('r7', CHUNKED, (b'Content-Length', b'1'))
+            ambiguous = render_head('r7', (b'Host', b'other.example'))
             assert await read_statuses(cluster, [ambiguous]) == [400]
             assert len(refusals) == 1
             found = refusals[0]
