Drop trailers of servers' responses, and give up heads without end

Trailers are dropped; a head of more than 256 KiB closes the connection, and the request fails as after any broken response. Both tests failed before (x-late in the headers; no answer).

--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -38,6 +38,8 @@
 # connection earlier than expected here. If it does so while a request is sent, it is
 # unknown whether the request ran.
 KEEP_ALIVE_FRACTION = 0.6
+# Of a response.
+MAX_HEAD_BYTES = 262_144
 # Idle connections kept to one server, which accepts some hundred from all daemons.
 MAX_IDLE = 32
 
@@ -91,6 +93,8 @@
         self._unread_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._headers: Headers = []
+        self._in_head = True
+        self._head_bytes = 0
         self._until_close = False
         self._in_response = False
         self._response_expected = False
@@ -193,6 +197,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._set_error(f'invalid HTTP answer: {error}')
             self.close()
+        self._check_head_size(len(data))
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -213,15 +218,19 @@
     def on_message_begin(self) -> None:
         """Reset the state for a new response."""
         self._headers = []
+        self._in_head = True
+        self._head_bytes = 0
         self._in_response = True
         self._until_close = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._headers.append((name, value))
+        """Append a header; trailer fields are dropped (RFC 9110, 6.5.1)."""
+        if self._in_head:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Queue the head, except for interim responses (1xx)."""
+        self._in_head = False
         status = self._parser.get_status_code()
         if status < HTTPStatus.OK:
             return
@@ -242,6 +251,15 @@
             self._keep_alive = self._keep_alive and self._parser.should_keep_alive()
             self._events.append(_Marker.END)
 
+    def _check_head_size(self, received: int) -> None:
+        """Close the connection to a server whose response head does not end."""
+        if not self._in_head or not self._in_response:
+            return
+        self._head_bytes += received
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._set_error(f'response head larger than {MAX_HEAD_BYTES} bytes')
+            self.close()
+
     def _record_framing(self) -> None:
         headers = self._headers
         length = find_header(headers, b'content-length')
--- a/libs/serving/tests/scripted_servers.py
+++ b/libs/serving/tests/scripted_servers.py
@@ -29,6 +29,19 @@
     return script
 
 
+def respond_with_trailer(body: bytes, trailer: bytes) -> Script:
+    """Return a script that sends a response in one chunk, with a trailer field."""
+
+    async def script(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nX-Id: %b\r\nX-Signed: 1\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n%b\r\n\r\n'
+            % (request.request_id.encode(), len(body), body, trailer)
+        )
+
+    return script
+
+
 def close_connection() -> Script:
     """Return a script that closes the connection without a response."""
 
--- a/libs/serving/tests/test_request_handler.py
+++ b/libs/serving/tests/test_request_handler.py
@@ -14,7 +14,12 @@
     make_catalog,
     run_scenario,
 )
-from scripted_servers import close_connection, respond, stay_silent
+from scripted_servers import (
+    close_connection,
+    respond,
+    respond_with_trailer,
+    stay_silent,
+)
 
 from fireflyhitch_model.ids import BackendServerId
 from fireflyhitch_serving.catalog import Quota
@@ -53,6 +58,36 @@
 
         run_scenario(RequestHarness(), script)
 
+    def test_signed_failure_is_forwarded_unchanged(self) -> None:
+        async def script(harness: RequestHarness) -> None:
+            await harness.add('a', respond(404, b'no such booking'))
+            response = await harness.ask('/book/1', 'POST')
+            assert (response.status, response.body) == (404, b'no such booking')
+
+        run_scenario(RequestHarness(), script)
+
+    def test_a_trailer_of_a_response_is_not_merged_into_its_headers(self) -> None:
+        async def script(harness: RequestHarness) -> None:
+            await harness.add('a', respond_with_trailer(b'done', b'X-Late: 1'))
+            response = await harness.ask('/book/1', 'POST')
+            assert (response.status, response.body) == (200, b'done')
+            assert 'x-late' not in response.headers
+
+        run_scenario(RequestHarness(), script)
+
+    def test_a_response_head_without_end_is_given_up(self) -> None:
+        async def script(harness: RequestHarness) -> None:
+            async def send_endlessly(request, writer) -> None:  # type: ignore[no-untyped-def]
+                writer.write(b'HTTP/1.1 200 OK\r\nX: ')
+                while not request.closed.is_set():
+                    writer.write(b'y' * 65536)
+                    await asyncio.sleep(0)
+
+            await harness.add('a', send_endlessly)
+            assert (await harness.ask('/book/1', 'POST')).status == 502
+
+        run_scenario(RequestHarness(), script)
+
     def test_response_to_another_request_is_skipped(self) -> None:
         # A server sends a second response to the previous request as the next one
         # arrives on the same connection. The caller must get the response to its own
