Do not pass on failures that no server has signed

What callers saw: a 3xx or 4xx without a server's signature, as from another process at a server's address, reached them as it was. They take it for the daemon's own word: that the request is wrong, or, with 429 and 408, that it has not run. Unsigned successes were not passed on already; failures below 500 now count as broken responses too: repeated elsewhere where the request may be, else 502 with an unknown outcome. Rejections that say not run are read before.

Red before: 302, 400, 404, 409 and 429 were forwarded.

--- a/libs/serving/fireflyhitch_serving/attempts.py
+++ b/libs/serving/fireflyhitch_serving/attempts.py
@@ -210,8 +210,12 @@
             await self._read_whole(connection, silence_timeout)
             detail = f'status {head.status}'
             return AttemptFailure(Ending.REFUSED, Outcome.NOT_RUN, detail)
-        if head.status < MIN_NON_SUCCESS and (not info.signed or info.encoded):
-            raise self._make_relay_error('unsigned or encoded success response')
+        if head.status < MIN_SERVER_ERROR and not info.signed:
+            # A caller would take a failure for the daemon's own word that the request is
+            # wrong, or that it did not run.
+            raise self._make_relay_error(f'unsigned response {head.status}')
+        if head.status < MIN_NON_SUCCESS and info.encoded:
+            raise self._make_relay_error('encoded success response')
         if head.status < MIN_NON_SUCCESS and info.request_id is None:
             raise self._make_relay_error('success response without request id')
         if head.status < MIN_NON_SUCCESS and self._exchange.route.streaming:
--- a/libs/serving/tests/test_request_handler.py
+++ b/libs/serving/tests/test_request_handler.py
@@ -58,6 +58,18 @@
 
         run_scenario(RequestHarness(), script)
 
+    @pytest.mark.parametrize('status', [302, 400, 404, 409, 429])
+    def test_unsigned_failure_is_not_forwarded(self, status: int) -> None:
+        # It may come from another process at the server's address. A caller would take
+        # it for the daemon's own word that its request is wrong.
+        async def script(harness: RequestHarness) -> None:
+            await harness.add('a', respond(status, signed=False))
+            response = await harness.ask('/book/1', 'POST')
+            assert response.status == 502
+            assert response.headers['x-outcome'] == 'unknown'
+
+        run_scenario(RequestHarness(), script)
+
     def test_signed_failure_is_forwarded_unchanged(self) -> None:
         async def script(harness: RequestHarness) -> None:
             await harness.add('a', respond(404, b'no such booking'))
