--- a/libs/serving/fireflyhitch_serving/admission.py
+++ b/libs/serving/fireflyhitch_serving/admission.py
@@ -213,4 +213,6 @@
 
 def find_time_limit(route: Route, info: RequestInfo) -> float:
     """Return the seconds within which a request gets its final response."""
-    return min(route.timeout, info.time_left or route.timeout)
+    if info.time_left is None:
+        return route.timeout
+    return min(route.timeout, info.time_left)
--- a/tests/users_platform/cluster.py
+++ b/tests/users_platform/cluster.py
@@ -147,6 +147,11 @@
         self.register_server(name, address, **changes)
         return server
 
+    def list_request_lines(self) -> list[str]:
+        """Return the request lines that all servers have received."""
+        seen = (request for server in self._servers for request in server.seen)
+        return [request.head.partition('\r\n')[0] for request in seen]
+
     async def wait_for_request(self) -> None:
         """Wait until the first server has received a request."""
         await self._servers[0].arrived.wait()
--- a/tests/users_platform/test_caller_input.py
+++ b/tests/users_platform/test_caller_input.py
@@ -133,3 +133,68 @@
             assert (found['path'], found['version']) == ('/none/1', 4)
 
         run_scenario(tmp_path, script)
+
+
+class TestHeads:
+    async def _ask(
+        self, cluster: Cluster, target: bytes, *more: Header
+    ) -> tuple[int, list[str]]:
+        """Return the response's status and the request lines that servers saw."""
+        head = render_head('r1', *more).replace(b'POST /book/1', b'GET %b' % target)
+        statuses = await read_statuses(cluster, [head])
+        return statuses[0], cluster.list_request_lines()
+
+    @pytest.mark.parametrize(
+        ('target', 'status'),
+        [
+            (b'/book/f97?p=/a/b&n=1', 200),
+            (b'/book//1', 200),
+            (b'/book/1:2;a=[b]', 200),
+            (b'//book/1', 404),
+            (b'//elsewhere/book/1', 404),
+            (b'*', 404),
+        ],
+    )
+    def test_a_route_is_found_by_the_path_as_it_stands(
+        self, tmp_path, target, status
+    ) -> None:
+        async def script(cluster: Cluster) -> None:
+            await cluster.start_serving('d1')
+            got, lines = await self._ask(cluster, target)
+            assert got == status
+            served = [f'GET {target.decode()} HTTP/1.1']
+            assert lines == served[: int(status == 200)]
+
+        run_scenario(tmp_path, script)
+
+    def test_an_absolute_target_is_served_by_its_own_host(self, tmp_path) -> None:
+        async def script(cluster: Cluster) -> None:
+            await cluster.start_serving('d1')
+            got, lines = await self._ask(cluster, b'http://shop.example:80/book/1?x')
+            assert (got, lines) == (200, ['GET /book/1?x HTTP/1.1'])
+            got, lines = await self._ask(cluster, b'http://none.example/book/1')
+            assert got == 404
+
+        run_scenario(tmp_path, script)
+
+    @pytest.mark.parametrize(
+        ('name', 'value', 'status'),
+        [
+            (b'Length-Hint', b'57.5', 200),
+            (b'Length-Hint', b'some', 200),
+            (b'Deadline-Ms', b'nan', 400),
+            (b'Deadline-Ms', b'inf', 400),
+            (b'Deadline-Ms', b'soon', 400),
+            (b'Deadline-Ms', b'0', 503),
+            (b'Deadline-Ms', b'900.5', 200),
+        ],
+    )
+    def test_only_what_a_request_depends_on_has_to_be_readable(
+        self, tmp_path, name, value, status
+    ) -> None:
+        async def script(cluster: Cluster) -> None:
+            await cluster.start_serving('d1')
+            got, _ = await self._ask(cluster, b'/book/1', (name, value))
+            assert got == status
+
+        run_scenario(tmp_path, script)
