Part running attempts from request handling, and pools from connections

AttemptRunner sends a request to a server and records what that shows; the handler decides on attempts and refusals.

--- a/libs/serving/fireflyhitch_serving/attempts.py
+++ b/libs/serving/fireflyhitch_serving/attempts.py
@@ -8,9 +8,9 @@
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Outcome, Step
+from fireflyhitch_serving.connection_pools import ConnectionPool
 from fireflyhitch_serving.connections import (
     Address,
-    ConnectionPool,
     ResponseHead,
     ServerConnection,
     connect,
--- a/libs/serving/fireflyhitch_serving/forwarding.py
+++ b/libs/serving/fireflyhitch_serving/forwarding.py
@@ -18,7 +18,8 @@
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.attempts import Attempt, AttemptCallbacks, AttemptTarget
-from fireflyhitch_serving.connections import Address, ConnectionPool, ResponseHead
+from fireflyhitch_serving.connection_pools import ConnectionPool
+from fireflyhitch_serving.connections import Address, ResponseHead
 from fireflyhitch_serving.edge import AttemptContext, Edge
 from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
 from fireflyhitch_serving.forwarded_requests import ForwardedRequest, add_header
--- a/libs/serving/fireflyhitch_serving/request_handler.py
+++ b/libs/serving/fireflyhitch_serving/request_handler.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 from collections.abc import Callable, Sequence
-from functools import partial
 from http import HTTPStatus
 
 from loguru import logger
@@ -17,11 +16,7 @@
     find_time_limit,
 )
 from fireflyhitch_serving.attempt_policy import AttemptPolicy
-from fireflyhitch_serving.attempts import (
-    Attempt,
-    AttemptCallbacks,
-    make_server_target,
-)
+from fireflyhitch_serving.attempt_runner import AttemptRunner
 from fireflyhitch_serving.callers import Reply
 from fireflyhitch_serving.dependencies import RequestDependencies
 from fireflyhitch_serving.edge import BadRequestError, Refusal, RenderedResponse
@@ -29,29 +24,18 @@
 from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
 from fireflyhitch_serving.forwarding import Peer
 from fireflyhitch_serving.health import Ending
-from fireflyhitch_serving.messages import CallerRequest, RequestInfo, ResponseInfo
+from fireflyhitch_serving.messages import CallerRequest, RequestInfo
 from fireflyhitch_serving.metrics_endpoint import RequestRecord
 from fireflyhitch_serving.placement import Placement
 from fireflyhitch_serving.refusals import log_invalid_request
 from fireflyhitch_serving.request_heads import RequestHead
-from fireflyhitch_serving.request_log import log_failure, log_success
 from fireflyhitch_serving.request_reader import InvalidRequest
-from fireflyhitch_serving.server_statistics import (
-    MAX_RELATIVE_LATENCY,
-    compute_relative_latency,
-)
 from fireflyhitch_serving.servers import ServerRecord
 from fireflyhitch_serving.waiting import WaitingRequests
 
-# No server can respond in less than this, so no attempt starts with less time left.
-MIN_SEND_SECONDS = 0.03
-# Endings that also a partition of this daemon from its servers may cause.
-NO_RESPONSE = frozenset((Ending.UNREACHED, Ending.BROKEN))
 # Requests of other daemons in progress at once. Each of them is relayed by two daemons,
 # and callers of this daemon come first.
 MAX_FORWARDED = 64
-# What a leaving server's announcement says; it is never withdrawn.
-LEAVING = 1.0
 # Characters of a path in a log line.
 MAX_LOGGED_PATH = 200
 # Customer name in the metrics of requests without a customer.
@@ -70,6 +54,7 @@
         self._admission = Admission(dependencies)
         self._policy = AttemptPolicy(dependencies)
         self._waiting = WaitingRequests()
+        self._runner = AttemptRunner(dependencies, self._policy, self._waiting)
         self.forwarded_in_progress = 0
 
     async def serve(self, request: CallerRequest, reply: Reply) -> None:
@@ -175,7 +160,7 @@
             if isinstance(target, Peer):
                 failure = await self._deps.forwarder.run(exchange, target)
             else:
-                failure = await self._run_attempt(exchange, target)
+                failure = await self._runner.run(exchange, target)
             if failure is None:
                 return
             if not self._may_retry(exchange, failure):
@@ -238,126 +223,6 @@
             wait, 'servers_limited', 'the servers take no more requests'
         )
 
-    async def _run_attempt(
-        self, exchange: Exchange, placement: Placement
-    ) -> AttemptFailure | None:
-        record = placement.record
-        exchange.tried_servers.add(record.server.server_id)
-        if exchange.deadline - self._clock.monotonic() < MIN_SEND_SECONDS:
-            raise TimeoutError
-        attempt = Attempt(
-            exchange,
-            make_server_target(exchange, record, self._deps.edge),
-            self._clock,
-            AttemptCallbacks(
-                on_progress=partial(self._on_progress, exchange, placement),
-                on_head=partial(self._on_head, exchange, placement),
-            ),
-            partial(self._policy.reserve_retry, exchange),
-        )
-        record.requests += 1
-        self._policy.record_sent(record)
-        record.prompt_tokens += placement.fresh_tokens
-        self._deps.workloads.record_prompt_tokens(
-            exchange.service, placement.fresh_tokens
-        )
-        exchange.unread_prompt_tokens = placement.fresh_tokens
-        record.add_cached_parts(exchange.info.parts, self._clock.monotonic())
-        self._deps.fresh_parts.add(record.server.server_id, exchange.info.parts)
-        ending = Ending.CANCELLED
-        exchange.attempt_started = self._clock.monotonic()
-        exchange.first_event_at = None
-        exchange.relative_latency = 1
-        try:
-            failure = await attempt.run(
-                self._policy.find_silence_timeout(exchange, placement)
-            )
-            ending = failure.ending if failure else Ending.GOOD
-            if ending in NO_RESPONSE:
-                await self._deps.reachability.check_after(record.server.server_id)
-            elif ending is not Ending.CANCELLED:
-                self._deps.reachability.record_response()
-        finally:
-            _release_load(exchange, record)
-            self._record_attempt(exchange, record, ending, sent=attempt.sent)
-        now = self._clock.monotonic()
-        if failure is None:
-            log_success(exchange, placement, now)
-        else:
-            log_failure(exchange, placement, failure, now)
-        return failure
-
-    def _record_attempt(
-        self, exchange: Exchange, record: ServerRecord, ending: Ending, *, sent: bool
-    ) -> None:
-        if sent:
-            exchange.sends += 1
-            exchange.runs += ending is not Ending.REFUSED
-        # Without a link to any server, nothing is learned about this one.
-        if ending not in NO_RESPONSE or not self._deps.reachability.lost:
-            self._judge_server(exchange, record, ending, sent=sent)
-        self._record_crash(exchange, record, ending)
-        self._waiting.wake(exchange.service)
-
-    def _judge_server(
-        self, exchange: Exchange, record: ServerRecord, ending: Ending, *, sent: bool
-    ) -> None:
-        """Record what an attempt shows about its server and the server's version."""
-        now = self._clock.monotonic()
-        if ending is Ending.REFUSED:
-            self._deps.brittle_servers.record_turned_away(record)
-        elif ending is Ending.GOOD:
-            self._deps.brittle_servers.record_finished(
-                record.server.service, now - exchange.attempt_started
-            )
-        if sent and ending in {Ending.GOOD, Ending.FAILED, Ending.BROKEN}:
-            self._deps.record_outcome(
-                record.server.service,
-                record.server.version,
-                exchange.route.name,
-                failed=ending is not Ending.GOOD,
-                seconds=(exchange.first_event_at or now) - exchange.attempt_started,
-            )
-        if ending is Ending.UNREACHED:
-            self._deps.cold_servers.record_unreachable(record)
-        self._record_statistics(exchange, record, ending)
-        median_rate = self._deps.servers.find_median_failure_rate(record.server.service)
-        if record.health.record(ending, median_rate, now):
-            logger.bind(
-                server=record.server.server_id,
-                failure_rate=round(record.health.rate, 2),
-                seconds=round(record.health.ejected_until - now, 1),
-            ).warning('server ejected')
-
-    def _record_statistics(
-        self, exchange: Exchange, record: ServerRecord, ending: Ending
-    ) -> None:
-        """Count an attempt in the failure statistics shared by all daemons.
-
-        Cancelled and refused attempts are left out, since they show nothing about the
-        server's health.
-        """
-        if ending in {Ending.CANCELLED, Ending.REFUSED}:
-            return
-        failed = ending is not Ending.GOOD
-        relative_latency = MAX_RELATIVE_LATENCY if failed else exchange.relative_latency
-        now = self._clock.monotonic()
-        record.evidence.record_response(
-            now, failed=failed, relative_latency=relative_latency
-        )
-
-    def _record_crash(
-        self, exchange: Exchange, record: ServerRecord, ending: Ending
-    ) -> None:
-        """Check for a crash after a broken response; record a complete response."""
-        crashes = self._deps.crashes
-        if ending is Ending.BROKEN:
-            crashes.detector.record_broken_response(
-                record, exchange.content, exchange.attempt_started
-            )
-        elif ending is Ending.GOOD:
-            crashes.tracker.record_response(exchange.content, self._clock.monotonic())
-
     def _send_failure(self, exchange: Exchange, failure: AttemptFailure) -> None:
         reply = exchange.reply
         if reply.begun:
@@ -419,52 +284,6 @@
             )
         )
 
-    def _on_progress(self, exchange: Exchange, placement: Placement) -> None:
-        _release_prompt_tokens(exchange, placement.record)
-        if exchange.first_event_at is None:
-            exchange.first_event_at = self._clock.monotonic()
-            self._record_first_event(exchange, placement)
-        if exchange.usage_counted:
-            return
-        exchange.usage_counted = True
-        if exchange.customer is not None:
-            self._deps.usage.count(exchange.customer.name, self._deps.wall())
-
-    def _record_first_event(self, exchange: Exchange, placement: Placement) -> None:
-        if exchange.first_event_at is None:
-            return
-        seconds = exchange.first_event_at - exchange.attempt_started
-        prefill_model = self._deps.workloads.prefill_model(exchange.service)
-        tokens = placement.queued_tokens + placement.fresh_tokens
-        exchange.relative_latency = compute_relative_latency(
-            seconds, prefill_model.predict(tokens)
-        )
-        prefill_model.add_sample(tokens, seconds)
-
-    def _on_head(
-        self, exchange: Exchange, placement: Placement, info: ResponseInfo
-    ) -> None:
-        if info.load is not None:
-            placement.record.update_load(info.load, self._clock.monotonic())
-        now = self._clock.monotonic()
-        if info.rest is not None:
-            placement.record.rest(info.rest, now)
-        announcements = (
-            (self._deps.limits.announcements, info.limit),
-            (self._deps.brittle_servers.announcements, info.brittle),
-            (self._deps.leaving, LEAVING if info.leaving else None),
-        )
-        for table, announced in announcements:
-            # An unsigned response may come from another server that reuses the address.
-            if info.signed or announced is not None:
-                table.record_response(
-                    placement.record.process,
-                    placement.record.server.server_id,
-                    announced,
-                    exchange.attempt_started,
-                    now,
-                )
-
     def _make_no_server_error(self, exchange: Exchange) -> RefusedError:
         if exchange.runs:
             return RefusedError(
@@ -504,13 +323,3 @@
             reply.send_response(response.status, response.headers, response.body)
         except CallerDisconnected:
             logger.bind(request_id=request_id).info('caller left before the refusal')
-
-
-def _release_load(exchange: Exchange, record: ServerRecord) -> None:
-    record.requests -= 1
-    _release_prompt_tokens(exchange, record)
-
-
-def _release_prompt_tokens(exchange: Exchange, record: ServerRecord) -> None:
-    record.prompt_tokens -= exchange.unread_prompt_tokens
-    exchange.unread_prompt_tokens = 0
--- a/libs/serving/fireflyhitch_serving/servers.py
+++ b/libs/serving/fireflyhitch_serving/servers.py
@@ -18,7 +18,8 @@
     ProcessId,
 )
 from fireflyhitch_model.records import immutable
-from fireflyhitch_serving.connections import Address, ConnectionPool
+from fireflyhitch_serving.connection_pools import ConnectionPool
+from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.health import ServerHealth
 from fireflyhitch_serving.messages import PromptPart, ReportedLoad
 from fireflyhitch_serving.server_statistics import (
--- a/libs/serving/tests/test_cold_servers.py
+++ b/libs/serving/tests/test_cold_servers.py
@@ -15,7 +15,8 @@
     ColdServers,
     make_cold_permits,
 )
-from fireflyhitch_serving.connections import Address, ConnectionPool
+from fireflyhitch_serving.connection_pools import ConnectionPool
+from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.health import ServerHealth
 from fireflyhitch_serving.servers import ServerEntry, ServerRecord
 from fireflyhitch_standins.arrivals import count_peak_arrivals
--- a/libs/serving/tests/test_placement.py
+++ b/libs/serving/tests/test_placement.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable, Sequence
 
 from fireflyhitch_model.ids import BackendServerId, DeploymentId, FailureDomainId
-from fireflyhitch_serving.connections import Address, ConnectionPool
+from fireflyhitch_serving.connection_pools import ConnectionPool
+from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.health import ServerHealth
 from fireflyhitch_serving.messages import PromptPart
 from fireflyhitch_serving.placement import (
