Give no port to a second daemon before the first one listens

Three of nine runs of clusters of 24 daemons, several after one another in a process, ended with 'address already in use' (ports 28836, 12632, 20732). The allocator returned what was free and returned longest ago; where an earlier cluster's ports are still in use, that is a port returned just now, whose daemon does not listen yet. Ports are returned once now, and again only if no block is left. The test failed before.

--- a/libs/standins/fireflyhitch_standins/ports.py
+++ b/libs/standins/fireflyhitch_standins/ports.py
@@ -23,26 +23,35 @@
     def __init__(self) -> None:
         """Create an allocator without ports."""
         self._guards: list[socket.socket] = []
-        self._ports: deque[int] = deque()
+        self._unused: deque[int] = deque()
+        self._used: deque[int] = deque()
 
     def find_free_port(self) -> int:
-        """Return the port that nobody listens on and that was returned longest ago.
+        """Return a port that nobody listens on and that was not returned before.
+
+        If no such port is left, that returned longest ago is returned again. Daemons
+        listen only later, so one that is free may have been returned just now.
 
         :raises OSError: if there is none left.
         """
-        for port in tuple(self._ports):
-            self._ports.rotate(-1)
+        while self._unused or self._take_block():
+            port = self._unused.popleft()
+            self._used.append(port)
+            if _is_free(port):
+                return port
+        for port in tuple(self._used):
+            self._used.rotate(-1)
             if _is_free(port):
                 return port
-        self._take_block()
-        return self.find_free_port()
+        raise OSError('no free port to listen on')
 
     def close(self) -> None:
         """Give all blocks back."""
         for guard in self._guards:
             guard.close()
 
-    def _take_block(self) -> None:
+    def _take_block(self) -> bool:
+        """Take a block that no other allocator has; return whether there was one."""
         starts = range(FIRST_PORT, LAST_PORT + 1, BLOCK_PORTS)
         for start in random.sample(starts, len(starts)):  # noqa: S311
             guard = socket.socket()
@@ -52,9 +61,9 @@
                 guard.close()
                 continue
             self._guards.append(guard)
-            self._ports.extendleft(range(start + 1, start + BLOCK_PORTS))
-            return
-        raise OSError('no free port to listen on')
+            self._unused.extend(range(start + 1, start + BLOCK_PORTS))
+            return True
+        return False
 
 
 def _is_free(port: int) -> bool:
--- a/libs/standins/tests/test_ports.py
+++ b/libs/standins/tests/test_ports.py
@@ -43,3 +43,17 @@
         for allocator in allocators:
             allocator.close()
         assert len(set(ports)) == len(ports)
+
+    def test_no_port_is_returned_again_before_its_daemon_listens(self) -> None:
+        """Ports of a test's earlier daemons, still in use, made the next ones meet."""
+        allocator = PortAllocator()
+        earlier = [allocator.find_free_port() for _ in range(BLOCK_PORTS - 20)]
+        listeners = [socket.socket() for _ in earlier]
+        for listener, port in zip(listeners, earlier, strict=True):
+            listener.bind((HOST, port))
+            listener.listen()
+        ports = [allocator.find_free_port() for _ in range(BLOCK_PORTS)]
+        for listener in listeners:
+            listener.close()
+        allocator.close()
+        assert len(set(ports)) == len(ports)
