Know the id of a request whose head is refused

A refusal of an over-long head had no id in its line and answer, though the line with Request-Id had been read: the parser tells a header only with the next line. The last line's header is added. What was read of such a head counts up to the limit.

--- a/libs/serving/fireflyhitch_serving/lines.py
+++ b/libs/serving/fireflyhitch_serving/lines.py
@@ -34,7 +34,7 @@
         if found >= 0:
             self._begun = b''
             return end, line
+        self._begun = line
         if end - position == allowed:
             raise LineTooLongError
-        self._begun = line
         return end, None
--- a/libs/serving/fireflyhitch_serving/request_heads.py
+++ b/libs/serving/fireflyhitch_serving/request_heads.py
@@ -94,7 +94,6 @@
 
         :param max_bytes: greatest size of the head; may change until the head begins.
         """
-        self.headers: Headers = []
         self.begun = False
         self.max_bytes = max_bytes
         self._parser = httptools.HttpRequestParser(self)
@@ -102,9 +101,23 @@
         self._lines_bytes = 0
         self._in_empty_line = False
         self._target = b''
+        self._headers: Headers = []
+        self._parsed_lines: list[bytes] = []
         self._complete = False
         self._keep_alive = False
 
+    @property
+    def headers(self) -> Headers:
+        """Return the headers in the lines that were read.
+
+        The parser tells a header only with the next line.
+        """
+        fields = self._parsed_lines[1:]
+        if self._complete or len(fields) <= len(self._headers):
+            return self._headers
+        name, _, value = fields[-1].partition(b':')
+        return [*self._headers, (name, value.strip())]
+
     @property
     def size(self) -> int:
         """Return how many bytes of the head were read."""
@@ -138,10 +151,10 @@
             raise InvalidInputError(Reason.UNSUPPORTED_VERSION)
         if method == b'CONNECT':
             raise InvalidInputError(Reason.UNSUPPORTED_METHOD)
-        values = {name.lower(): value for name, value in self.headers}
-        if not is_well_framed(self.headers, values, version):
+        values = {name.lower(): value for name, value in self._headers}
+        if not is_well_framed(self._headers, values, version):
             raise InvalidInputError(Reason.AMBIGUOUS_FRAMING)
-        target, headers = split_target(self._target, self.headers)
+        target, headers = split_target(self._target, self._headers)
         expectation = values.get(b'expect', b'')
         return RequestHead(
             method,
@@ -160,7 +173,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
-        self.headers.append((name, value))
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Record the end of the head."""
@@ -195,7 +208,7 @@
 
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpRequestParser(self)
-        self.headers = []
+        self._headers = []
         self._target = b''
         self._complete = False
 
@@ -220,6 +233,7 @@
         if line is not None:
             self._lines_bytes += len(line)
             self._parse(line)
+            self._parsed_lines.append(line)
         return position
 
     def _parse(self, line: bytes) -> None:
--- a/libs/serving/tests/test_request_reader.py
+++ b/libs/serving/tests/test_request_reader.py
@@ -216,6 +216,20 @@
         assert not reader.in_head
 
 
+class TestRefusals:
+    @pytest.mark.parametrize('rest', [b'X: %b\r\n' % (b'y' * 300), b'X : y\r\n'])
+    def test_the_headers_before_an_invalid_line_are_known(self, rest: bytes) -> None:
+        for pieces in ([START, rest], split_each(START + rest)):
+            last = read(pieces)[-1]
+            assert isinstance(last, InvalidRequest)
+            assert last.headers == [(b'Host', b'x')]
+
+    def test_a_head_over_its_limit_was_read_up_to_it(self) -> None:
+        last = read([START, b'X: %b' % (b'y' * 300)])[-1]
+        assert isinstance(last, InvalidRequest)
+        assert last.head_bytes == LIMITS.header_bytes
+
+
 class TestTrailers:
     @pytest.mark.parametrize(
         'line', [b'Host: z', b'Authorization: Bearer z', b'Content-Length: 9']
