Take a caller that waits no longer at its word while its body arrives

A body whose caller states Deadline-Ms 0 was waited for up to the idle limit; it gets 408 at once. A connection that is being closed refuses nothing any more when its timer ends.

--- a/libs/serving/fireflyhitch_serving/callers.py
+++ b/libs/serving/fireflyhitch_serving/callers.py
@@ -12,7 +12,7 @@
 from fireflyhitch_serving.edge import RenderedResponse
 from fireflyhitch_serving.errors import CallerDisconnected
 from fireflyhitch_serving.messages import CallerRequest, Header, Headers, render_head
-from fireflyhitch_serving.refusals import refuse_invalid_request
+from fireflyhitch_serving.refusals import refuse_invalid_request, render_refusal
 from fireflyhitch_serving.request_heads import Reason, RequestHead
 from fireflyhitch_serving.request_reader import (
     CompleteRequest,
@@ -352,8 +352,11 @@
     def _find_body_deadline(self) -> float:
         """Return when the request being received must have its final response."""
         if self._body_deadline is None:
-            limit = self._head and self.state.find_time_limit(self._head)
-            self._body_deadline = self._arrived_at + (limit or math.inf)
+            limit = (
+                None if self._head is None else self.state.find_time_limit(self._head)
+            )
+            seconds = math.inf if limit is None else limit
+            self._body_deadline = self._arrived_at + seconds
         return self._body_deadline
 
     def _send_continue(self) -> None:
@@ -378,6 +381,8 @@
     def _time_out(self, timed: Reason | None) -> None:
         transport = self._transport
         self._timed = None
+        if self._input_ended:
+            return
         if timed is None:
             self.close_if_idle()
         elif transport is not None and not transport.is_reading():
@@ -387,13 +392,3 @@
             self._start_timer(self._find_body_seconds(), timed)
         else:
             self._refuse(self._reader.refuse(timed))
-
-
-def render_refusal(response: RenderedResponse) -> bytes:
-    """Return the refusal of an invalid request, after which the connection closes."""
-    headers: Headers = [
-        *response.headers,
-        (b'Content-Length', b'%d' % len(response.body)),
-        (b'Connection', b'close'),
-    ]
-    return render_head(response.status, headers) + response.body
--- a/libs/serving/fireflyhitch_serving/refusals.py
+++ b/libs/serving/fireflyhitch_serving/refusals.py
@@ -5,6 +5,7 @@
 from fireflyhitch_model.ids import RequestId
 from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.edge import RenderedResponse
+from fireflyhitch_serving.messages import Headers, render_head
 from fireflyhitch_serving.request_reader import InvalidRequest
 
 
@@ -32,3 +33,13 @@
     """Log and render the refusal of a request whose headers have no meaning here."""
     log_invalid_request(invalid, peer, None)
     return RenderedResponse(invalid.status, [], b'')
+
+
+def render_refusal(response: RenderedResponse) -> bytes:
+    """Return the refusal of an invalid request, after which the connection closes."""
+    headers: Headers = [
+        *response.headers,
+        (b'Content-Length', b'%d' % len(response.body)),
+        (b'Connection', b'close'),
+    ]
+    return render_head(response.status, headers) + response.body
--- a/tests/users_platform/test_caller_input.py
+++ b/tests/users_platform/test_caller_input.py
@@ -135,6 +135,22 @@
         run_scenario(tmp_path, script)
 
 
+class TestBodies:
+    def test_a_body_is_not_waited_for_longer_than_its_caller_waits(
+        self, tmp_path
+    ) -> None:
+        async def script(cluster: Cluster) -> None:
+            await cluster.start_serving('d1')
+            for milliseconds in (b'0', b'400'):
+                headers = ((b'Content-Length', b'9'), (b'Deadline-Ms', milliseconds))
+                started = asyncio.get_running_loop().time()
+                sent = [render_head('r1', *headers)]
+                assert await read_statuses(cluster, sent) == [408]
+                assert asyncio.get_running_loop().time() - started < 1
+
+        run_scenario(tmp_path, script)
+
+
 class TestHeads:
     async def _ask(
         self, cluster: Cluster, target: bytes, *more: Header
