Refuse nothing for good by limits that may be outdated

A daemon without a configuration, or without contact, answered 431 and 413 by limits of its own or of an older configuration; callers do not come back after these. As for routes and keys, it answers 503 with Retry-After until it knows that its configuration is recent. Found on reading what answers 4xx; both cases failed before (431).

--- a/libs/serving/fireflyhitch_serving/admission.py
+++ b/libs/serving/fireflyhitch_serving/admission.py
@@ -50,7 +50,9 @@
             )
         route = catalog.find_route(info.host, info.path)
         if route is None:
-            raise self._make_denial(HTTPStatus.NOT_FOUND, 'no_route', 'no such route')
+            raise self.make_denial(
+                Refusal(HTTPStatus.NOT_FOUND, 'no_route', 'no such route')
+            )
         customer = self._find_customer(catalog, route, info)
         content = find_content(request, customer)
         self._check_quarantine(content, info)
@@ -133,21 +135,22 @@
             return None
         customer = catalog.find_customer(info.key) if info.key else None
         if customer is None:
-            raise self._make_denial(
-                HTTPStatus.UNAUTHORIZED, 'unknown_key', 'unknown key'
+            raise self.make_denial(
+                Refusal(HTTPStatus.UNAUTHORIZED, 'unknown_key', 'unknown key')
             )
         return customer
 
-    def _make_denial(self, status: HTTPStatus, code: str, message: str) -> RefusedError:
+    def make_denial(self, refusal: Refusal) -> RefusedError:
         """Return the error for a request that the configuration does not allow.
 
-        A caller does not come back after it, so one whose route or key may be new is
-        asked to retry instead.
+        A caller does not come back after it. While a newer configuration may allow the
+        request, the caller is asked to retry instead.
         """
-        if self._deps.is_catalog_recent():
-            return RefusedError(Refusal(status, code, message))
+        if self._deps.catalog() is not None and self._deps.is_catalog_recent():
+            return RefusedError(refusal)
         return self.build_transient_refusal(
-            f'{code}_yet', f'{message} in a configuration that may be outdated'
+            f'{refusal.code}_yet',
+            f'{refusal.message}, by a configuration that may be outdated',
         )
 
     def _pick_service(self, route: Route) -> DeploymentId:
--- a/libs/serving/fireflyhitch_serving/refusals.py
+++ b/libs/serving/fireflyhitch_serving/refusals.py
@@ -3,14 +3,13 @@
 from loguru import logger
 
 from fireflyhitch_model.ids import RequestId
-from fireflyhitch_model.states import Outcome
-from fireflyhitch_serving.edge import RenderedResponse
+from fireflyhitch_serving.edge import Refusal, RenderedResponse
 from fireflyhitch_serving.messages import Headers, render_head
 from fireflyhitch_serving.request_reader import InvalidRequest
 
 
 def log_invalid_request(
-    invalid: InvalidRequest, peer: str, request_id: RequestId | None
+    invalid: InvalidRequest, refusal: Refusal, peer: str, request_id: RequestId | None
 ) -> None:
     """Log the refusal of an invalid request.
 
@@ -20,9 +19,10 @@
     logger.bind(
         request_id=request_id,
         peer=peer,
-        status=invalid.status,
-        code=invalid.reason.value,
-        outcome=Outcome.NOT_RUN.value,
+        status=refusal.status,
+        code=refusal.code,
+        outcome=refusal.outcome.value,
+        detail=refusal.message,
         head_bytes=invalid.head_bytes,
         body_bytes=invalid.body_bytes,
         limit=invalid.limit,
@@ -31,10 +31,17 @@
 
 def refuse_invalid_request(invalid: InvalidRequest, peer: str) -> RenderedResponse:
     """Log and render the refusal of a request whose headers have no meaning here."""
-    log_invalid_request(invalid, peer, None)
+    log_invalid_request(invalid, make_refusal(invalid), peer, None)
     return RenderedResponse(invalid.status, [], b'')
 
 
+def make_refusal(invalid: InvalidRequest) -> Refusal:
+    """Return the refusal of an invalid request."""
+    code = invalid.reason.value
+    words = code.replace('_', ' ')
+    return Refusal(invalid.status, code, f'the request cannot be read: {words}')
+
+
 def render_refusal(response: RenderedResponse) -> bytes:
     """Return the refusal of an invalid request, after which the connection closes."""
     headers: Headers = [
--- a/libs/serving/fireflyhitch_serving/request_handler.py
+++ b/libs/serving/fireflyhitch_serving/request_handler.py
@@ -27,8 +27,8 @@
 from fireflyhitch_serving.messages import CallerRequest, RequestInfo
 from fireflyhitch_serving.metrics_endpoint import RequestRecord
 from fireflyhitch_serving.placement import Placement
-from fireflyhitch_serving.refusals import log_invalid_request
-from fireflyhitch_serving.request_heads import RequestHead
+from fireflyhitch_serving.refusals import log_invalid_request, make_refusal
+from fireflyhitch_serving.request_heads import Reason, RequestHead
 from fireflyhitch_serving.request_reader import InvalidRequest
 from fireflyhitch_serving.servers import ServerRecord
 from fireflyhitch_serving.waiting import WaitingRequests
@@ -36,6 +36,10 @@
 # Requests of other daemons in progress at once. Each of them is relayed by two daemons,
 # and callers of this daemon come first.
 MAX_FORWARDED = 64
+# Refused by limits that the configuration names.
+LIMITED_SIZES = frozenset(
+    (Reason.HEAD_TOO_LARGE, Reason.BODY_TOO_LARGE, Reason.TRAILER_TOO_LARGE)
+)
 # Characters of a path in a log line.
 MAX_LOGGED_PATH = 200
 # Customer name in the metrics of requests without a customer.
@@ -75,11 +79,11 @@
         :param peer: the caller's address.
         """
         request_id = self._deps.edge.find_request_id(invalid.headers)
-        log_invalid_request(invalid, peer, request_id)
-        code = invalid.reason.value
-        self._deps.count_refusal(invalid.status, code)
-        message = f'the request cannot be read: {code.replace("_", " ")}'
-        refusal = Refusal(invalid.status, code, message)
+        refusal = make_refusal(invalid)
+        if invalid.reason in LIMITED_SIZES:
+            refusal = self._admission.make_denial(refusal).refusal
+        log_invalid_request(invalid, refusal, peer, request_id)
+        self._deps.count_refusal(refusal.status, refusal.code)
         return self._deps.edge.render_refusal(refusal, request_id)
 
     def find_time_limit(self, head: RequestHead) -> float | None:
--- a/libs/serving/tests/test_caller_connections.py
+++ b/libs/serving/tests/test_caller_connections.py
@@ -257,6 +257,22 @@
 
         run(script)
 
+    @pytest.mark.parametrize('known', [True, False])
+    def test_limits_that_may_be_outdated_are_no_reason_for_a_final_refusal(
+        self, known: bool
+    ) -> None:
+        async def script(harness: RequestHarness) -> None:
+            harness.is_catalog_recent = False
+            harness.catalog = harness.catalog if known else None
+            for sent in (b'X: %b\r\n' % (b'y' * 20_000), sized(5_000_000)):
+                async with RawCaller(harness) as caller:
+                    caller.send(head('r1', sent))
+                    answer = await caller.read_head()
+                assert answer.startswith('HTTP/1.1 503 ')
+                assert 'Retry-After: ' in answer
+
+        run(script)
+
     @pytest.mark.parametrize('trailer', [b'Host: z', b'X-Key: z', b'X-Id: z'])
     def test_a_trailer_changes_nothing_of_its_request(self, trailer: bytes) -> None:
         async def script(harness: RequestHarness) -> None:
