Test that a peer's own denial reaches no caller

400, 404, 413 and 431 of a peer that serves a forwarded request: the next peer is asked, and without one the caller gets 503. Passed on the code as it is.

--- a/libs/serving/tests/test_forwarding.py
+++ b/libs/serving/tests/test_forwarding.py
@@ -36,6 +36,7 @@
 from fireflyhitch_serving.messages import CallerRequest
 from fireflyhitch_serving.reachability import ServerReachability
 from fireflyhitch_serving.request_handler import MAX_FORWARDED
+from fireflyhitch_standins.scripted_server import ScriptedServer
 
 Scenario = Callable[[RequestHarness, RequestHarness], Awaitable[None]]
 
@@ -130,6 +131,26 @@
 
         run_with_peer(script)
 
+    @pytest.mark.parametrize('status', [400, 404, 413, 431])
+    def test_a_peer_s_own_denial_never_reaches_the_caller(self, status: int) -> None:
+        # A peer of another version or configuration may take a forwarded request for
+        # wrong, which this daemon has admitted.
+        async def script(harness: RequestHarness, peer: RequestHarness) -> None:
+            denying = ScriptedServer('denying', respond(status, signed=False))
+            harness.peers['denying'] = await denying.start()
+            server = await peer.add('a', respond())
+            for number in range(8):
+                response = await harness.ask('/book/1', request_id=f'r{number}')
+                assert response.status == 200
+            assert denying.seen
+            del harness.peers['peer']
+            response = await harness.ask('/book/1', request_id='r8')
+            assert response.status == 503
+            assert len(server.seen) == 8
+            denying.stop()
+
+        run_with_peer(script)
+
     def test_a_request_goes_to_a_server_if_the_link_is_back_and_no_peer_took_it(
         self,
     ) -> None:
