--- a/tests/users_platform/test_unreached_store.py
+++ b/tests/users_platform/test_unreached_store.py
@@ -5,6 +5,7 @@
 from itertools import count
 from pathlib import Path
 
+import pytest
 from cluster import KEY, Cluster, answer_signed, make_configuration, run_scenario
 from cluster import wait_for as wait_until
 
@@ -128,15 +129,16 @@
 
         run(tmp_path, script)
 
+    @pytest.mark.parametrize('daemons', [5, 24])
     def test_a_daemon_in_contact_denies_them_also_if_peers_watch_for_it(
-        self, tmp_path
+        self, tmp_path, daemons
     ) -> None:
         async def script(site: Site) -> None:
-            daemons = ('d1', 'd2', 'd3', 'd4', 'd5')
-            await site.start(*daemons)
+            names = [f'd{number}' for number in range(daemons)]
+            await site.start(*names)
             await asyncio.sleep(CONTACT_SECONDS)
-            paths = [await site.ask(daemon, '/new/1') for daemon in daemons]
-            keys = [await site.ask(daemon, key='new-key') for daemon in daemons]
+            paths = [await site.ask(name, '/new/1') for name in names]
+            keys = [await site.ask(name, key='new-key') for name in names]
             assert (set(paths), set(keys)) == ({404}, {401})
 
         run(tmp_path, script)
