--- a/libs/serving/fireflyhitch_serving/callers.py
+++ b/libs/serving/fireflyhitch_serving/callers.py
@@ -142,7 +142,7 @@
         self._waiting: deque[tuple[CallerRequest, bool]] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._timed: Reason | None = None
+        self._timer_reason: Reason | None = None
         self._writable: asyncio.Future[None] | None = None
         self._input_ended = False
         self._pending_refusal = b''
@@ -239,13 +239,14 @@
 
     def _handle(self, event: Event) -> None:
         if isinstance(event, RequestHead):
-            self._begin_body(event)
+            self._record_head(event)
         elif isinstance(event, CompleteRequest):
             self._queue(event)
         else:
             self._refuse(event)
 
-    def _begin_body(self, head: RequestHead) -> None:
+    def _record_head(self, head: RequestHead) -> None:
+        """Begin to wait for the rest of a request."""
         self._arrived_at = self.state.clock.monotonic()
         self._continue_expected = head.expects_continue
         self._head = head
@@ -334,10 +335,10 @@
         if reader.in_body:
             self._send_continue()
             self._read_at = self.state.clock.monotonic()
-            if self._timed is not Reason.BODY_TIMEOUT:
+            if self._timer_reason is not Reason.BODY_TIMEOUT:
                 self._start_timer(self._find_body_seconds(), Reason.BODY_TIMEOUT)
         elif reader.in_head:
-            if self._timed is not Reason.HEAD_TIMEOUT:
+            if self._timer_reason is not Reason.HEAD_TIMEOUT:
                 seconds = self.state.limits().header_seconds
                 self._start_timer(seconds, Reason.HEAD_TIMEOUT)
         elif not self.busy:
@@ -366,29 +367,33 @@
             with suppress(CallerDisconnected):
                 self.write(CONTINUE)
 
-    def _start_timer(self, seconds: float, timed: Reason | None) -> None:
+    def _start_timer(self, seconds: float, reason: Reason | None) -> None:
+        """Start the only timer.
+
+        :param reason: of the refusal when it ends; ``None`` to close an idle connection.
+        """
         self._stop_timer()
-        self._timed = timed
+        self._timer_reason = reason
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(seconds, self._time_out, timed)
+        self._timer = loop.call_later(seconds, self._time_out, reason)
 
     def _stop_timer(self) -> None:
-        self._timed = None
+        self._timer_reason = None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _time_out(self, timed: Reason | None) -> None:
+    def _time_out(self, reason: Reason | None) -> None:
         transport = self._transport
-        self._timed = None
+        self._timer_reason = None
         if self._input_ended:
             return
-        if timed is None:
+        if reason is None:
             self.close_if_idle()
         elif transport is not None and not transport.is_reading():
             # The caller may have sent it, but nothing is read while others are served.
-            self._start_timer(PAUSED_CHECK_SECONDS, timed)
-        elif timed is Reason.BODY_TIMEOUT and self._find_body_seconds() > 0:
-            self._start_timer(self._find_body_seconds(), timed)
+            self._start_timer(PAUSED_CHECK_SECONDS, reason)
+        elif reason is Reason.BODY_TIMEOUT and self._find_body_seconds() > 0:
+            self._start_timer(self._find_body_seconds(), reason)
         else:
-            self._refuse(self._reader.refuse(timed))
+            self._refuse(self._reader.refuse(reason))
--- a/libs/serving/fireflyhitch_serving/request_bodies.py
+++ b/libs/serving/fireflyhitch_serving/request_bodies.py
@@ -14,7 +14,7 @@
 
 # A chunk's size and extensions, with the end of the line.
 MAX_CHUNK_LINE_BYTES = 4096
-# All lines of chunks in one body, beyond the sizes themselves.
+# Extensions of all chunks of one body.
 MAX_EXTENSION_BYTES = 16384
 HEXADECIMAL = 16
 CHUNK_LINE = re.compile(
--- a/libs/serving/fireflyhitch_serving/request_heads.py
+++ b/libs/serving/fireflyhitch_serving/request_heads.py
@@ -183,7 +183,7 @@
     def _skip_empty_lines(self, data: bytes, position: int) -> int:
         """Skip empty lines before the request line; they may arrive in parts."""
         while not self.begun and position < len(data):
-            self.begun = not self._is_in_empty_line(data[position])
+            self.begun = not self._skip_line_end(data[position])
             if not self.begun:
                 position += 1
         return position
@@ -212,7 +212,8 @@
         self._target = b''
         self._complete = False
 
-    def _is_in_empty_line(self, byte: int) -> bool:
+    def _skip_line_end(self, byte: int) -> bool:
+        """Skip a byte of an empty line; return whether it is one."""
         if byte == LINE_END[self._in_empty_line]:
             self._in_empty_line = not self._in_empty_line
             self._lines_bytes += 1
