--- a/tests/users_platform/test_unreached_store.py
+++ b/tests/users_platform/test_unreached_store.py
@@ -80,12 +80,13 @@
 
 
 class TestServersThatAreGone:
+    @pytest.mark.parametrize('daemons', [3, 24])
     def test_a_daemon_that_the_store_keeps_away_learns_of_them_from_peers(
-        self, tmp_path
+        self, tmp_path, daemons
     ) -> None:
         # A server's entry expires during an outage; one daemon stays cut off after it.
         async def script(site: Site) -> None:
-            await site.start('d1', 'd2', 'd3')
+            await site.start(*(f'd{number}' for number in range(1, daemons + 1)))
             store = site.cluster.store
             store.down = True
             await asyncio.sleep(OUTAGE_SECONDS)
