--- a/libs/bench/fireflyhitch_bench/fault_soak.py
+++ b/libs/bench/fireflyhitch_bench/fault_soak.py
@@ -165,13 +165,12 @@
         if kind == 'probe':
             await self._probe(daemon)
             return
-        request_id = self._make_id()
         if kind == 'pipelined':
             await self._call_pipelined(daemon)
             return
+        request_id = self._make_id()
         if kind == 'book':
             self._bookings.add(request_id)
-        if kind == 'book':
             answer = await self._post(daemon, f'/{kind}/1', request_id)
         else:
             answer = await self._ask(daemon, f'/{kind}/1', request_id)
@@ -198,10 +197,8 @@
         self._bookings.update(ids)
         sent = [render_post('/book/1', one, Framing.LENGTH) for one in ids]
         pieces = [b''.join(part for post in sent for part in post)]
-        try:
-            async with asyncio.timeout(CALL_SECONDS):
-                answers = await _exchange(daemon, pieces, PIPELINED)
-        except (ServerError, OSError, TimeoutError):
+        answers = await self._send(daemon, pieces, PIPELINED)
+        if not answers:
             return
         for request_id, answer in zip(ids, answers, strict=True):
             self._check_answer(daemon, 'book', request_id, answer)
@@ -210,7 +207,7 @@
         framing = self._draw.choice(list(Framing))
         writes = self._draw.choice(list(Writes))
         head, body = render_post(path, request_id, framing)
-        return await self._send(daemon, cut(head, body, writes, self._draw))
+        return await self._send_one(daemon, cut(head, body, writes, self._draw))
 
     async def _probe(self, daemon: DaemonProcess) -> None:
         """Ask one process for the newest route, and then for the one before."""
@@ -229,16 +226,21 @@
 
     async def _ask(self, daemon: DaemonProcess, path: str, request_id: str) -> Answer:
         request = render_call(path, KEY, request_id, deadline_ms=DEADLINE_MS)
-        return await self._send(daemon, [request])
+        return await self._send_one(daemon, [request])
+
+    async def _send_one(self, daemon: DaemonProcess, pieces: list[bytes]) -> Answer:
+        answers = await self._send(daemon, pieces, 1)
+        return answers[0] if answers else Answer(None)
 
-    async def _send(self, daemon: DaemonProcess, pieces: list[bytes]) -> Answer:
+    async def _send(
+        self, daemon: DaemonProcess, pieces: list[bytes], answers: int
+    ) -> list[Answer]:
         try:
             async with asyncio.timeout(CALL_SECONDS):
-                answers = await _exchange(daemon, pieces)
-                return answers[0]
+                return await _exchange(daemon, pieces, answers)
         except (ServerError, OSError, TimeoutError):
-            # Ended, frozen or cut: nothing is known of the request, and none is wrong.
-            return Answer(None)
+            # Ended, frozen or cut: nothing is known of the requests, and none is wrong.
+            return []
 
     async def _ask_for(self, daemon: DaemonProcess, path: str) -> Answer:
         return await self._ask(daemon, path, self._make_id())
@@ -397,7 +399,7 @@
 
 
 async def _exchange(
-    daemon: DaemonProcess, pieces: list[bytes], answers: int = 1
+    daemon: DaemonProcess, pieces: list[bytes], answers: int
 ) -> list[Answer]:
     connection = await connect(daemon.front, CALL_SECONDS)
     try:
--- a/libs/bench/fireflyhitch_bench/soak_requests.py
+++ b/libs/bench/fireflyhitch_bench/soak_requests.py
@@ -4,7 +4,7 @@
 import zlib
 from enum import Enum
 
-from fireflyhitch_standins.users_formats import render_call
+from fireflyhitch_standins.users_formats import render_call, render_chunks
 
 KEY = 'key-of-bakery'
 DEADLINE_MS = 3000
@@ -51,7 +51,7 @@
     length = b'Content-Length: %d\r\n' % len(body)
     head = head.replace(length, b'Transfer-Encoding: chunked\r\n')
     trailer = TRAILER if framing is Framing.CHUNKS_WITH_TRAILER else b''
-    return head, b'%b0\r\n%b\r\n' % (_render_chunks(body), trailer)
+    return head, render_chunks(body, CHUNK_BYTES, trailer)
 
 
 def cut(head: bytes, body: bytes, writes: Writes, draw: random.Random) -> list[bytes]:
@@ -65,8 +65,3 @@
     starts = [0, *cuts]
     ends = [*cuts, len(whole)]
     return [whole[start:end] for start, end in zip(starts, ends, strict=True)]
-
-
-def _render_chunks(body: bytes) -> bytes:
-    parts = (body[at : at + CHUNK_BYTES] for at in range(0, len(body), CHUNK_BYTES))
-    return b''.join(b'%x\r\n%b\r\n' % (len(part), part) for part in parts)
--- a/libs/serving/fireflyhitch_serving/callers.py
+++ b/libs/serving/fireflyhitch_serving/callers.py
@@ -11,7 +11,13 @@
 from fireflyhitch_serving.catalog import CallerLimits
 from fireflyhitch_serving.edge import RenderedResponse
 from fireflyhitch_serving.errors import CallerDisconnected
-from fireflyhitch_serving.messages import CallerRequest, Header, Headers, render_head
+from fireflyhitch_serving.messages import (
+    CallerRequest,
+    Header,
+    Headers,
+    render_head,
+    render_response,
+)
 from fireflyhitch_serving.refusals import refuse_invalid_request, render_refusal
 from fireflyhitch_serving.request_heads import Reason, RequestHead
 from fireflyhitch_serving.request_reader import (
@@ -91,11 +97,10 @@
 
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
-        length = (b'Content-Length', b'%d' % len(body))
-        head = render_head(status, [*headers, length, *self._closing_headers()])
+        response = render_response(status, [*headers, *self._closing_headers()], body)
         self.begun = True
         self.status = status
-        self._connection.write(head + body)
+        self._connection.write(response)
         self._end()
 
     def begin(self, status: int, headers: Headers) -> None:
@@ -149,7 +154,6 @@
         self._disconnected = False
         self._arrived_at = 0.0
         self._read_at = 0.0
-        self._head: RequestHead | None = None
         self._body_deadline: float | None = None
         self._continue_expected = False
 
@@ -160,7 +164,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is served or being received."""
-        receiving = self._reader.in_head or self._reader.in_body
+        receiving = self._reader.in_head or self._reader.head is not None
         if not self.busy and not receiving and self._transport is not None:
             self._transport.close()
 
@@ -249,7 +253,6 @@
         """Begin to wait for the rest of a request."""
         self._arrived_at = self.state.clock.monotonic()
         self._continue_expected = head.expects_continue
-        self._head = head
         self._body_deadline = None
         self._stop_timer()
 
@@ -332,7 +335,7 @@
         if self._input_ended:
             return
         reader = self._reader
-        if reader.in_body:
+        if reader.head is not None:
             self._send_continue()
             self._read_at = self.state.clock.monotonic()
             if self._timer_reason is not Reason.BODY_TIMEOUT:
@@ -353,9 +356,8 @@
     def _find_body_deadline(self) -> float:
         """Return when the request being received must have its final response."""
         if self._body_deadline is None:
-            limit = (
-                None if self._head is None else self.state.find_time_limit(self._head)
-            )
+            head = self._reader.head
+            limit = None if head is None else self.state.find_time_limit(head)
             seconds = math.inf if limit is None else limit
             self._body_deadline = self._arrived_at + seconds
         return self._body_deadline
--- a/libs/serving/fireflyhitch_serving/messages.py
+++ b/libs/serving/fireflyhitch_serving/messages.py
@@ -162,6 +162,12 @@
     return b'%b\r\n\r\n' % b'\r\n'.join(lines)
 
 
+def render_response(status: int, headers: Headers, body: bytes) -> bytes:
+    """Return a complete response, with its ``Content-Length``."""
+    length = (b'Content-Length', b'%d' % len(body))
+    return render_head(status, [*headers, length]) + body
+
+
 def _reason(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode()
--- a/libs/serving/fireflyhitch_serving/refusals.py
+++ b/libs/serving/fireflyhitch_serving/refusals.py
@@ -4,7 +4,7 @@
 
 from fireflyhitch_model.ids import RequestId
 from fireflyhitch_serving.edge import Refusal, RenderedResponse
-from fireflyhitch_serving.messages import Headers, render_head
+from fireflyhitch_serving.messages import render_response
 from fireflyhitch_serving.request_reader import InvalidRequest
 
 
@@ -44,9 +44,5 @@
 
 def render_refusal(response: RenderedResponse) -> bytes:
     """Return the refusal of an invalid request, after which the connection closes."""
-    headers: Headers = [
-        *response.headers,
-        (b'Content-Length', b'%d' % len(response.body)),
-        (b'Connection', b'close'),
-    ]
-    return render_head(response.status, headers) + response.body
+    headers = [*response.headers, (b'Connection', b'close')]
+    return render_response(response.status, headers, response.body)
--- a/libs/serving/fireflyhitch_serving/request_reader.py
+++ b/libs/serving/fireflyhitch_serving/request_reader.py
@@ -79,9 +79,9 @@
         return self._head is None and self._head_reader.begun and not self._ended
 
     @property
-    def in_body(self) -> bool:
-        """Tell whether a head is complete and its body is not."""
-        return self._head is not None and not self._ended
+    def head(self) -> RequestHead | None:
+        """Return the head whose body is being read."""
+        return None if self._ended else self._head
 
     def feed(self, data: bytes) -> list[Event]:
         """Read received bytes; return what they complete, in order.
--- a/libs/serving/fireflyhitch_serving/store_view.py
+++ b/libs/serving/fireflyhitch_serving/store_view.py
@@ -197,8 +197,7 @@
         A daemon that hears neither from the store nor from a peer that does, as after a
         partition or a freeze, cannot know.
         """
-        reported = self._peers.find_newest_revision(self.prefix)
-        if self._progress.find_wanted(reported) > self._progress.complete:
+        if self._find_wanted() > self._progress.complete:
             return False
         return self._health.is_reachable() or self._peers.is_following()
 
--- a/libs/standins/fireflyhitch_standins/users_formats.py
+++ b/libs/standins/fireflyhitch_standins/users_formats.py
@@ -153,6 +153,17 @@
     return render_request(method.encode(), path.encode(), headers, body)
 
 
+def render_chunks(body: bytes, size: int, trailer: bytes = b'') -> bytes:
+    """Render a body in chunks.
+
+    :param size: bytes of a chunk.
+    :param trailer: trailer fields, each with its line end.
+    """
+    parts = (body[at : at + size] for at in range(0, len(body), size))
+    chunks = b''.join(b'%x\r\n%b\r\n' % (len(part), part) for part in parts)
+    return b'%b0\r\n%b\r\n' % (chunks, trailer)
+
+
 def render_signed_response(
     request_id: str,
     signature: str,
--- a/tests/users_platform/test_caller_input.py
+++ b/tests/users_platform/test_caller_input.py
@@ -10,6 +10,7 @@
 
 from fireflyhitch_serving.connections import connect
 from fireflyhitch_serving.messages import Header, Headers, render_request
+from fireflyhitch_standins.users_formats import render_chunks
 
 # The daemon's configuration allows bodies of this size.
 BODY = b'y' * 5000
@@ -18,13 +19,6 @@
 PAUSE_SECONDS = 0.1
 
 
-def render_chunks(body: bytes, size: int) -> bytes:
-    """Return a body in chunks of a size."""
-    parts = (body[at : at + size] for at in range(0, len(body), size))
-    chunks = b''.join(b'%x\r\n%b\r\n' % (len(part), part) for part in parts)
-    return b'%b0\r\n\r\n' % chunks
-
-
 def render_head(request_id: str, *more: Header) -> bytes:
     """Return the head of a request that the configuration allows."""
     headers: Headers = [
