Log decisions on retries with what the budget held

Lines could not tell whether a retry followed a failed attempt, nor on which numbers the budget rested, so a process that forgets and one that counts itself alone looked alike. Now each decision is one line.

No decision changes.

--- a/libs/serving/fireflyhitch_serving/attempt_policy.py
+++ b/libs/serving/fireflyhitch_serving/attempt_policy.py
@@ -15,6 +15,7 @@
     place_plain,
     place_prompt,
 )
+from fireflyhitch_serving.request_log import log_retry
 from fireflyhitch_serving.servers import ServerRecord
 
 # Before a repeatable request is retried elsewhere, a server that sends nothing gets a
@@ -220,7 +221,7 @@
         """Take a retry from the budget if another server is available."""
         if not self.filter_by_rate_limit(self.find_candidates(exchange)):
             return False
-        return self._deps.budget.take(exchange.service, self._clock.monotonic())
+        return self._take_retry(exchange)
 
     def may_retry(self, exchange: Exchange, failure: AttemptFailure) -> bool:
         """Tell whether to make another attempt, and take it from the retry budget."""
@@ -239,4 +240,12 @@
             return False
         if failure.ending is Ending.UNREACHED:
             return True
-        return self._deps.budget.take(exchange.service, now)
+        return self._take_retry(exchange)
+
+    def _take_retry(self, exchange: Exchange) -> bool:
+        now = self._clock.monotonic()
+        budget = self._deps.budget
+        use = budget.find_use(exchange.service, now)
+        taken = budget.take(exchange.service, now)
+        log_retry(exchange, use, taken=taken)
+        return taken
--- a/libs/serving/fireflyhitch_serving/request_log.py
+++ b/libs/serving/fireflyhitch_serving/request_log.py
@@ -4,6 +4,7 @@
 
 from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
 from fireflyhitch_serving.placement import Placement
+from fireflyhitch_serving.retry_budget import BudgetUse
 
 
 def log_failure(
@@ -23,6 +24,23 @@
     ).warning('attempt failed')
 
 
+def log_retry(exchange: Exchange, use: BudgetUse, *, taken: bool) -> None:
+    """Log whether the retry budget allows another attempt.
+
+    :param use: before the retry was taken.
+    """
+    logger.bind(
+        request_id=exchange.info.request_id,
+        route=exchange.route.name,
+        service=exchange.service,
+        sends=exchange.sends,
+        requests=use.requests,
+        retries=use.retries,
+        limit=round(use.limit, 1),
+        daemons=use.daemons,
+    ).info('retry' if taken else 'retry budget used up')
+
+
 def log_success(exchange: Exchange, placement: Placement, now: float) -> None:
     """Log a complete response."""
     arrived = exchange.request.arrived
--- a/libs/serving/fireflyhitch_serving/retry_budget.py
+++ b/libs/serving/fireflyhitch_serving/retry_budget.py
@@ -31,6 +31,22 @@
     window: float = 10.0
 
 
+@immutable
+class BudgetUse:
+    """What one daemon has used of a service's budget in the current window.
+
+    :param requests: callers' requests.
+    :param retries: retries taken.
+    :param limit: retries that it may take.
+    :param daemons: daemons among which the constant is divided.
+    """
+
+    requests: int
+    retries: int
+    limit: float
+    daemons: int
+
+
 @dataclass(slots=True)
 class _Counts:
     requests: deque[float] = field(default_factory=deque)
@@ -54,14 +70,24 @@
 
     def take(self, service: DeploymentId, now: float) -> bool:
         """Take a retry from the budget if one is left."""
+        use = self.find_use(service, now)
+        if use.retries + 1 > use.limit:
+            return False
+        self._find(service).retries.append(now)
+        return True
+
+    def find_use(self, service: DeploymentId, now: float) -> BudgetUse:
+        """Return what is used of a service's budget."""
         counts = self._find(service)
         self._drop_expired(counts, now)
         bounds = self.bounds
         limit = bounds.ratio * len(counts.requests) + bounds.slack / self.daemons
-        if len(counts.retries) + 1 > limit * USED_FRACTION:
-            return False
-        counts.retries.append(now)
-        return True
+        return BudgetUse(
+            len(counts.requests),
+            len(counts.retries),
+            limit * USED_FRACTION,
+            self.daemons,
+        )
 
     def _find(self, service: DeploymentId) -> _Counts:
         return self._services.setdefault(service, _Counts())
