--- a/libs/bench/fireflyhitch_bench/soak_servers.py
+++ b/libs/bench/fireflyhitch_bench/soak_servers.py
@@ -21,6 +21,7 @@
     """What all servers ran.
 
     :param by_request: times that each request ran.
+    :param retried_at: loop times at which a request ran that had run before.
     :param wrong_server: requests that named another server.
     :param wrong_body: requests whose body was not as their caller sent it.
     :param without_customer: requests that bore no customer, or the caller's key.
@@ -28,6 +29,7 @@
     """
 
     by_request: Counter[str] = field(default_factory=Counter)
+    retried_at: list[float] = field(default_factory=list)
     wrong_server: list[str] = field(default_factory=list)
     wrong_body: list[str] = field(default_factory=list)
     without_customer: list[str] = field(default_factory=list)
@@ -44,6 +46,8 @@
         """
         self.name = name
         self.loses_answers = False
+        # Only health checks are answered.
+        self.breaks_off = False
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self._runs = runs
@@ -85,9 +89,11 @@
             self._runs.without_customer.append(request_id)
         if request.head.startswith('POST ') and request.body != make_body(request_id):
             self._runs.wrong_body.append(request_id)
+        if request_id in self._runs.by_request:
+            self._runs.retried_at.append(self.arrivals[-1])
         self._runs.by_request[request_id] += 1
         await asyncio.sleep(WORK_SECONDS)
-        if self.loses_answers:
+        if self.loses_answers or self.breaks_off:
             writer.transport.abort()
             return
         signed = render_signed_response(
--- a/libs/serving/tests/test_forwarding.py
+++ b/libs/serving/tests/test_forwarding.py
@@ -20,6 +20,7 @@
 from scripted_servers import close_connection, respond, stay_silent, stream
 
 from fireflyhitch_model.ids import RegionId
+from fireflyhitch_serving.attempt_policy import MAX_EXTRA_SENDS
 from fireflyhitch_serving.catalog import Customer, Quota
 from fireflyhitch_serving.edge import BadRequestError
 from fireflyhitch_serving.forwarded_requests import (
@@ -151,6 +152,43 @@
 
         run_with_peer(script)
 
+    # KNOWN-RED.txt: nothing is known of what a peer has sent.
+    @pytest.mark.xfail(strict=False, raises=AssertionError)
+    def test_a_further_peer_takes_a_retry_if_servers_have_turned_the_request_away(
+        self,
+    ) -> None:
+        async def script(harness: RequestHarness, peer: RequestHarness) -> None:
+            async with RequestHarness() as other:
+                servers = [
+                    await daemon.add('full', respond(503, not_run=True))
+                    for daemon in (peer, other)
+                ]
+                harness.peers['other'] = other.peer_address
+                for daemon in (harness, peer, other):
+                    daemon.budget.bounds = replace(daemon.budget.bounds, slack=0)
+                response = await harness.ask('/book/1', 'POST')
+                assert response.status == 503
+                assert sum(len(server.seen) for server in servers) == 1
+
+        run_with_peer(script)
+
+    # KNOWN-RED.txt: nothing is known of what a peer has sent.
+    @pytest.mark.xfail(strict=False, raises=AssertionError)
+    def test_sends_of_peers_count_towards_the_limit_of_a_request(self) -> None:
+        async def script(harness: RequestHarness, peer: RequestHarness) -> None:
+            async with RequestHarness() as other:
+                servers = [
+                    await daemon.add(f'full-{number}', respond(503, not_run=True))
+                    for daemon in (peer, other)
+                    for number in range(4)
+                ]
+                harness.peers['other'] = other.peer_address
+                await harness.ask('/book/1', 'POST')
+                sends = sum(len(server.seen) for server in servers)
+                assert sends <= BOOK.attempts + MAX_EXTRA_SENDS + 1
+
+        run_with_peer(script)
+
     def test_a_request_goes_to_a_server_if_the_link_is_back_and_no_peer_took_it(
         self,
     ) -> None:
