Name the parts of a prompt in the line of a failed attempt

A part that crashes servers and servers that crash by themselves looked alike: no line named the parts that requests share, nor whether a response had begun when it was broken off. No decision changes.

--- a/libs/serving/fireflyhitch_serving/request_log.py
+++ b/libs/serving/fireflyhitch_serving/request_log.py
@@ -6,6 +6,9 @@
 from fireflyhitch_serving.placement import Placement
 from fireflyhitch_serving.retry_budget import BudgetUse
 
+# Parts of a prompt in one line.
+MAX_LOGGED_PARTS = 8
+
 
 def log_failure(
     exchange: Exchange, placement: Placement, failure: AttemptFailure, now: float
@@ -15,6 +18,8 @@
         request_id=exchange.info.request_id,
         route=exchange.route.name,
         content=exchange.content,
+        parts=[part.part_id for part in exchange.info.parts[:MAX_LOGGED_PARTS]],
+        begun=exchange.first_event_at is not None,
         server=placement.record.server.server_id,
         beside=placement.record.requests,
         seconds=round(now - exchange.attempt_started, 3),
