Hold back requests by the part of their prompts that crashes servers

Crashes were recorded by whole content, and no two of these requests are alike.

Now a crash is also recorded under the parts of the prompts of requests whose response had not begun, but the last part, which is the request's own. A part is held once three servers have crashed under three requests with it, or five under two, unless a response to a prompt with it has gone on for 0.3 s within the last minute, or later parts explain the crashes. Crashes that a held part explains count for nothing else. Parts go through the same records, messages, holds and store keys as contents, so that all daemons hold them. A request that waits is looked at again before it is sent.

--- a/libs/model/fireflyhitch_model/identity.py
+++ b/libs/model/fireflyhitch_model/identity.py
@@ -1,9 +1,19 @@
 """Ids of request contents and of server processes."""
 
+from collections.abc import Iterable
+
 import xxhash
 
 from fireflyhitch_model.hashing import hash_text
-from fireflyhitch_model.ids import BackendServerId, ContentId, CustomerId, ProcessId
+from fireflyhitch_model.ids import (
+    BackendServerId,
+    ContentId,
+    CustomerId,
+    DeploymentId,
+    ProcessId,
+)
+
+PART_PREFIX = 'part-'
 
 
 def identify_content(
@@ -22,6 +32,23 @@
     return ContentId(digest.hexdigest())
 
 
+def identify_parts(
+    service: DeploymentId, part_ids: Iterable[str]
+) -> tuple[ContentId, ...]:
+    """Return ids of the parts of a prompt, in order."""
+    return tuple(
+        ContentId(f'{PART_PREFIX}{position}-{hash_text(f"{service}/{part_id}"):016x}')
+        for position, part_id in enumerate(part_ids)
+    )
+
+
+def find_part_position(content: ContentId) -> int | None:
+    """Return a part's position in prompts; ``None`` for the id of a whole request."""
+    if not content.startswith(PART_PREFIX):
+        return None
+    return int(content.removeprefix(PART_PREFIX).partition('-')[0])
+
+
 def identify_process(server: BackendServerId, start_time: int) -> ProcessId:
     """Return the id of a backend server's process.
 
--- a/libs/model/fireflyhitch_model/ids.py
+++ b/libs/model/fireflyhitch_model/ids.py
@@ -3,7 +3,8 @@
 from typing import NewType
 
 RequestId = NewType('RequestId', str)
-# Shared by all requests with the same content, whatever their request ids.
+# Shared by all requests with the same content, whatever their request ids, or by all
+# whose prompts have a certain part.
 ContentId = NewType('ContentId', str)
 CustomerId = NewType('CustomerId', str)
 DeploymentId = NewType('DeploymentId', str)
--- a/libs/routing/fireflyhitch_routing/quarantine.py
+++ b/libs/routing/fireflyhitch_routing/quarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests that crash the servers that run them.
+"""Quarantine of requests, and of parts of prompts, that crash the servers that run them.
 
 A crash also makes all other requests on the server fail, and the caller retries the
 request that caused it. A request is held back from all servers once three servers have
@@ -11,6 +11,8 @@
 - Crashes during a request that is already held do not count against other requests.
 - If the same servers crashed during two requests, neither is held until the crashes
   differ or there are ``CERTAIN_CRASHES`` of them.
+
+What holds for parts of prompts is in ``crashing_parts``.
 """
 
 from collections.abc import Iterable, Mapping
@@ -18,6 +20,7 @@
 
 from loguru import logger
 
+from fireflyhitch_model.identity import find_part_position
 from fireflyhitch_model.ids import ContentId, ProcessId
 from fireflyhitch_routing.crashes import (
     CrashTracker,
@@ -25,6 +28,7 @@
     Suspect,
     count_rounds,
 )
+from fireflyhitch_routing.crashing_parts import find_part_crashes
 
 # Crashes after which a request is held.
 CRASHES_TO_HOLD = 3
@@ -39,10 +43,10 @@
 
 @dataclass(slots=True)
 class Hold:
-    """A request that is held back from all servers.
+    """A request, or a part of prompts, that is held back from all servers.
 
     :param until: monotonic seconds at which the hold expires.
-    :param processes: the server processes that crashed during the request.
+    :param processes: the server processes that crashed under it.
     """
 
     until: float
@@ -65,6 +69,15 @@
             return None
         return hold.until - now
 
+    def find_longest_hold(
+        self, contents: Iterable[ContentId], now: float
+    ) -> float | None:
+        """Return the seconds until none of some contents is held; ``None`` if none is."""
+        if not self._held:
+            return None
+        holds = (self.find_remaining_hold(content, now) for content in contents)
+        return max((hold for hold in holds if hold is not None), default=None)
+
     def held(self) -> Mapping[ContentId, Hold]:
         """Return the current holds by request content."""
         return self._held
@@ -91,20 +104,35 @@
                 self._evaluate(content, now)
 
     def _evaluate(self, content: ContentId, now: float) -> None:
+        crashes = self._find_crashes(content)
+        if not crashes:
+            return
+        until = max(crash.at for crash in crashes.values()) + HOLD_SECONDS
+        if until > now and len(self._held) < MAX_HELD:
+            self._hold(content, Hold(until, frozenset(crashes)), 'seen')
+
+    def _find_crashes(self, content: ContentId) -> Mapping[ProcessId, ServerCrash]:
+        """Return the crashes for which something is to be held; none if it is not."""
+        if find_part_position(content) is None:
+            return self._find_request_crashes(content)
+        held = {known: hold.processes for known, hold in self._held.items()}
+        return find_part_crashes(content, self._tracker, held)
+
+    def _find_request_crashes(
+        self, content: ContentId
+    ) -> Mapping[ProcessId, ServerCrash]:
         suspect = self._tracker.find(content)
         if suspect is None:
-            return
+            return {}
         crashes = self._find_unattributed(suspect)
         if (
             len(crashes) < CRASHES_TO_HOLD
             or count_rounds(crashes.values()) < ROUNDS_TO_HOLD
         ):
-            return
+            return {}
         if len(crashes) < CERTAIN_CRASHES and self._has_alternative(content, crashes):
-            return
-        until = max(crash.at for crash in crashes.values()) + HOLD_SECONDS
-        if until > now and len(self._held) < MAX_HELD:
-            self._hold(content, Hold(until, frozenset(crashes)), 'seen')
+            return {}
+        return crashes
 
     def _find_unattributed(self, suspect: Suspect) -> dict[ProcessId, ServerCrash]:
         held = (hold.processes for hold in self._held.values())
@@ -123,7 +151,9 @@
         return any(
             wanted <= alternative.find_attributable_crashes().keys()
             for other, alternative in self._tracker.all().items()
-            if other != content and other not in self._held
+            if other != content
+            and other not in self._held
+            and find_part_position(other) is None
         )
 
     def _hold(self, content: ContentId, hold: Hold, how: str) -> None:
--- a/libs/serving/fireflyhitch_serving/admission.py
+++ b/libs/serving/fireflyhitch_serving/admission.py
@@ -5,12 +5,16 @@
 
 from loguru import logger
 
-from fireflyhitch_model.ids import ContentId, DeploymentId
+from fireflyhitch_model.ids import DeploymentId
 from fireflyhitch_serving.callers import Reply
 from fireflyhitch_serving.catalog import Catalog, Customer, Route
 from fireflyhitch_serving.dependencies import RequestDependencies
 from fireflyhitch_serving.edge import Refusal
-from fireflyhitch_serving.exchanges import Exchange, find_content
+from fireflyhitch_serving.exchanges import (
+    Exchange,
+    find_content,
+    find_shared_parts,
+)
 from fireflyhitch_serving.forwarded_requests import decode_forwarded, remove_header
 from fireflyhitch_serving.messages import CallerRequest, RequestInfo
 
@@ -54,8 +58,6 @@
                 Refusal(HTTPStatus.NOT_FOUND, 'no_route', 'no such route')
             )
         customer = self._find_customer(catalog, route, info)
-        content = find_content(request, customer)
-        self._check_quarantine(content, info)
         self._check_shutdown(route, info)
         service = self._pick_service(route)
         self._deps.budget.record_request(service, self._clock.monotonic())
@@ -68,8 +70,10 @@
             customer,
             reply,
             request.arrived + time_limit,
-            content,
+            find_content(request, customer),
+            find_shared_parts(service, info),
         )
+        self.check_quarantine(exchange)
         exchange.events.last_id = info.last_event
         self._charge(exchange)
         return exchange
@@ -85,8 +89,6 @@
         forwarded = decode_forwarded(request)
         route = forwarded.route
         caller_request = remove_header(request)
-        content = find_content(caller_request, forwarded.customer)
-        self._check_quarantine(content, info)
         self._check_shutdown(route, info)
         exchange = Exchange(
             caller_request,
@@ -96,26 +98,35 @@
             forwarded.customer,
             reply,
             request.arrived + find_time_limit(route, info),
-            content,
+            find_content(caller_request, forwarded.customer),
+            find_shared_parts(forwarded.service, info),
             forwarded_by=forwarded.sender,
             usage_counted=forwarded.usage_counted,
             sends=forwarded.sends,
             forwarded_sends=forwarded.sends,
             retries_taken=forwarded.sends,
         )
+        self.check_quarantine(exchange)
         exchange.events.last_id = info.last_event
         return exchange
 
-    def _check_quarantine(self, content: ContentId, info: RequestInfo) -> None:
-        """Refuse a request that probably crashes the server it is sent to."""
+    def check_quarantine(self, exchange: Exchange) -> None:
+        """Refuse a request that probably crashes the server it is sent to.
+
+        :raises RefusedError: if it, or a part of its prompt, is held.
+        """
+        quarantine = self._deps.crashes.quarantine
         now = self._clock.monotonic()
-        wait = self._deps.crashes.quarantine.find_remaining_hold(content, now)
+        wait = quarantine.find_longest_hold(exchange.suspects, now)
         if wait is None:
             return
         logger.bind(
-            request_id=info.request_id, content=content, seconds=round(wait)
+            request_id=exchange.info.request_id,
+            content=exchange.content,
+            parts=exchange.parts,
+            seconds=round(wait),
         ).info('request is held')
-        message = 'servers have ended under this request; it is held back'
+        message = 'servers have ended under such requests; it is held back'
         raise build_refusal(wait, 'held', message)
 
     def _check_shutdown(self, route: Route, info: RequestInfo) -> None:
--- a/libs/serving/fireflyhitch_serving/attempt_policy.py
+++ b/libs/serving/fireflyhitch_serving/attempt_policy.py
@@ -218,6 +218,8 @@
 
     def reserve_retry(self, exchange: Exchange) -> bool:
         """Take a retry from the budget if another server is available."""
+        if self._is_held(exchange):
+            return False
         if not self.filter_by_rate_limit(self.find_candidates(exchange)):
             return False
         return self._take_retry(exchange)
@@ -239,11 +241,15 @@
         """
         if exchange.sends > exchange.route.attempts + MAX_EXTRA_SENDS:
             return False
-        now = self._clock.monotonic()
-        if self._deps.crashes.quarantine.find_remaining_hold(exchange.content, now):
+        if self._is_held(exchange):
             return False
         return not exchange.needs_retry or self._take_retry(exchange)
 
+    def _is_held(self, exchange: Exchange) -> bool:
+        quarantine = self._deps.crashes.quarantine
+        now = self._clock.monotonic()
+        return quarantine.find_longest_hold(exchange.suspects, now) is not None
+
     def _take_retry(self, exchange: Exchange) -> bool:
         now = self._clock.monotonic()
         budget = self._deps.budget
--- a/libs/serving/fireflyhitch_serving/attempt_runner.py
+++ b/libs/serving/fireflyhitch_serving/attempt_runner.py
@@ -25,6 +25,9 @@
 
 # No server can respond in less than this, so no attempt starts with less time left.
 MIN_SEND_SECONDS = 0.03
+# After its first event, a response that goes on for this long shows that the request does
+# not crash servers which begin to respond to it.
+HARMLESS_SECONDS = 0.3
 # Endings that also a partition of this daemon from its servers may cause.
 NO_RESPONSE = frozenset((Ending.UNREACHED, Ending.BROKEN))
 # What a leaving server's announcement says; it is never withdrawn.
@@ -168,23 +171,38 @@
         """Check for a crash after a broken response; record a complete response."""
         crashes = self._deps.crashes
         if ending is Ending.BROKEN:
-            crashes.detector.record_broken_response(
-                record, exchange.content, exchange.attempt_started
-            )
+            # A part that crashes servers does so before the first event.
+            begun = exchange.first_event_at is not None
+            suspects = (exchange.content,) if begun else exchange.suspects
+            for suspect in suspects:
+                crashes.detector.record_broken_response(
+                    record, suspect, exchange.attempt_started
+                )
         elif ending is Ending.GOOD:
-            crashes.tracker.record_response(exchange.content, self._clock.monotonic())
+            for harmless in exchange.suspects:
+                crashes.tracker.record_response(harmless, self._clock.monotonic())
 
     def _on_progress(self, exchange: Exchange, placement: Placement) -> None:
         _release_prompt_tokens(exchange, placement.record)
         if exchange.first_event_at is None:
             exchange.first_event_at = self._clock.monotonic()
             self._record_first_event(exchange, placement)
+        elif not exchange.is_harmless:
+            self._check_harmless(exchange, exchange.first_event_at)
         if exchange.usage_counted:
             return
         exchange.usage_counted = True
         if exchange.customer is not None:
             self._deps.usage.count(exchange.customer.name, self._deps.wall())
 
+    def _check_harmless(self, exchange: Exchange, first_event_at: float) -> None:
+        now = self._clock.monotonic()
+        if now - first_event_at < HARMLESS_SECONDS:
+            return
+        exchange.is_harmless = True
+        for part in exchange.parts:
+            self._deps.crashes.tracker.record_response(part, now)
+
     def _record_first_event(self, exchange: Exchange, placement: Placement) -> None:
         if exchange.first_event_at is None:
             return
--- a/libs/serving/fireflyhitch_serving/exchanges.py
+++ b/libs/serving/fireflyhitch_serving/exchanges.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from fireflyhitch_model.identity import identify_content
+from fireflyhitch_model.identity import identify_content, identify_parts
 from fireflyhitch_model.ids import BackendServerId, ContentId, DeploymentId, RegionId
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Outcome
@@ -20,6 +20,9 @@
 
     :param deadline: monotonic seconds by which the caller gets a final response.
     :param content: id of the request's content; equal for repeats of a request.
+    :param parts: ids of the parts of its prompt that other requests may share: all but
+        the last.
+    :param is_harmless: whether a response to it has gone on for a while.
     :param charged_units: units taken from the customer's quota.
     :param forwarded_by: the daemon that admitted it; ``None`` if this one did.
     :param tried_servers: servers of all attempts, unreachable ones included.
@@ -45,6 +48,8 @@
     reply: Reply
     deadline: float
     content: ContentId
+    parts: tuple[ContentId, ...] = ()
+    is_harmless: bool = False
     charged_units: float = 0
     forwarded_by: str | None = None
     tried_servers: set[BackendServerId] = field(default_factory=set)
@@ -74,6 +79,11 @@
         self.sends += sends
         self.retries_taken += max(sends - 1, 0)
 
+    @property
+    def suspects(self) -> tuple[ContentId, ...]:
+        """Return all that may be the cause if its server crashes."""
+        return self.content, *self.parts
+
     def find_home_regions(self) -> frozenset[RegionId] | None:
         """Return the regions whose servers may get it, ``None`` for all.
 
@@ -103,6 +113,13 @@
     )
 
 
+def find_shared_parts(
+    service: DeploymentId, info: RequestInfo
+) -> tuple[ContentId, ...]:
+    """Return ids of the parts of a prompt that other requests may share."""
+    return identify_parts(service, (part.part_id for part in info.parts[:-1]))
+
+
 @immutable
 class AttemptFailure:
     """An attempt without a response that the caller can use.
--- a/libs/serving/fireflyhitch_serving/request_handler.py
+++ b/libs/serving/fireflyhitch_serving/request_handler.py
@@ -186,6 +186,7 @@
 
     async def _wait_for_target(self, exchange: Exchange) -> Placement | Peer:
         while True:
+            self._check_quarantine(exchange)
             if self._deps.reachability.lost:
                 return self._find_peer(exchange)
             candidates = self._policy.find_candidates(exchange)
@@ -199,6 +200,18 @@
                 self._check_rate_limits(exchange, candidates)
             await self._waiting.wait(exchange)
 
+    def _check_quarantine(self, exchange: Exchange) -> None:
+        """Refuse a request that has come to be held while it waited.
+
+        :raises RefusedError: if it is held.
+        """
+        try:
+            self._admission.check_quarantine(exchange)
+        except RefusedError as error:
+            if exchange.runs:
+                raise self._make_no_server_error(exchange) from error
+            raise
+
     def _find_peer(self, exchange: Exchange) -> Peer:
         """Return a peer that reaches servers, as this daemon does not.
 
--- a/tests/users_platform/test_crashing_parts.py
+++ b/tests/users_platform/test_crashing_parts.py
@@ -55,8 +55,6 @@
 
 
 class TestPartsThatCrashServers:
-    # KNOWN-RED.txt: crashes are recorded by whole contents.
-    @pytest.mark.xfail(strict=False, raises=AssertionError)
     @pytest.mark.parametrize(
         ('bad', 'names'),
         [
@@ -76,7 +74,7 @@
 
         run_parts(tmp_path, script, *names)
 
-    # KNOWN-RED.txt: crashes are recorded by whole contents.
+    # KNOWN-RED.txt: records below the hold end with the processes.
     @pytest.mark.xfail(strict=False, raises=AssertionError)
     def test_they_are_held_also_if_all_daemons_are_killed_again_and_again(
         self, tmp_path
