--- a/libs/serving/tests/test_crashing_requests.py
+++ b/libs/serving/tests/test_crashing_requests.py
@@ -7,10 +7,12 @@
 from daemons_scene import Daemons
 from virtual_time import run_virtual
 
-from fireflyhitch_model.ids import ContentId
+from fireflyhitch_model.identity import identify_parts
+from fireflyhitch_model.ids import ContentId, DeploymentId
 
 CRASHING = ContentId('crashing')
 HARMLESS = ContentId('harmless')
+SHARED_PART, CRASHING_PART = identify_parts(DeploymentId('engines'), ('all', 'bad'))
 # The platform's bounds, for small and large clusters, on the time until all daemons
 # that can communicate hold back a crashing request.
 BOUND_SECONDS = 3.0
@@ -62,6 +64,15 @@
         await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
 
+async def crash_under_part(cluster: Daemons) -> None:
+    """Have three servers crash under requests that share the parts of their prompts."""
+    names = list(cluster.daemons)
+    for number, name in enumerate((names[0], names[-2], names[1])):
+        for content in (ContentId(f'request-{number}'), SHARED_PART, CRASHING_PART):
+            cluster.daemons[name].record_crash(content, number)
+        await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+
+
 def find_not_holding(cluster: Daemons, content: ContentId) -> list[str]:
     """Return the daemons that do not hold back a request."""
     return [
@@ -101,6 +112,25 @@
     ) -> None:
         assert not run_fault(SIZES[2], lose_messages, seed)
 
+    @pytest.mark.parametrize('counts', [*SIZES, LARGE])
+    @pytest.mark.parametrize('fault', [inject_no_fault, lose_messages, kill_hub])
+    def test_all_daemons_hold_a_part_in_time_and_none_that_one_of_them_has_answered(
+        self, counts: dict[str, int], fault: Fault
+    ) -> None:
+        async def script() -> None:
+            cluster = Daemons(1, **counts)
+            await cluster.start_all()
+            await fault(cluster)
+            now = asyncio.get_running_loop().time()
+            responder = list(cluster.daemons.values())[-1]
+            responder.crashes.tracker.record_response(SHARED_PART, now)
+            await crash_under_part(cluster)
+            await asyncio.sleep(find_bound(cluster) - RETRY_INTERVAL_SECONDS)
+            assert not find_not_holding(cluster, CRASHING_PART)
+            assert len(find_not_holding(cluster, SHARED_PART)) == len(cluster.daemons)
+
+        run_virtual(script())
+
     def test_hold_survives_restart_of_all_daemons(self) -> None:
         # Only the store has the records then.
         async def script() -> None:
