Let a daemon without a predecessor use its share of the retry budget at once

A registration stays in the store for some seconds after its daemon's end. A process that finds none at its start has no predecessor that may have used the share within the window, so it uses it at once. One that finds its own name waits, as before. An instance that was off for so long that it was removed may use its share twice within one window; the quarter of the budget that daemons leave unused covers that for some of them.

--- a/libs/serving/fireflyhitch_serving/registrations.py
+++ b/libs/serving/fireflyhitch_serving/registrations.py
@@ -87,6 +87,7 @@
         self._started = clock.monotonic()
         self._listed_since: float | None = None
         self._is_loaded = False
+        self._had_predecessor = True
         self._stored: StoredValue = StoredValue()
 
     @property
@@ -94,6 +95,13 @@
         """Return whether the listing contains this daemon."""
         return self._listed_since is not None
 
+    def had_predecessor(self) -> bool:
+        """Return whether another process may have run on this instance lately.
+
+        Its registration stays for some seconds after its end.
+        """
+        return self._had_predecessor
+
     def has_discovered_peers(self) -> bool:
         """Return whether this daemon has had time to receive the others' states."""
         now = self._clock.monotonic()
@@ -104,6 +112,8 @@
 
     def mark_listed(self) -> None:
         """Record that all registrations were read."""
+        if not self._is_loaded and self._stored.value is None:
+            self._had_predecessor = False
         self._is_loaded = True
 
     def apply(self, daemon: str, value: bytes | None, revision: Revision) -> None:
--- a/libs/serving/fireflyhitch_serving/retry_budget.py
+++ b/libs/serving/fireflyhitch_serving/retry_budget.py
@@ -6,11 +6,13 @@
 share of the constant, so the sum holds without communication.
 
 It also holds when daemons are killed: a process cannot know what the one before it has
-used, so it takes that daemon's share of the constant as used up for a whole window. The
+used, so it takes that daemon's share of the constant as used up for a whole window,
+unless there was none before it. The
 fraction of requests needs no such care, as a process counts only requests of its own.
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fireflyhitch_model.ids import DeploymentId
@@ -59,16 +61,29 @@
     retries: deque[float] = field(default_factory=deque)
 
 
+def _assume_predecessor() -> bool:
+    """Return that another process may have used this daemon's share."""
+    return True
+
+
 class RetryBudget:
     """The retry budgets of one daemon, by service."""
 
-    def __init__(self, bounds: RetryBounds, started: float) -> None:
+    def __init__(
+        self,
+        bounds: RetryBounds,
+        started: float,
+        had_predecessor: Callable[[], bool] = _assume_predecessor,
+    ) -> None:
         """Create a budget from which this process has taken no retry.
 
         :param started: monotonic seconds at which this process started.
+        :param had_predecessor: returns whether another process may have run on this
+            instance lately.
         """
         self.bounds = bounds
         self._started = started
+        self._had_predecessor = had_predecessor
         self._services: dict[DeploymentId, _Counts] = {}
         self._daemons = 1
         # By number of daemons: when it was last counted, in monotonic seconds.
@@ -111,7 +126,7 @@
 
     def _find_share(self, now: float) -> float:
         """Return this daemon's share of the constant."""
-        if now - self._started < self.bounds.window:
+        if now - self._started < self.bounds.window and self._had_predecessor():
             return 0
         return self.bounds.slack / self._count_sharing()
 
