--- a/libs/serving/tests/test_state.py
+++ b/libs/serving/tests/test_state.py
@@ -94,8 +94,8 @@
 
     def test_a_process_without_a_predecessor_uses_its_share_at_once(self) -> None:
         bounds = RetryBounds(ratio=0, slack=4)
-        assert RetryBudget(bounds, 0, lambda: False).take(SERVICE, 0)
-        assert not RetryBudget(bounds, 0, lambda: True).take(SERVICE, 0)
+        assert RetryBudget(bounds, 0, bool).take(SERVICE, 0)
+        assert not RetryBudget(bounds, 0).take(SERVICE, 0)
 
     def test_shares_do_not_grow_while_some_daemons_do_not_see_the_others(self) -> None:
         # A leader that hears nothing from three of seven daemons removes them.
