--- a/libs/routing/fireflyhitch_routing/crashes.py
+++ b/libs/routing/fireflyhitch_routing/crashes.py
@@ -189,12 +189,7 @@
                 now, include_received=include_received
             )
         ]
-        due.sort(
-            key=lambda row: (-len(row[1].crashes), -row[1].broadcast.changed_at, row[0])
-        )
-        return {
-            content: suspect.make_report(now) for content, suspect in due[:MAX_REPORTS]
-        }
+        return _make_reports(due, now)
 
     def build_evidence(self, now: float) -> dict[ContentId, CrashReport]:
         """Return reports on all that may yet be held, the most crashes first.
@@ -207,13 +202,7 @@
             for content, suspect in self._suspects.items()
             if suspect.find_attributable_crashes()
         ]
-        suspects.sort(
-            key=lambda row: (-len(row[1].crashes), -row[1].broadcast.changed_at)
-        )
-        return {
-            content: suspect.make_report(now)
-            for content, suspect in suspects[:MAX_REPORTS]
-        }
+        return _make_reports(suspects, now)
 
     def _merge_report(
         self, content: ContentId, report: CrashReport, now: float
@@ -255,6 +244,18 @@
             self._crash_counts[content] = len(suspect.crashes)
 
 
+def _make_reports(
+    suspects: list[tuple[ContentId, Suspect]], now: float
+) -> dict[ContentId, CrashReport]:
+    """Return reports on those with the most crashes, and of these the newest."""
+    suspects.sort(
+        key=lambda row: (-len(row[1].crashes), -row[1].broadcast.changed_at, row[0])
+    )
+    return {
+        content: suspect.make_report(now) for content, suspect in suspects[:MAX_REPORTS]
+    }
+
+
 def count_rounds(crashes: Iterable[ServerCrash]) -> int:
     """Return the number of successive runs of a request in which servers crashed.
 
--- a/libs/routing/fireflyhitch_routing/crashing_parts.py
+++ b/libs/routing/fireflyhitch_routing/crashing_parts.py
@@ -42,11 +42,17 @@
 
     :param held: server processes that crashed under what is held already.
     """
-    crashes = _find_unexplained(part, tracker, held)
+    explained = {
+        process
+        for other, processes in held.items()
+        if find_part_position(other) is not None
+        for process in processes
+    }
+    crashes = _find_unexplained(part, tracker, explained)
     if not _suffices(crashes, tracker):
         return {}
     rivals = {
-        other: _find_unexplained(other, tracker, held).keys() & crashes.keys()
+        other: _find_unexplained(other, tracker, explained).keys() & crashes.keys()
         for other in tracker.all()
         if other != part and other not in held and find_part_position(other) is not None
     }
@@ -60,18 +66,12 @@
 def _find_unexplained(
     part: ContentId,
     tracker: CrashTracker,
-    held: Mapping[ContentId, Iterable[ProcessId]],
+    explained: Collection[ProcessId],
 ) -> dict[ProcessId, ServerCrash]:
-    """Return a part's crashes that no held part explains."""
+    """Return a part's crashes but those that held parts explain."""
     suspect = tracker.find(part)
     if suspect is None:
         return {}
-    explained = {
-        process
-        for other, processes in held.items()
-        if find_part_position(other) is not None
-        for process in processes
-    }
     return {
         process: crash
         for process, crash in suspect.find_attributable_crashes().items()
--- a/libs/serving/fireflyhitch_serving/retry_budget.py
+++ b/libs/serving/fireflyhitch_serving/retry_budget.py
@@ -7,8 +7,8 @@
 
 It also holds when daemons are killed: a process cannot know what the one before it has
 used, so it takes that daemon's share of the constant as used up for a whole window,
-unless there was none before it. The
-fraction of requests needs no such care, as a process counts only requests of its own.
+unless there was none before it. The fraction of requests needs no such care, as a process
+counts only requests of its own.
 """
 
 from collections import deque
@@ -85,13 +85,11 @@
         self._started = started
         self._had_predecessor = had_predecessor
         self._services: dict[DeploymentId, _Counts] = {}
-        self._daemons = 1
         # By number of daemons: when it was last counted, in monotonic seconds.
         self._counted_at: dict[int, float] = {}
 
     def update_daemons(self, daemons: int, now: float) -> None:
         """Set the number of daemons that share the constant, this one included."""
-        self._daemons = daemons
         self._counted_at[daemons] = now
         since = now - KEPT_SHARE_SECONDS
         self._counted_at = {
@@ -132,7 +130,7 @@
 
     def _count_sharing(self) -> int:
         """Return how many daemons may use a share."""
-        return max((self._daemons, *self._counted_at))
+        return max(self._counted_at, default=1)
 
     def _find(self, service: DeploymentId) -> _Counts:
         return self._services.setdefault(service, _Counts())
