Review: case 3, a booking that has run is run again through a peer

Cause: a daemon cut off from the replicas takes a peer's unsigned 500, which is a replica's that ran the request, for 'not run' and sends it to another peer.

--- a/review/common/world.py
+++ b/review/common/world.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -122,6 +123,24 @@
         self._server = server
         self.address = f'{HOST}:{server.sockets[0].getsockname()[1]}'
 
+    async def start_view(self, seen_as):
+        """Serve the store to one machine, which sees replicas at other addresses.
+
+        The replicas' entries are the same but for their address, which is that of the
+        proxy on the link between this machine and the replica.
+
+        :param seen_as: by a replica's own address, the proxy's.
+        :returns: the address at which this machine finds the store.
+        """
+
+        async def answer(message):
+            return await self._answer(message, seen_as)
+
+        server = await asyncio.start_server(
+            lambda r, w: _serve_http(answer, r, w), HOST, 0
+        )
+        return f'{HOST}:{server.sockets[0].getsockname()[1]}'
+
     def write(self, key, value, lease=0):
         """Write as the operator or a replica does; ``value`` is bytes or JSON."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
@@ -156,7 +175,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _answer(self, message):
+    async def _answer(self, message, seen_as=None):
         await asyncio.sleep(0.004)
         method, target, _ = message.first.split(' ')
         parts = urlsplit(target)
@@ -167,7 +186,9 @@
             item = self.items.get(query['key'])
             if item is None:
                 return render_json(404, {'current_rev': self.revision})
-            return render_json(200, {**item, 'current_rev': self.revision})
+            return render_json(
+                200, {**_rewrite(item, seen_as), 'current_rev': self.revision}
+            )
         if path == '/api/kv-range':
             prefix, after = query.get('prefix', ''), query.get('after', '')
             keys = sorted(
@@ -176,13 +197,13 @@
             return render_json(
                 200,
                 {
-                    'items': [self.items[k] for k in keys[:500]],
+                    'items': [_rewrite(self.items[k], seen_as) for k in keys[:500]],
                     'truncated': len(keys) > 500,
                     'current_rev': self.revision,
                 },
             )
         if path == '/api/kv-watch':
-            return await self._watch(query)
+            return await self._watch(query, seen_as)
         if path == '/api/kv-txn':
             return self._change(body)
         if path == '/api/kv-lease':
@@ -202,12 +223,12 @@
         self._end(lease)
         return render_json(200, {})
 
-    async def _watch(self, query):
+    async def _watch(self, query, seen_as):
         prefix, after = query.get('prefix', ''), int(query['after'])
         until = time.monotonic() + int(query['wait_ms']) / 1000
         while True:
             found = [
-                event
+                _rewrite(event, seen_as)
                 for event in self.events
                 if event['revision'] > after and event['key'].startswith(prefix)
             ]
@@ -261,6 +282,72 @@
             self._notify()
 
 
+def _rewrite(item, seen_as):
+    """Return an item as a machine sees it that has proxies on its links."""
+    if not seen_as or 'value' not in item or not item['key'].startswith('servers/'):
+        return item
+    entry = json.loads(base64.b64decode(item['value']))
+    entry['address'] = seen_as.get(entry['address'], entry['address'])
+    value = base64.b64encode(json.dumps(entry).encode()).decode()
+    return {**item, 'value': value}
+
+
+class Link:
+    """A proxy on the link from one machine to one replica."""
+
+    def __init__(self, replica):
+        self.replica = replica
+        self.address = ''
+        self._port = 0
+        self._server = None
+        self._writers = set()
+
+    async def open(self):
+        """Let connections through, at the same address as before."""
+        self._server = await asyncio.start_server(self._relay, HOST, self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f'{HOST}:{self._port}'
+
+    def cut(self):
+        """Reset all connections and refuse new ones."""
+        self._server.close()
+        for writer in tuple(self._writers):
+            reset(writer)
+
+    async def _relay(self, reader, writer):
+        host, port = self.replica.address.split(':')
+        self._writers.add(writer)
+        other = None
+        try:
+            other_reader, other = await asyncio.open_connection(host, int(port))
+            self._writers.add(other)
+            await asyncio.gather(_pump(reader, other), _pump(other_reader, writer))
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            for end in (writer, other):
+                if end is not None:
+                    self._writers.discard(end)
+                    end.close()
+
+
+async def _pump(reader, writer):
+    while data := await reader.read(65536):
+        writer.write(data)
+        await writer.drain()
+    writer.close()
+
+
+def reset(writer):
+    """Close a connection with a reset."""
+    sock = writer.get_extra_info('socket')
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    except OSError:
+        pass
+    writer.transport.abort()
+
+
 class Cloud:
     """Receives usage reports and orders; accepts all of them."""
 
@@ -324,7 +411,7 @@
         """Stop at once, as a crashed process does."""
         self._server.close()
         for writer in tuple(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     def stamp(self, request_id):
         return f'{self.name}.{request_id}.{len(self.ran)}'
@@ -628,13 +715,17 @@
         self.replicas.append(replica)
         return replica
 
-    async def add_daemon(self, zone):
+    async def add_daemon(self, zone, store=None):
+        """Start a machine.
+
+        :param store: the address at which it finds the store, if it has a view.
+        """
         daemon = Daemon(
             self.record,
             self.folder,
             len(self.daemons) + 1,
             zone,
-            self.store.address,
+            store or self.store.address,
             self.cloud.address,
         )
         self.daemons.append(daemon)
