Take a peer's answer for "not run" only if the peer says so

Cause: Forwarder._read_head took each unsigned answer of a peer other than 502 and 504 for the peer's own refusal. A peer also passes on what a server answered after it had run the request, and only successes have to be signed; so an unsigned 500 was sent to up to two further peers. The same guess made an unsigned 200, 302 or 503 count as not run, and with no further peer the caller was told 503 for a request that had run.

Change: the peer's statement counts, not the lack of another. A 4xx without it is a peer's refusal of what it could not read: peers pass on no unsigned server answer below 500. True refusals go on to the next peer as before. The header is taken out of servers' answers, since one that echoes its request's headers would state for the peer what it does not know.

--- a/libs/serving/fireflyhitch_serving/attempts.py
+++ b/libs/serving/fireflyhitch_serving/attempts.py
@@ -19,8 +19,13 @@
 from fireflyhitch_serving.errors import ServerError, UnresponsiveServerError
 from fireflyhitch_serving.events import EventOrderError
 from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
+from fireflyhitch_serving.forwarded_requests import remove_sends
 from fireflyhitch_serving.health import Ending
-from fireflyhitch_serving.messages import ResponseInfo, drop_connection_headers
+from fireflyhitch_serving.messages import (
+    Headers,
+    ResponseInfo,
+    drop_connection_headers,
+)
 from fireflyhitch_serving.servers import ServerRecord
 
 # Link latency is a few ms. A lost SYN is sent again only after 1 s, and another server
@@ -231,7 +236,7 @@
         silence_timeout: float | None,
     ) -> AttemptFailure | None:
         body = await self._read_whole(connection, silence_timeout)
-        headers = drop_connection_headers(head.headers)
+        headers = _select_forwarded(head.headers)
         response = RenderedResponse(head.status, headers, body)
         if head.status >= MIN_SERVER_ERROR:
             detail = f'status {head.status}'
@@ -279,7 +284,7 @@
     async def _forward_events(self, head: ResponseHead, events: bytes) -> None:
         reply = self._exchange.reply
         if not reply.begun:
-            reply.begin(head.status, drop_connection_headers(head.headers))
+            reply.begin(head.status, _select_forwarded(head.headers))
         self._report_progress()
         await reply.write(events)
 
@@ -313,6 +318,11 @@
         )
 
 
+def _select_forwarded(headers: Headers) -> Headers:
+    """Return the headers of a response that are the server's and meant for callers."""
+    return remove_sends(drop_connection_headers(headers))
+
+
 def _was_fully_read(failure: AttemptFailure | None) -> bool:
     """Tell whether the response was read to its end, so its connection is reusable."""
     if failure is None or failure.response is not None:
--- a/libs/serving/fireflyhitch_serving/forwarded_requests.py
+++ b/libs/serving/fireflyhitch_serving/forwarded_requests.py
@@ -22,7 +22,7 @@
 )
 
 HEADER = b'fireflyhitch-forwarded'
-# Of a response: how often the receiver has sent the request to servers.
+# Of the receiver's own refusal: how often it has sent the request to servers.
 SENDS_HEADER = b'fireflyhitch-sends'
 DECODE_ERRORS = (
     binascii.Error,
@@ -118,10 +118,23 @@
     return SENDS_HEADER, b'%d' % sends
 
 
+def states_sends(headers: Headers) -> bool:
+    """Tell whether a response is a receiver's own refusal of a request."""
+    return find_header(headers, SENDS_HEADER) is not None
+
+
+def remove_sends(headers: Headers) -> Headers:
+    """Return a server's headers without one that daemons alone may set.
+
+    A server that echoes its request's headers would make a failure look like a refusal.
+    """
+    return [header for header in headers if header[0].lower() != SENDS_HEADER]
+
+
 def read_sends(headers: Headers) -> int:
     """Return how often a receiver that turns a request away has sent it to servers.
 
-    One of another version may not tell, and has probably sent it.
+    A refusal of what it could not read does not tell, and counts as a send.
     """
     value = find_header(headers, SENDS_HEADER)
     return int(value) if value is not None and value.isdigit() else 1
--- a/libs/serving/fireflyhitch_serving/forwarding.py
+++ b/libs/serving/fireflyhitch_serving/forwarding.py
@@ -26,6 +26,7 @@
     ForwardedRequest,
     add_header,
     read_sends,
+    states_sends,
 )
 from fireflyhitch_serving.messages import ResponseInfo
 from fireflyhitch_serving.reachability import ServerReachability
@@ -33,8 +34,8 @@
 # Peers that one request is sent to, if the first ones turn it away.
 MAX_PEERS = 3
 MAX_POOLS = 64
-# A peer's own responses with one of these statuses leave open whether the request ran.
-UNKNOWN_STATUSES = frozenset((HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT))
+# Of a peer's own refusal, if it could not read the request.
+CLIENT_ERRORS = range(HTTPStatus.BAD_REQUEST, HTTPStatus.INTERNAL_SERVER_ERROR)
 
 
 @immutable
@@ -150,7 +151,7 @@
 
     def _read_head(self, exchange: Exchange, head: ResponseHead) -> ResponseInfo:
         info = self._deps.edge.parse_response_head(head)
-        if info.signed or head.status in UNKNOWN_STATUSES:
+        if info.signed or not (info.not_run or is_refusal(head)):
             return info
         exchange.record_peer_sends(read_sends(head.headers))
         return replace(info, not_run=True)
@@ -173,6 +174,15 @@
         ).info('request forwarded')
 
 
+def is_refusal(head: ResponseHead) -> bool:
+    """Tell whether an unsigned response of a peer is its own refusal of a request.
+
+    A peer also forwards failures of servers that have run the request, with or without
+    their signature. Of statuses below 500 it forwards only signed ones.
+    """
+    return states_sends(head.headers) or head.status in CLIENT_ERRORS
+
+
 def choose_peer(
     names: list[str], in_flight: Mapping[str, int], rng: random.Random
 ) -> str | None:
--- a/libs/serving/tests/scripted_servers.py
+++ b/libs/serving/tests/scripted_servers.py
@@ -12,6 +12,7 @@
     signed: bool = True,
     request_id: str | None = None,
     not_run: bool = False,
+    **extra_headers: str,
 ) -> Script:
     """Return a script that sends a complete response."""
 
@@ -22,6 +23,10 @@
             lines.append('X-Signed: 1')
         if not_run:
             lines.append('X-Not-Run: 1')
+        lines.extend(
+            f'{name.replace("_", "-")}: {value}'
+            for name, value in extra_headers.items()
+        )
         lines.append(f'Content-Length: {len(body)}')
         writer.write('\r\n'.join((*lines, '', '')).encode())
         writer.write(body)
--- a/libs/serving/tests/test_forwarding.py
+++ b/libs/serving/tests/test_forwarding.py
@@ -119,6 +119,46 @@
 
         run_with_peer(script)
 
+    @pytest.mark.parametrize('status', [500, 504])
+    @pytest.mark.parametrize('echoed', [{}, {'fireflyhitch_sends': '0'}])
+    def test_an_unsigned_failure_of_a_server_behind_a_peer_is_not_taken_for_not_run(
+        self, status: int, echoed: dict[str, str]
+    ) -> None:
+        # Guards against a booking that ran, and failed, being run by a further peer.
+        async def script(harness: RequestHarness, peer: RequestHarness) -> None:
+            failing = respond(status, signed=False, **echoed)
+            async with RequestHarness() as other:
+                servers = [
+                    await daemon.add('failing', failing) for daemon in (peer, other)
+                ]
+                harness.peers['other'] = other.peer_address
+                for number in range(8):
+                    response = await harness.ask(
+                        '/book/1', 'POST', request_id=f'r{number}'
+                    )
+                    assert response.status in {500, 504}
+                    assert 'fireflyhitch-sends' not in response.headers
+                assert sum(len(server.seen) for server in servers) == 8
+
+        run_with_peer(script)
+
+    @pytest.mark.parametrize('status', [200, 302, 500, 503])
+    def test_an_unsigned_response_of_a_peer_that_does_not_refuse_may_have_run(
+        self, status: int
+    ) -> None:
+        # Guards against a further run after a response that says nothing of the first.
+        async def script(harness: RequestHarness, peer: RequestHarness) -> None:
+            unclear = ScriptedServer('unclear', respond(status, signed=False))
+            harness.peers['unclear'] = await unclear.start()
+            server = await peer.add('a', respond())
+            for number in range(8):
+                await harness.ask('/book/1', 'POST', request_id=f'r{number}')
+            assert unclear.seen
+            assert len(unclear.seen) + len(server.seen) == 8
+            unclear.stop()
+
+        run_with_peer(script)
+
     def test_a_peer_that_turns_a_request_away_leaves_it_to_the_next(self) -> None:
         async def script(harness: RequestHarness, peer: RequestHarness) -> None:
             async with RequestHarness() as lost:
