Tell no caller "not run" unless the server says so

Cause: an unsigned answer below 500 was withheld, as callers would take it for the daemon's own word, but 503 was forwarded, and so was a signed 408, 429 or 503 for requests that may run once. Only a server's explicit statement says that it has not run a request.

Change: such a status without that statement ends as 502 of the daemon's own, which promises nothing. Where the request may be repeated a signed one is forwarded unchanged, as before.

--- a/libs/serving/fireflyhitch_serving/attempts.py
+++ b/libs/serving/fireflyhitch_serving/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from http import HTTPStatus
 from typing import TypeVar
 
 from fireflyhitch_model.clock import Clock
@@ -39,6 +40,15 @@
 MAX_MISMATCHED_RESPONSES = 2
 MIN_SERVER_ERROR = 500
 MIN_NON_SUCCESS = 300
+# Final responses after which a caller may send a request again that may run once.
+NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 # Timeout between two events of a stream, as a multiple of the route's gap target.
 GAP_TIMEOUT_FACTOR = 1.5
 
@@ -238,8 +248,10 @@
         body = await self._read_whole(connection, silence_timeout)
         headers = _select_forwarded(head.headers)
         response = RenderedResponse(head.status, headers, body)
+        detail = f'status {head.status}'
+        if self._would_deny_run(head, info):
+            return AttemptFailure(Ending.FAILED, Outcome.RAN, detail)
         if head.status >= MIN_SERVER_ERROR:
-            detail = f'status {head.status}'
             return AttemptFailure(Ending.FAILED, Outcome.RAN, detail, response)
         self._report_progress()
         self._exchange.reply.send_response(
@@ -247,6 +259,16 @@
         )
         return None
 
+    def _would_deny_run(self, head: ResponseHead, info: ResponseInfo) -> bool:
+        """Tell whether callers would conclude from a response that nothing has run.
+
+        The server has not said so. Without its signature the response would also pass
+        for the daemon's own refusal.
+        """
+        if head.status not in NOT_RUN_STATUSES:
+            return False
+        return not (info.signed and self._exchange.route.repeatable)
+
     async def _read_whole(
         self, connection: ServerConnection, silence_timeout: float | None
     ) -> bytes:
--- a/libs/serving/tests/test_forwarding.py
+++ b/libs/serving/tests/test_forwarding.py
@@ -119,7 +119,7 @@
 
         run_with_peer(script)
 
-    @pytest.mark.parametrize('status', [500, 504])
+    @pytest.mark.parametrize('status', [500, 503, 504])
     @pytest.mark.parametrize('echoed', [{}, {'fireflyhitch_sends': '0'}])
     def test_an_unsigned_failure_of_a_server_behind_a_peer_is_not_taken_for_not_run(
         self, status: int, echoed: dict[str, str]
@@ -136,7 +136,7 @@
                     response = await harness.ask(
                         '/book/1', 'POST', request_id=f'r{number}'
                     )
-                    assert response.status in {500, 504}
+                    assert response.status in {500, 502, 504}
                     assert 'fireflyhitch-sends' not in response.headers
                 assert sum(len(server.seen) for server in servers) == 8
 
--- a/libs/serving/tests/test_request_handler.py
+++ b/libs/serving/tests/test_request_handler.py
@@ -71,6 +71,29 @@
 
         run_scenario(RequestHarness(), script)
 
+    @pytest.mark.parametrize('status', [408, 429, 503])
+    @pytest.mark.parametrize('signed', [True, False])
+    def test_caller_is_not_told_not_run_without_the_servers_word(
+        self, status: int, *, signed: bool
+    ) -> None:
+        # Guards against a booking that ran being booked again by its caller.
+        async def script(harness: RequestHarness) -> None:
+            server = await harness.add('a', respond(status, signed=signed))
+            response = await harness.ask('/book/1', 'POST')
+            assert response.status == 502
+            assert response.headers['x-outcome'] == 'unknown'
+            assert len(server.seen) == 1
+
+        run_scenario(RequestHarness(), script)
+
+    def test_repeatable_request_gets_a_signed_busy_response_unchanged(self) -> None:
+        async def script(harness: RequestHarness) -> None:
+            await harness.add('a', respond(503, b'busy'))
+            response = await harness.ask('/read/1')
+            assert (response.status, response.body) == (503, b'busy')
+
+        run_scenario(RequestHarness(), script)
+
     def test_signed_failure_is_forwarded_unchanged(self) -> None:
         async def script(harness: RequestHarness) -> None:
             await harness.add('a', respond(404, b'no such booking'))
