Let no unreadable entry or message stop what comes behind it

Cause: readers caught their own lists of error types, none of them whole (OverflowError, RecursionError), and an error of one key's handler left the view in the middle of a listing, a watch or a datagram; the view began again 1 s later, once for each such entry. Besides, readers accepted what later steps cannot use: ports above 65535, host names, ids with line ends, text that cannot be encoded, NaN, no slots.

Change: an error in one key's handler, or one datagram, is logged and the rest goes on.

--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from fireflyhitch_model.external_values import MAX_PORT, is_ip_address
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Outcome, Step
 from fireflyhitch_serving.errors import ServerError
@@ -55,10 +56,11 @@
 
         :raises ValueError: if the text has another form.
         """
-        host, _, port = text.rpartition(':')
-        if not host:
+        host, _, digits = text.rpartition(':')
+        port = int(digits)
+        if not is_ip_address(host) or not 0 <= port <= MAX_PORT:
             raise ValueError(f'not an address: {text!r}')
-        return cls(host, int(port))
+        return cls(host, port)
 
     def __str__(self) -> str:
         """Return ``host:port``."""
--- a/libs/serving/fireflyhitch_serving/events.py
+++ b/libs/serving/fireflyhitch_serving/events.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from fireflyhitch_model.external_values import parse_integer
+
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
 
@@ -62,9 +64,17 @@
         return True
 
 
+def _read_id(text: bytes) -> int | None:
+    if not text.isdigit():
+        return None
+    try:
+        return parse_integer(text)
+    except ValueError:
+        return None
+
+
 def _find_id(event: bytes) -> int | None:
     for line in event.split(b'\n'):
         if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return _read_id(line[len(ID_FIELD) :].strip())
     return None
--- a/libs/serving/fireflyhitch_serving/forwarded_requests.py
+++ b/libs/serving/fireflyhitch_serving/forwarded_requests.py
@@ -5,15 +5,16 @@
 """
 
 import base64
-import binascii
 from typing import Any
 
 import cbor2
 
+from fireflyhitch_model.external_values import check_count, parse_integer
 from fireflyhitch_model.ids import CustomerId, DeploymentId, RegionId
 from fireflyhitch_model.records import immutable
 from fireflyhitch_serving.catalog import Customer, Quota, Route, RouteKind
 from fireflyhitch_serving.edge import BadRequestError
+from fireflyhitch_serving.malformed import DECODE_ERRORS
 from fireflyhitch_serving.messages import (
     CallerRequest,
     Header,
@@ -24,13 +25,6 @@
 HEADER = b'fireflyhitch-forwarded'
 # Of the receiver's own refusal: how often it has sent the request to servers.
 SENDS_HEADER = b'fireflyhitch-sends'
-DECODE_ERRORS = (
-    binascii.Error,
-    cbor2.CBORDecodeError,
-    KeyError,
-    TypeError,
-    ValueError,
-)
 # The fields of a route by which its requests are sent, and whose values need no encoding.
 ROUTE_FIELDS = (
     'name',
@@ -107,7 +101,7 @@
             _decode_route(message['route']),
             None if customer is None else _decode_customer(customer),
             bool(message['usage_counted']),
-            int(message.get('sends', 0)),
+            check_count(message.get('sends', 0)),
         )
     except DECODE_ERRORS as error:
         raise BadRequestError(f'malformed forwarded request: {error!r}') from error
@@ -136,8 +130,10 @@
 
     A refusal of what it could not read does not tell, and counts as a send.
     """
-    value = find_header(headers, SENDS_HEADER)
-    return int(value) if value is not None and value.isdigit() else 1
+    try:
+        return parse_integer(find_header(headers, SENDS_HEADER))
+    except (TypeError, ValueError):
+        return 1
 
 
 def _replace_header(
--- a/libs/serving/fireflyhitch_serving/holds.py
+++ b/libs/serving/fireflyhitch_serving/holds.py
@@ -12,6 +12,11 @@
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.external_values import (
+    PARSE_ERRORS,
+    parse_integer,
+    parse_number,
+)
 from fireflyhitch_model.ids import ABSENT, ContentId, ProcessId
 from fireflyhitch_routing.quarantine import HOLD_SECONDS, Hold, Quarantine
 from fireflyhitch_serving.leases import FIREFLYHITCH_PREFIX, LeaderLease
@@ -59,7 +64,7 @@
             return
         try:
             hold = self._parse(value)
-        except (ValueError, KeyError, TypeError) as error:
+        except PARSE_ERRORS as error:
             logger.bind(content=content, error=repr(error)).error(
                 'malformed hold in the store'
             )
@@ -109,8 +114,10 @@
 
     def _parse(self, value: bytes) -> Hold:
         fields = json.loads(value)
-        remaining = min(float(fields['until']) - self._peers.wall(), HOLD_SECONDS)
+        remaining = min(
+            parse_number(fields['until']) - self._peers.wall(), HOLD_SECONDS
+        )
         processes = frozenset(
-            ProcessId(int(process)) for process in fields['processes']
+            ProcessId(parse_integer(process)) for process in fields['processes']
         )
         return Hold(self._clock.monotonic() + remaining, processes)
--- a/libs/serving/fireflyhitch_serving/packing.py
+++ b/libs/serving/fireflyhitch_serving/packing.py
@@ -5,6 +5,7 @@
 
 import cbor2
 
+from fireflyhitch_serving.malformed import DECODE_ERRORS
 from fireflyhitch_serving.peer_state import encode_value
 
 # The fastest level: values repeat few distinct words, and it removes most of the size.
@@ -23,5 +24,5 @@
     """
     try:
         return cbor2.loads(zlib.decompress(packed))
-    except (zlib.error, cbor2.CBORDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f'malformed message: {error!r}') from error
--- a/libs/serving/fireflyhitch_serving/peer_channel.py
+++ b/libs/serving/fireflyhitch_serving/peer_channel.py
@@ -89,6 +89,13 @@
         self._traffic.count_received(len(data))
         if self._stalls.is_discarding():
             return
+        try:
+            self._receive(data, addr)
+        except Exception:
+            # What a peer of another version sends may decode and be of no use here.
+            logger.bind(peer=addr[0]).exception('message not applied')
+
+    def _receive(self, data: bytes, addr: tuple[str, int]) -> None:
         if self._handlers.receive_other(data):
             return
         state = decode_state(data)
--- a/libs/serving/fireflyhitch_serving/peer_listings.py
+++ b/libs/serving/fireflyhitch_serving/peer_listings.py
@@ -22,6 +22,7 @@
 from fireflyhitch_serving.client import HttpClient, HttpResponse
 from fireflyhitch_serving.connections import Address
 from fireflyhitch_serving.errors import ServerError
+from fireflyhitch_serving.malformed import DECODE_ERRORS
 from fireflyhitch_serving.messages import CallerRequest, find_header
 from fireflyhitch_serving.packing import pack, unpack
 from fireflyhitch_serving.peers import PeerRegistry
@@ -100,7 +101,7 @@
         try:
             era = self._find_era(response)
             listing = decode_listing(response.body, era)
-        except (TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             raise _make_error(address, f'malformed listing: {error!r}') from error
         self._eras.record_revision(listing.revision, f'peer {address}')
         return listing
--- a/libs/serving/fireflyhitch_serving/peer_state.py
+++ b/libs/serving/fireflyhitch_serving/peer_state.py
@@ -1,12 +1,17 @@
 """The state that a daemon sends to its peers in one datagram."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import field, fields
 from functools import cache
 from typing import Any, NamedTuple, TypeVar
 
 import cbor2
 
+from fireflyhitch_model.external_values import (
+    check_number,
+    check_text,
+    parse_number,
+)
 from fireflyhitch_model.ids import (
     BackendServerId,
     ContentId,
@@ -19,12 +24,12 @@
 from fireflyhitch_routing.crashes import CrashReport
 from fireflyhitch_routing.service_demand import DemandByService, LevelDemand
 from fireflyhitch_routing.time_factors import TimeFactorReport, TimeFactorReports
+from fireflyhitch_serving.malformed import DECODE_ERRORS
 from fireflyhitch_serving.quotas import QuotaReport
 from fireflyhitch_serving.server_statistics import AnswerCounts
 from fireflyhitch_serving.servers import InFlight
 from fireflyhitch_serving.store_eras import ReportedRevisions
 
-DECODE_ERRORS = (cbor2.CBORDecodeError, KeyError, TypeError, ValueError, AttributeError)
 Row = TypeVar('Row')
 
 
@@ -104,18 +109,33 @@
 def decode_state(data: bytes) -> PeerState | None:
     """Decode a datagram; return ``None`` if it holds no state."""
     try:
-        return PeerState(**decode_values(cbor2.loads(data)))
+        message = cbor2.loads(data)
+        for text in (message['daemon'], message['process'], message['failure_domain']):
+            check_text(text)
+        check_numbers((message['sequence'], message['wall']))
+        for counts in message['usage'].values():
+            check_numbers(counts.values())
+        for row in message['evidence'].values():
+            check_numbers(row)
+        return PeerState(**decode_values(message))
     except DECODE_ERRORS:
         return None
 
 
 def decode_values(message: dict[str, Any]) -> dict[str, Any]:
     """Return a message's fields with the values that ``encode_value`` wrote."""
-    work = {key: InFlight(*counts) for key, counts in message['work'].items()}
+    work = {
+        key: InFlight(*check_numbers(counts)) for key, counts in message['work'].items()
+    }
     customers = {
-        key: QuotaReport(*units) for key, units in message['customers'].items()
+        key: QuotaReport(*check_numbers(units))
+        for key, units in message['customers'].items()
+    }
+    answers = {
+        key: AnswerCounts(*check_numbers(row))
+        for key, row in message['answers'].items()
     }
-    answers = {key: AnswerCounts(*row) for key, row in message['answers'].items()}
+    check_numbers(message['newest'].values())
     crashes = {key: _decode_crash(*row) for key, row in message['crashes'].items()}
     return {
         **message,
@@ -124,7 +144,7 @@
         'answers': answers,
         'crashes': crashes,
         'announcements': {
-            kind: {process: Report(*row) for process, row in rows.items()}
+            kind: {process: _decode_report(*row) for process, row in rows.items()}
             for kind, rows in message['announcements'].items()
         },
         'time_factors': _decode_time_factors(message.get('time_factors', {})),
@@ -135,23 +155,44 @@
 def _decode_time_factors(
     rows: dict[BackendServerId, list[int]],
 ) -> dict[BackendServerId, TimeFactorReport]:
-    return {server: TimeFactorReport(*row) for server, row in rows.items()}
+    return {
+        server: TimeFactorReport(*check_numbers(row)) for server, row in rows.items()
+    }
 
 
 def _decode_demand(
     rows: dict[DeploymentId, dict[int, list[float]]],
 ) -> dict[DeploymentId, dict[int, LevelDemand]]:
     return {
-        service: {urgency: LevelDemand(*row) for urgency, row in levels.items()}
+        service: {
+            urgency: LevelDemand(*check_numbers(row)) for urgency, row in levels.items()
+        }
         for service, levels in rows.items()
     }
 
 
 def _decode_crash(crash_rows: list[list[Any]], answered: float | None) -> CrashReport:
-    rows = [(process, float(age), float(ran)) for process, age, ran in crash_rows]
+    rows = [
+        (process, parse_number(age), parse_number(ran))
+        for process, age, ran in crash_rows
+    ]
     return CrashReport(rows, answered)
 
 
+def _decode_report(value: float | None, age: float) -> Report:
+    return Report(None if value is None else check_number(value), check_number(age))
+
+
+def check_numbers(row: Iterable[Any]) -> Iterable[Any]:
+    """Return a row of numbers.
+
+    :raises ValueError: if it contains anything else; each use of it would fail later.
+    """
+    for value in row:
+        check_number(value)
+    return row
+
+
 def encode_rows(kind: str, rows: Sequence[object]) -> bytes:
     """Return a datagram of another kind: a map whose only key is the kind."""
     return cbor2.dumps({kind: rows}, default=encode_value)
--- a/libs/serving/fireflyhitch_serving/registrations.py
+++ b/libs/serving/fireflyhitch_serving/registrations.py
@@ -11,6 +11,7 @@
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.external_values import parse_number
 from fireflyhitch_model.ids import ABSENT, FailureDomainId, Revision
 from fireflyhitch_model.records import immutable
 from fireflyhitch_platform.keyvalue import Conflict
@@ -61,7 +62,7 @@
     :raises ValueError: if it is invalid.
     """
     address, domain, *more = value.decode().split(' ')
-    link_mbps = float(more[0]) if more else 0
+    link_mbps = parse_number(more[0]) if more else 0
     return Registration(Address.parse(address), FailureDomainId(domain), link_mbps)
 
 
--- a/libs/serving/fireflyhitch_serving/saved_counts.py
+++ b/libs/serving/fireflyhitch_serving/saved_counts.py
@@ -2,7 +2,14 @@
 
 import json
 
-from fireflyhitch_model.ids import ABSENT, FailureDomainId, Revision
+from loguru import logger
+
+from fireflyhitch_model.external_values import (
+    PARSE_ERRORS,
+    check_count,
+    parse_integer,
+)
+from fireflyhitch_model.ids import ABSENT, CustomerId, FailureDomainId, Revision
 from fireflyhitch_platform.keyvalue import Written
 from fireflyhitch_serving.store import AsyncStore, Put
 from fireflyhitch_serving.usage import UsageTracker, WindowCounts
@@ -34,8 +41,14 @@
         listing = await self._store.list(SAVED_PREFIX)
         self._revisions = {item.key: item.revision for item in listing.items}
         for item in listing.items:
-            for process, windows in json.loads(item.value).items():
-                counts = {int(window): found for window, found in windows.items()}
+            try:
+                saved = _decode(item.value)
+            except PARSE_ERRORS as error:
+                logger.bind(key=item.key, error=repr(error)).error(
+                    'malformed saved counts'
+                )
+                continue
+            for process, counts in saved.items():
                 self._tracker.merge_counts(process, counts)
 
     async def save(self, key: str, counts: dict[str, WindowCounts]) -> bool:
@@ -51,3 +64,25 @@
             return False
         self._revisions[key] = result.revision
         return True
+
+
+def decode_window(value: bytes) -> dict[CustomerId, int]:
+    """Return the counts of one window.
+
+    :raises PARSE_ERRORS: if they are malformed.
+    """
+    return _check_window(json.loads(value))
+
+
+def _decode(value: bytes) -> dict[str, WindowCounts]:
+    return {
+        process: {
+            parse_integer(window): _check_window(counts)
+            for window, counts in windows.items()
+        }
+        for process, windows in json.loads(value).items()
+    }
+
+
+def _check_window(counts: dict[str, object]) -> dict[CustomerId, int]:
+    return {CustomerId(name): check_count(count) for name, count in counts.items()}
--- a/libs/serving/fireflyhitch_serving/saved_crashes.py
+++ b/libs/serving/fireflyhitch_serving/saved_crashes.py
@@ -13,11 +13,13 @@
 
 from fireflyhitch_model.clock import Clock
 from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.external_values import parse_number
 from fireflyhitch_model.ids import ABSENT, ContentId, FailureDomainId, Revision
 from fireflyhitch_platform.keyvalue import Written
 from fireflyhitch_routing.crashes import CrashReport, CrashTracker
 from fireflyhitch_serving.deputies import LeaderDeputy
 from fireflyhitch_serving.leases import LeaderLease
+from fireflyhitch_serving.malformed import DECODE_ERRORS
 from fireflyhitch_serving.packing import pack, unpack
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.store import AsyncStore, Put
@@ -29,7 +31,6 @@
 RETRY_SECONDS = 0.5
 # Older records no longer tell anything of the servers of now.
 MAX_AGE_SECONDS = 600.0
-DECODE_ERRORS = (ValueError, TypeError, KeyError)
 
 Reports = Mapping[ContentId, CrashReport]
 
@@ -129,7 +130,7 @@
     :raises ValueError: if they are malformed, as other errors of ``DECODE_ERRORS``.
     """
     message = unpack(value)
-    elapsed = max(wall - float(message['at']), 0)
+    elapsed = max(wall - parse_number(message['at']), 0)
     reports = {
         ContentId(content): _add_age(elapsed, *row)
         for content, row in message['reports'].items()
--- a/libs/serving/fireflyhitch_serving/summaries.py
+++ b/libs/serving/fireflyhitch_serving/summaries.py
@@ -15,6 +15,7 @@
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.external_values import check_text
 from fireflyhitch_model.ids import (
     BackendServerId,
     ContentId,
@@ -34,6 +35,7 @@
 from fireflyhitch_serving.peer_state import (
     Member,
     PeerState,
+    check_numbers,
     decode_rows,
     decode_values,
     encode_rows,
@@ -146,6 +148,12 @@
 
 
 def _decode_summary(row: dict[str, Any]) -> DomainSummary:
+    for text in (row['domain'], row['relay'], row['process']):
+        check_text(text)
+    check_numbers((row['sequence'], row['wall']))
+    for evidence in row['evidence'].values():
+        for counts in evidence.values():
+            check_numbers(counts)
     members = {name: Member(*values) for name, values in row['members'].items()}
     return DomainSummary(**{**decode_values(row), 'members': members})
 
--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -11,12 +11,17 @@
 from loguru import logger
 
 from fireflyhitch_model.errors import PlatformError
+from fireflyhitch_model.external_values import PARSE_ERRORS
 from fireflyhitch_model.ids import ABSENT, CustomerId, FencingNumber
 from fireflyhitch_model.records import immutable
-from fireflyhitch_platform.keyvalue import Conflict
+from fireflyhitch_platform.keyvalue import Conflict, KeyValue
 from fireflyhitch_serving.duty_calls import CallResult, DutyCalls
 from fireflyhitch_serving.leases import LEASE_SECONDS, LeaderLease, Leadership
-from fireflyhitch_serving.saved_counts import SAVED_KEY, SavedCounts
+from fireflyhitch_serving.saved_counts import (
+    SAVED_KEY,
+    SavedCounts,
+    decode_window,
+)
 from fireflyhitch_serving.store import AsyncStore, Put
 from fireflyhitch_serving.usage import UsageTracker
 
@@ -157,9 +162,11 @@
         fixed = await self._store.list(USAGE_PREFIX)
         self._stored_windows = set()
         for item in fixed.items:
-            window = int(item.key.removeprefix(USAGE_PREFIX))
-            self._fixed[window] = json.loads(item.value)
-            self._stored_windows.add(window)
+            suffix = item.key.removeprefix(USAGE_PREFIX)
+            counts = _read_fixed(item)
+            if counts is not None and suffix.isdecimal():
+                self._fixed[int(suffix)] = counts
+                self._stored_windows.add(int(suffix))
 
     async def _restore_fixed(self) -> None:
         """Write again the counts that this daemon has fixed and the store has lost.
@@ -248,10 +255,22 @@
         if isinstance(result, Conflict):
             if result.current is None:
                 return None
-            counts = json.loads(result.current.value)
+            stored = _read_fixed(result.current)
+            if stored is None:
+                return None
+            counts = stored
         self._fixed[window] = counts
         return counts
 
 
+def _read_fixed(item: KeyValue) -> dict[CustomerId, int] | None:
+    """Return fixed counts; ``None`` if they are malformed."""
+    try:
+        return decode_window(item.value)
+    except PARSE_ERRORS as error:
+        logger.bind(key=item.key, error=repr(error)).error('malformed fixed counts')
+        return None
+
+
 def _key(window: int) -> str:
     return f'{USAGE_PREFIX}{window}'
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -311,6 +311,10 @@
         address = Address('127.0.0.1', 1)
         self._peers.register(name, address, FailureDomainId(domain))
 
+    def has_ended_loop(self) -> bool:
+        """Return whether one of its loops has ended, as only an error makes them."""
+        return any(task.done() for task in self._tasks)
+
     def leads(self) -> bool:
         """Return whether it is the leader."""
         return self._lease.current_leadership() is not None
--- /dev/null
+++ b/libs/serving/tests/test_malformed_messages.py
@@ -0,0 +1,139 @@
+"""Tests of what other daemons send or store, and this one cannot use."""
+
+import asyncio
+import operator
+import random
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+import pytest
+from daemons_scene import Daemons
+from virtual_time import run_virtual
+
+from fireflyhitch_model.clock import ManualClock
+from fireflyhitch_model.ids import FailureDomainId
+from fireflyhitch_serving.hubs import HubTracker
+from fireflyhitch_serving.peer_channel import PeerChannel, PeerHandlers
+from fireflyhitch_serving.peer_state import PeerState, decode_state, encode_state
+from fireflyhitch_serving.peers import PeerRegistry
+from fireflyhitch_serving.registrations import DAEMONS_PREFIX, decode_registration
+from fireflyhitch_serving.saved_counts import SAVED_PREFIX
+from fireflyhitch_serving.stalls import StallDetector
+from fireflyhitch_serving.traffic import ControlTraffic
+from fireflyhitch_serving.usage_reports import USAGE_PREFIX
+
+GENT = FailureDomainId('gent')
+NAN = float('nan')
+HUGE = 10**400
+PEER = ('127.0.0.1', 1)
+
+
+def render_state(**changes: Any) -> bytes:
+    state = PeerState('d2', 'd2/1', GENT, 1, 0, {}, {}, {}, {}, {}, {})
+    return cbor2.dumps({**cbor2.loads(encode_state(state)), **changes})
+
+
+def make_channel(receive: Callable[[PeerState], None]) -> PeerChannel:
+    registry = PeerRegistry('d1', GENT, ManualClock(), float)
+    return PeerChannel(
+        registry,
+        HubTracker(registry, ManualClock()),
+        PeerHandlers(
+            lambda: decode_state(render_state()),  # type: ignore[arg-type,return-value]
+            receive,
+            operator.not_,
+            lambda: None,
+        ),
+        StallDetector(float, list),
+        random.Random(1),  # noqa: S311
+        ControlTraffic(),
+    )
+
+
+class TestStates:
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'wall': 'noon'},
+            {'wall': NAN},
+            {'sequence': None},
+            {'daemon': 7},
+            {'failure_domain': []},
+            {'work': {'i-1': ['a', 0]}},
+            {'work': {'i-1': [HUGE, 0]}},
+            {'customers': {'bakery': [NAN, 0, 0]}},
+            {'answers': {'i-1': [1, 'b', 0]}},
+            {'usage': {4: {'bakery': 'many'}}},
+            {'evidence': {'v1': [None, 0, 0]}},
+            {'newest': {'op/': 'first'}},
+            {'announcements': {'limit': {'p': [1, NAN]}}},
+            {'demand': {'chat': {0: ['x', 0]}}},
+        ],
+        ids=str,
+    )
+    def test_a_state_with_an_unusable_value_is_unreadable(
+        self, changes: dict[str, Any]
+    ) -> None:
+        # Guards against a stored state that fails each step that uses it.
+        assert decode_state(render_state()) is not None
+        assert decode_state(render_state(**changes)) is None
+
+    @pytest.mark.parametrize(
+        'data', [b'', b'\x81' * 5000, b'\xff', cbor2.dumps([]), cbor2.dumps({})]
+    )
+    def test_bytes_that_hold_no_state_are_unreadable(self, data: bytes) -> None:
+        assert decode_state(data) is None
+
+    def test_a_state_that_cannot_be_applied_raises_no_error(self) -> None:
+        def fail(state: PeerState) -> None:
+            raise ZeroDivisionError
+
+        make_channel(fail).datagram_received(render_state(), PEER)
+
+
+class TestRegistrations:
+    @pytest.mark.parametrize(
+        'value',
+        [
+            b'',
+            b'\xff',
+            b'127.0.0.1:1',
+            b'127.0.0.1:70000 gent',
+            b'127.0.0.1:1 gent inf',
+        ],
+    )
+    def test_a_registration_with_an_unusable_value_is_invalid(
+        self, value: bytes
+    ) -> None:
+        with pytest.raises(ValueError):  # noqa: PT011
+            decode_registration(value)
+
+
+class TestStoredValues:
+    @pytest.mark.parametrize('value', [b'\xff', b'[]', b'{"a": 1}', b'[' * 100_000])
+    def test_duties_go_on_beside_stored_values_that_are_malformed(
+        self, value: bytes
+    ) -> None:
+        # Guards against a loop that fails on the same value whenever it is run again.
+        failed: list[str] = []
+
+        async def script() -> None:
+            cluster = Daemons(1, gent=3)
+            for prefix in (
+                SAVED_PREFIX,
+                USAGE_PREFIX,
+                DAEMONS_PREFIX,
+            ):
+                cluster.store.put(f'{prefix}x', value)
+            await cluster.start_all()
+            await asyncio.sleep(5)
+            assert sum(daemon.leads() for daemon in cluster.daemons.values()) == 1
+            failed.extend(
+                name
+                for name, daemon in cluster.daemons.items()
+                if daemon.has_ended_loop()
+            )
+
+        run_virtual(script())
+        assert not failed
