Give up responses without end, in bounded time and memory

A server may send bytes that are no answer until the daemon closes. The daemon read blank lines, interim responses, chunk extensions and trailers until the request's deadline, and kept bodies and events in memory whatever their size. Callers got 504 at the deadline, the server was never found to fail, as such an attempt counted as cancelled, and a link to it counted as lost.

Change: bytes that become no part of a response, heads nobody reads, bodies (a part of memory_mb, for all together too), events and bodies of refusals have bounds; what goes beyond is a broken attempt with unknown outcome. Time without an event counts, not time without a byte. At the deadline, a server that was still sending bytes of no use has failed. A refusal holds although its body does not end. A resumption that is answered with a failure is no longer written into the body of the response that has begun.

--- a/libs/bench/fireflyhitch_bench/load_callers.py
+++ b/libs/bench/fireflyhitch_bench/load_callers.py
@@ -16,6 +16,7 @@
 from pydantic import TypeAdapter
 
 from fireflyhitch_bench.load_calls import Call, CallerPlan, CallResult, Try
+from fireflyhitch_serving.client import MAX_BODY_BYTES
 from fireflyhitch_serving.connections import Address, ServerConnection, connect
 from fireflyhitch_serving.errors import ServerError
 from fireflyhitch_serving.messages import Headers, find_header
@@ -93,7 +94,7 @@
         try:
             connection.send(request)
             head = await connection.read_head()
-            await connection.read_whole_body()
+            await connection.read_whole_body(MAX_BODY_BYTES)
             done = connection.finish(monotonic())
         finally:
             if not done:
--- a/libs/bench/fireflyhitch_bench/soak_exchange.py
+++ b/libs/bench/fireflyhitch_bench/soak_exchange.py
@@ -4,6 +4,7 @@
 
 from fireflyhitch_bench.soak_quiet import Answer
 from fireflyhitch_bench.soak_site import DaemonProcess
+from fireflyhitch_serving.client import MAX_BODY_BYTES
 from fireflyhitch_serving.connections import ServerConnection, connect
 from fireflyhitch_serving.messages import find_header
 
@@ -32,7 +33,7 @@
 
 async def _read_answer(connection: ServerConnection) -> Answer:
     head = await connection.read_head()
-    body = await connection.read_whole_body()
+    body = await connection.read_whole_body(MAX_BODY_BYTES)
     signed = find_header(head.headers, b'response-stamp') is not None
     returns = find_header(head.headers, b'retry-after')
     return Answer(head.status, body, signed, returns)
--- a/libs/serving/fireflyhitch_serving/attempt_runner.py
+++ b/libs/serving/fireflyhitch_serving/attempt_runner.py
@@ -4,6 +4,8 @@
 
 from loguru import logger
 
+from fireflyhitch_model.records import immutable
+from fireflyhitch_model.states import Outcome
 from fireflyhitch_serving.attempt_policy import MIN_SEND_SECONDS, AttemptPolicy
 from fireflyhitch_serving.attempts import (
     Attempt,
@@ -31,10 +33,30 @@
 NO_RESPONSE = frozenset((Ending.UNREACHED, Ending.BROKEN))
 # Endings of requests that a server may have run without a response to show it.
 UNANSWERED = frozenset((Ending.BROKEN, Ending.CANCELLED))
+# A request may be cancelled so much before its deadline, as timers are not exact.
+CANCEL_TOLERANCE_SECONDS = 0.01
 # What a leaving server's announcement says; it is never withdrawn.
 LEAVING = 1.0
 
 
+@immutable
+class AttemptResult:
+    """How an attempt ended, as far as it has.
+
+    :param not_run: whether the server has said that it did not run the request.
+    """
+
+    ending: Ending = Ending.CANCELLED
+    not_run: bool = False
+
+
+def find_result(failure: AttemptFailure | None) -> AttemptResult:
+    """Return the result of an attempt that was not cancelled."""
+    if failure is None:
+        return AttemptResult(Ending.GOOD)
+    return AttemptResult(failure.ending, failure.outcome is Outcome.NOT_RUN)
+
+
 class AttemptRunner:
     """Sends requests to servers, one attempt at a time."""
 
@@ -65,26 +87,9 @@
         exchange.tried_servers.add(record.server.server_id)
         if exchange.deadline - self._clock.monotonic() < MIN_SEND_SECONDS:
             raise TimeoutError
-        attempt = Attempt(
-            exchange,
-            make_server_target(exchange, record, self._deps.edge),
-            self._clock,
-            AttemptCallbacks(
-                on_progress=partial(self._on_progress, exchange, placement),
-                on_head=partial(self._on_head, exchange, placement),
-            ),
-            partial(self._policy.reserve_retry, exchange),
-        )
-        record.requests += 1
-        self._policy.record_sent(record)
-        record.prompt_tokens += placement.fresh_tokens
-        self._deps.workloads.record_prompt_tokens(
-            exchange.service, placement.fresh_tokens
-        )
-        exchange.unread_prompt_tokens = placement.fresh_tokens
-        record.add_cached_parts(exchange.info.parts, self._clock.monotonic())
-        self._deps.fresh_parts.add(record.server.server_id, exchange.info.parts)
-        ending = Ending.CANCELLED
+        attempt = self._make_attempt(exchange, placement)
+        self._add_load(exchange, placement)
+        result = AttemptResult()
         exchange.attempt_started = self._clock.monotonic()
         exchange.first_event_at = None
         exchange.relative_latency = 1
@@ -92,14 +97,14 @@
             failure = await attempt.run(
                 self._policy.find_silence_timeout(exchange, placement)
             )
-            ending = failure.ending if failure else Ending.GOOD
-            if ending in NO_RESPONSE:
+            result = find_result(failure)
+            if result.ending in NO_RESPONSE:
                 await self._deps.reachability.check_after(record.server.server_id)
-            elif ending is not Ending.CANCELLED:
+            else:
                 self._deps.reachability.record_response()
         finally:
             _release_load(exchange, record)
-            self._record_attempt(exchange, placement, ending, sent=attempt.sent)
+            self._record_attempt(exchange, placement, attempt, result)
         now = self._clock.monotonic()
         if failure is None:
             log_success(exchange, placement, now)
@@ -107,12 +112,47 @@
             log_failure(exchange, placement, failure, now)
         return failure
 
+    def _make_attempt(self, exchange: Exchange, placement: Placement) -> Attempt:
+        return Attempt(
+            exchange,
+            make_server_target(exchange, placement.record, self._deps.edge),
+            self._clock,
+            AttemptCallbacks(
+                on_progress=partial(self._on_progress, exchange, placement),
+                on_head=partial(self._on_head, exchange, placement),
+                reserve_retry=partial(self._policy.reserve_retry, exchange),
+            ),
+            self._deps.buffers,
+        )
+
+    def _add_load(self, exchange: Exchange, placement: Placement) -> None:
+        """Count a request among those of its server; ``_release_load`` ends that."""
+        record = placement.record
+        record.requests += 1
+        self._policy.record_sent(record)
+        record.prompt_tokens += placement.fresh_tokens
+        self._deps.workloads.record_prompt_tokens(
+            exchange.service, placement.fresh_tokens
+        )
+        exchange.unread_prompt_tokens = placement.fresh_tokens
+        record.add_cached_parts(exchange.info.parts, self._clock.monotonic())
+        self._deps.fresh_parts.add(record.server.server_id, exchange.info.parts)
+
     def _record_attempt(
-        self, exchange: Exchange, placement: Placement, ending: Ending, *, sent: bool
+        self,
+        exchange: Exchange,
+        placement: Placement,
+        attempt: Attempt,
+        result: AttemptResult,
     ) -> None:
+        ending = result.ending
+        if ending is Ending.CANCELLED and self._is_overdue(exchange, attempt):
+            ending = Ending.BROKEN
+        sent = attempt.sent
         if sent:
             exchange.sends += 1
-            exchange.runs += ending is not Ending.REFUSED
+        if sent and not result.not_run:
+            exchange.runs += 1
             self._count_unanswered(exchange, placement, ending)
         # Without a link to any server, nothing is learned about this one.
         if ending not in NO_RESPONSE or not self._deps.reachability.lost:
@@ -120,6 +160,15 @@
         self._record_crash(exchange, placement.record, ending)
         self._waiting.wake(exchange.service)
 
+    def _is_overdue(self, exchange: Exchange, attempt: Attempt) -> bool:
+        """Tell whether a server was still sending bytes of no use at the deadline.
+
+        It is never silent, and would otherwise never be found to fail.
+        """
+        now = self._clock.monotonic()
+        is_late = now >= exchange.deadline - CANCEL_TOLERANCE_SECONDS
+        return is_late and attempt.has_partial_response
+
     def _judge_server(
         self, exchange: Exchange, placement: Placement, ending: Ending, *, sent: bool
     ) -> None:
--- a/libs/serving/fireflyhitch_serving/attempts.py
+++ b/libs/serving/fireflyhitch_serving/attempts.py
@@ -18,7 +18,7 @@
 )
 from fireflyhitch_serving.edge import AttemptContext, Edge, RenderedResponse
 from fireflyhitch_serving.errors import ServerError, UnresponsiveServerError
-from fireflyhitch_serving.events import EventOrderError
+from fireflyhitch_serving.events import EventError
 from fireflyhitch_serving.exchanges import AttemptFailure, Exchange
 from fireflyhitch_serving.forwarded_requests import remove_sends
 from fireflyhitch_serving.health import Ending
@@ -27,6 +27,7 @@
     ResponseInfo,
     drop_connection_headers,
 )
+from fireflyhitch_serving.response_buffers import ResponseBuffers
 from fireflyhitch_serving.servers import ServerRecord
 
 # Link latency is a few ms. A lost SYN is sent again only after 1 s, and another server
@@ -51,6 +52,9 @@
 )
 # Timeout between two events of a stream, as a multiple of the route's gap target.
 GAP_TIMEOUT_FACTOR = 1.5
+# The body of a refusal comes with its head. What is longer, or late, is not waited for.
+REFUSAL_BODY_SECONDS = 0.2
+MAX_REFUSAL_BYTES = 65_536
 
 
 ReadResult = TypeVar('ReadResult')
@@ -62,10 +66,13 @@
 
     :param on_progress: called for a whole response, or for each batch of events.
     :param on_head: called when the response head has been read.
+    :param reserve_retry: takes another attempt from the retry budget; returns whether
+        one is allowed.
     """
 
     on_progress: Callable[[], None]
     on_head: Callable[[ResponseInfo], None]
+    reserve_retry: Callable[[], bool]
 
 
 @immutable
@@ -122,20 +129,28 @@
         target: AttemptTarget,
         clock: Clock,
         callbacks: AttemptCallbacks,
-        reserve_retry: Callable[[], bool],
+        buffers: ResponseBuffers,
     ) -> None:
-        """Create an attempt that has sent nothing.
-
-        :param reserve_retry: takes another attempt from the retry budget; returns
-            whether one is allowed.
-        """
-        self._reserve_retry = reserve_retry
+        """Create an attempt that has sent nothing."""
         self.sent = False
+        self._connection: ServerConnection | None = None
+        self._has_progressed = False
+        self._buffers = buffers
         self._exchange = exchange
         self._target = target
         self._clock = clock
         self._callbacks = callbacks
 
+    @property
+    def has_partial_response(self) -> bool:
+        """Return whether the server has sent bytes that are of no use so far."""
+        connection = self._connection
+        return (
+            connection is not None
+            and connection.has_partial_response
+            and not self._has_progressed
+        )
+
     async def run(self, silence_timeout: float | None) -> AttemptFailure | None:
         """Send the request and forward the response.
 
@@ -162,7 +177,7 @@
             )
         except ServerError as error:
             failure = AttemptFailure(Ending.BROKEN, error.outcome, str(error))
-        except EventOrderError as error:
+        except EventError as error:
             failure = AttemptFailure(Ending.BROKEN, Outcome.UNKNOWN, str(error))
         finally:
             if reusable:
@@ -193,6 +208,7 @@
         time_left = exchange.deadline - self._clock.monotonic()
         request = self._target.render_request(time_left)
         self.sent = True
+        self._connection = connection
         connection.send(request, no_body=exchange.request.method == b'HEAD')
         head, info = await self._read_head(connection, silence_timeout)
         self._callbacks.on_head(info)
@@ -222,9 +238,8 @@
         silence_timeout: float | None,
     ) -> AttemptFailure | None:
         if info.not_run:
-            await self._read_whole(connection, silence_timeout)
-            detail = f'status {head.status}'
-            return AttemptFailure(Ending.REFUSED, Outcome.NOT_RUN, detail)
+            ending = await _skip_refusal_body(connection)
+            return AttemptFailure(ending, Outcome.NOT_RUN, f'status {head.status}')
         if head.status < MIN_SERVER_ERROR and not info.signed:
             # A caller would take a failure for the daemon's own word that the request is
             # wrong, or that it did not run.
@@ -251,7 +266,7 @@
         detail = f'status {head.status}'
         if self._would_deny_run(head, info):
             return AttemptFailure(Ending.FAILED, Outcome.RAN, detail)
-        if head.status >= MIN_SERVER_ERROR:
+        if head.status >= MIN_SERVER_ERROR or self._exchange.reply.begun:
             return AttemptFailure(Ending.FAILED, Outcome.RAN, detail, response)
         self._report_progress()
         self._exchange.reply.send_response(
@@ -272,12 +287,15 @@
     async def _read_whole(
         self, connection: ServerConnection, silence_timeout: float | None
     ) -> bytes:
-        parts: list[bytes] = []
-        while True:
-            part = await self._read_with_timeout(connection.read_body, silence_timeout)
-            if not part:
-                return b''.join(parts)
-            parts.append(part)
+        with self._buffers.open() as buffer:
+            while True:
+                part = await self._read_with_timeout(
+                    connection.read_body, silence_timeout
+                )
+                if not part:
+                    return buffer.join()
+                if not buffer.add(part):
+                    raise self._make_relay_error('response too large')
 
     async def _relay_stream(
         self,
@@ -288,21 +306,37 @@
         exchange = self._exchange
         events = exchange.events
         events.restart()
-        gap = None
-        if silence_timeout is not None:
-            gap = exchange.route.gap_target * GAP_TIMEOUT_FACTOR
+        timeout = silence_timeout
+        waiting_since = self._clock.monotonic()
         while True:
-            part = await self._read_with_timeout(connection.read_body, silence_timeout)
+            part = await self._read_with_timeout(
+                connection.read_body, self._find_time_left(timeout, waiting_since)
+            )
             if not part:
                 break
-            silence_timeout = gap
             whole = events.feed(part)
             if whole:
                 await self._forward_events(head, whole)
+                waiting_since = self._clock.monotonic()
+                if silence_timeout is not None:
+                    timeout = exchange.route.gap_target * GAP_TIMEOUT_FACTOR
         if events.has_partial_event or not exchange.reply.begun:
             raise self._make_relay_error('stream ended within an event or without one')
         exchange.reply.finish()
 
+    def _find_time_left(
+        self, timeout: float | None, waiting_since: float
+    ) -> float | None:
+        """Return for how long to wait for the next event.
+
+        Bytes that complete none don't count. Where no retry was allowed when the time
+        was over, each further part may take as long again.
+        """
+        if timeout is None:
+            return None
+        waited = self._clock.monotonic() - waiting_since
+        return timeout - waited if waited < timeout else timeout
+
     async def _forward_events(self, head: ResponseHead, events: bytes) -> None:
         reply = self._exchange.reply
         if not reply.begun:
@@ -311,6 +345,7 @@
         await reply.write(events)
 
     def _report_progress(self) -> None:
+        self._has_progressed = True
         self._callbacks.on_progress()
 
     async def _read_with_timeout(
@@ -322,7 +357,7 @@
             async with asyncio.timeout(silence_timeout):
                 return await read()
         # Without a retry on another server, a late response is better than none.
-        if not self._reserve_retry():
+        if not self._callbacks.reserve_retry():
             return await read()
         raise UnresponsiveServerError(
             f'server silent for {silence_timeout:.2f} s',
@@ -345,6 +380,22 @@
     return remove_sends(drop_connection_headers(headers))
 
 
+async def _skip_refusal_body(connection: ServerConnection) -> Ending:
+    """Read the body of a refusal, or close its connection if the body does not end.
+
+    The server has said in the head that it has not run the request.
+
+    :returns: how the attempt has ended for the server.
+    """
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_SECONDS):
+            await connection.read_whole_body(MAX_REFUSAL_BYTES)
+    except (TimeoutError, ServerError):
+        connection.close()
+        return Ending.BROKEN
+    return Ending.REFUSED
+
+
 def _was_fully_read(failure: AttemptFailure | None) -> bool:
     """Tell whether the response was read to its end, so its connection is reusable."""
     if failure is None or failure.response is not None:
--- a/libs/serving/fireflyhitch_serving/client.py
+++ b/libs/serving/fireflyhitch_serving/client.py
@@ -16,6 +16,8 @@
 from fireflyhitch_serving.messages import Headers, render_request
 
 CONNECT_TIMEOUT_SECONDS = 0.5
+# Of a response's body; listings of thousands of servers have some megabytes.
+MAX_BODY_BYTES = 16_777_216
 
 
 @immutable
@@ -84,5 +86,5 @@
 async def _exchange(connection: ServerConnection, request: bytes) -> HttpResponse:
     connection.send(request)
     head = await connection.read_head()
-    body = await connection.read_whole_body()
+    body = await connection.read_whole_body(MAX_BODY_BYTES)
     return HttpResponse(head.status, body, head.headers)
--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -39,8 +39,14 @@
 # connection earlier than expected here. If it does so while a request is sent, it is
 # unknown whether the request ran.
 KEEP_ALIVE_FRACTION = 0.6
-# Of a response.
+# Of a response, and of what it has between two parts of its body.
 MAX_HEAD_BYTES = 262_144
+# Of responses that nobody waits for, before the one that is waited for.
+MAX_SKIPPED_BYTES = 262_144
+# Complete heads that have not been read. A late response may precede the one expected.
+MAX_UNREAD_HEADS = 8
+# What each unread part of a body uses besides its bytes.
+PART_OVERHEAD_BYTES = 64
 
 
 @immutable
@@ -94,7 +100,11 @@
         self._waiter: asyncio.Future[None] | None = None
         self._headers: Headers = []
         self._in_head = True
-        self._head_bytes = 0
+        self._framing_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._head_read = False
+        self._unread_heads = 0
         self._until_close = False
         self._in_response = False
         self._response_expected = False
@@ -114,18 +124,39 @@
         self._response_expected = True
         self._no_body = no_body
         self._keep_alive = True
+        self._framing_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._head_read = False
         self._transport.write(request)
 
+    @property
+    def has_received(self) -> bool:
+        """Return whether any byte has come since the request."""
+        return bool(self._received_bytes)
+
+    @property
+    def has_partial_response(self) -> bool:
+        """Return whether bytes have come that are more than a response's head.
+
+        A head may precede its body by long.
+        """
+        return self.has_received and not (self._head_read and not self._body_bytes)
+
     async def read_head(self) -> ResponseHead:
         """Wait for the head of a response.
 
         :raises ServerError: if the connection closes or the response is invalid.
         """
-        event = await self._next_event()
-        while isinstance(event, bytes) or event is _Marker.END:
-            # The rest of a discarded response.
+        skipped = 0
+        while True:
             event = await self._next_event()
-        return event
+            if isinstance(event, ResponseHead):
+                return event
+            # The rest of a discarded response.
+            skipped += len(event) if isinstance(event, bytes) else 0
+            if skipped > MAX_SKIPPED_BYTES:
+                raise self._make_error('a response to no request does not end')
 
     async def read_body(self) -> bytes:
         """Return the next bytes of the body, or ``b''`` at its end.
@@ -138,15 +169,17 @@
         assert isinstance(event, bytes)
         return event
 
-    async def read_whole_body(self) -> bytes:
+    async def read_whole_body(self, max_bytes: int) -> bytes:
         """Return the rest of the body.
 
-        :raises ServerError: if the connection closes before its end.
+        :raises ServerError: if it is larger, or the connection closes before its end.
         """
-        parts: list[bytes] = []
+        body = bytearray()
         while part := await self.read_body():
-            parts.append(part)
-        return b''.join(parts)
+            body += part
+            if len(body) > max_bytes:
+                raise self._make_error(f'body larger than {max_bytes} bytes')
+        return bytes(body)
 
     def finish(self, now: float) -> bool:
         """End an exchange whose response was read completely.
@@ -192,12 +225,14 @@
             self._set_error('received bytes without a request')
             self.close()
             return
+        self._received_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._set_error(f'invalid HTTP answer: {error}')
             self.close()
-        self._check_head_size(len(data))
+        self._check_framing()
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -219,7 +254,6 @@
         """Reset the state for a new response."""
         self._headers = []
         self._in_head = True
-        self._head_bytes = 0
         self._in_response = True
         self._until_close = False
 
@@ -234,13 +268,18 @@
         status = self._parser.get_status_code()
         if status < HTTPStatus.OK:
             return
+        self._head_read = True
+        self._framing_bytes = 0
+        self._unread_heads += 1
         self._events.append(ResponseHead(status, self._headers))
         self._record_framing()
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
         self._events.append(body)
-        self._unread_bytes += len(body)
+        self._framing_bytes = 0
+        self._body_bytes += len(body)
+        self._unread_bytes += len(body) + PART_OVERHEAD_BYTES
         if self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
             self._transport.pause_reading()
 
@@ -251,14 +290,18 @@
             self._keep_alive = self._keep_alive and self._parser.should_keep_alive()
             self._events.append(_Marker.END)
 
-    def _check_head_size(self, received: int) -> None:
-        """Close the connection to a server whose response head does not end."""
-        if not self._in_head or not self._in_response:
-            return
-        self._head_bytes += received
-        if self._head_bytes > MAX_HEAD_BYTES:
+    def _check_framing(self) -> None:
+        """Close the connection to a server whose bytes become no part of a response.
+
+        Blank lines, interim responses, heads, chunk extensions and trailers may lack an
+        end; the parser keeps some of them in memory.
+        """
+        if self._framing_bytes > MAX_HEAD_BYTES:
             self._set_error(f'response head larger than {MAX_HEAD_BYTES} bytes')
             self.close()
+        elif self._unread_heads > MAX_UNREAD_HEADS:
+            self._set_error('more responses than requests')
+            self.close()
 
     def _record_framing(self) -> None:
         headers = self._headers
@@ -279,20 +322,16 @@
     async def _next_event(self) -> ResponseHead | bytes | _Marker:
         while not self._events:
             if self._error is not None:
-                raise ServerError(
-                    self._error,
-                    step=Step.FIRST_BYTE,
-                    peer=str(self.address),
-                    outcome=Outcome.UNKNOWN,
-                )
+                raise self._make_error(self._error)
             self._waiter = asyncio.get_running_loop().create_future()
             try:
                 await self._waiter
             finally:
                 self._waiter = None
         event = self._events.popleft()
+        self._unread_heads -= isinstance(event, ResponseHead)
         if isinstance(event, bytes):
-            self._unread_bytes -= len(event)
+            self._unread_bytes -= len(event) + PART_OVERHEAD_BYTES
             if self._transport is not None and self._unread_bytes <= MAX_UNREAD_BYTES:
                 self._transport.resume_reading()
         return event
@@ -308,6 +347,14 @@
             and not transport.get_write_buffer_size()
         )
 
+    def _make_error(self, reason: str) -> ServerError:
+        return ServerError(
+            reason,
+            step=Step.FIRST_BYTE,
+            peer=str(self.address),
+            outcome=Outcome.UNKNOWN,
+        )
+
     def _set_error(self, error: str) -> None:
         if self._error is None:
             self._error = error
@@ -347,7 +394,8 @@
 async def try_exchange(address: Address, target: str, timeout: float) -> bool:
     """Send a request; return whether its connection lived on until the response.
 
-    A busy server may respond later than the timeout, which shows nothing.
+    A busy server may respond later than the timeout, which shows nothing. Whatever a
+    server sends shows that the link bears bytes.
 
     :param target: path of a request that has no effect.
     :param timeout: seconds.
@@ -362,7 +410,7 @@
     except TimeoutError:
         return connection is not None
     except ServerError:
-        return False
+        return connection is not None and connection.has_received
     finally:
         if connection is not None:
             connection.close()
--- a/libs/serving/fireflyhitch_serving/dependencies.py
+++ b/libs/serving/fireflyhitch_serving/dependencies.py
@@ -27,6 +27,7 @@
 from fireflyhitch_serving.metrics_endpoint import RequestRecord, WaitRecord
 from fireflyhitch_serving.quotas import Quotas
 from fireflyhitch_serving.reachability import ServerReachability
+from fireflyhitch_serving.response_buffers import ResponseBuffers
 from fireflyhitch_serving.retry_budget import RetryBudget
 from fireflyhitch_serving.servers import ServerRegistry
 from fireflyhitch_serving.usage import UsageTracker
@@ -156,4 +157,5 @@
     brittle_servers: BrittleServers
     leaving: Announcements
     reachability: ServerReachability
+    buffers: ResponseBuffers
     forwarder: Forwarder
--- a/libs/serving/fireflyhitch_serving/events.py
+++ b/libs/serving/fireflyhitch_serving/events.py
@@ -1,17 +1,26 @@
 """Splits a stream of server-sent events into whole events and checks their ids."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from fireflyhitch_model.external_values import parse_integer
 
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
+MAX_EVENT_BYTES = 1_048_576
 
 
-class EventOrderError(Exception):
+class EventError(Exception):
+    """A stream cannot be forwarded."""
+
+
+class EventOrderError(EventError):
     """An event is missing from the stream."""
 
 
+class EventTooLargeError(EventError):
+    """An event does not end."""
+
+
 @dataclass(slots=True)
 class EventSplitter:
     """Splits the response streams of all attempts at one request.
@@ -20,7 +29,7 @@
     """
 
     last_id: int | None = None
-    _buffer: bytes = b''
+    _buffer: bytearray = field(default_factory=bytearray)
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete, as the server wrote them.
@@ -28,14 +37,19 @@
         Events that the caller already has are left out.
 
         :raises EventOrderError: if an event is missing.
+        :raises EventTooLargeError: if one is too large.
         """
-        read = self._buffer + data
-        end = read.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            self._buffer = read
-            return b''
-        self._buffer = read[end:]
-        return self._check(read[:end])
+        if not self._buffer and data.endswith(EVENT_END):
+            return self._check(data)
+        # The end of an event may lie across two parts.
+        searched = max(len(self._buffer) - len(EVENT_END) + 1, 0)
+        self._buffer += data
+        end = self._buffer.rfind(EVENT_END, searched)
+        whole = bytes(self._buffer[: end + len(EVENT_END)]) if end >= 0 else b''
+        del self._buffer[: len(whole)]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(f'event larger than {MAX_EVENT_BYTES} bytes')
+        return self._check(whole)
 
     @property
     def has_partial_event(self) -> bool:
@@ -44,7 +58,7 @@
 
     def restart(self) -> None:
         """Discard buffered bytes before another attempt."""
-        self._buffer = b''
+        self._buffer.clear()
 
     def _check(self, data: bytes) -> bytes:
         accepted: list[bytes] = []
--- a/libs/serving/fireflyhitch_serving/forwarding.py
+++ b/libs/serving/fireflyhitch_serving/forwarding.py
@@ -30,6 +30,7 @@
 )
 from fireflyhitch_serving.messages import ResponseInfo
 from fireflyhitch_serving.reachability import ServerReachability
+from fireflyhitch_serving.response_buffers import ResponseBuffers
 
 # Peers that one request is sent to, if the first ones turn it away.
 MAX_PEERS = 3
@@ -62,6 +63,7 @@
     reachability: ServerReachability
     find_peers: Callable[[], Mapping[str, Address]]
     prefer: Callable[[Collection[str]], list[str]]
+    buffers: ResponseBuffers
 
 
 class Forwarder:
@@ -105,8 +107,9 @@
             AttemptCallbacks(
                 on_progress=partial(self._record_progress, exchange),
                 on_head=_ignore_head,
+                reserve_retry=_allow_no_retry,
             ),
-            _allow_no_retry,
+            self._deps.buffers,
         )
         self._in_flight[peer.name] += 1
         outcome = Outcome.UNKNOWN
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -61,6 +61,7 @@
 from fireflyhitch_serving.quotas import Quotas, QuotaSlack
 from fireflyhitch_serving.reachability import ServerReachability
 from fireflyhitch_serving.request_handler import RequestHandler
+from fireflyhitch_serving.response_buffers import ResponseBuffers
 from fireflyhitch_serving.retry_budget import RetryBounds, RetryBudget
 from fireflyhitch_serving.servers import ServerEntry, ServerRegistry
 from fireflyhitch_serving.usage import UsageTracker
@@ -193,7 +194,10 @@
     """Runs one daemon's request handler and its servers."""
 
     def __init__(
-        self, catalog: Catalog | None = None, clock: Clock | None = None
+        self,
+        catalog: Catalog | None = None,
+        clock: Clock | None = None,
+        memory_bytes: int = 300_000_000,
     ) -> None:
         self.catalog: Catalog | None = catalog or make_catalog()
         self.is_catalog_recent = True
@@ -224,6 +228,7 @@
             self.clock, 'here', lambda: ['here'], time.time, self.registry
         )
         self.shutdown_deadline: float | None = None
+        self.buffers = ResponseBuffers(memory_bytes)
         edge = PlainEdge()
         self.handler = RequestHandler(
             RequestDependencies(
@@ -261,6 +266,7 @@
                 brittle_servers=self.brittle_servers,
                 leaving=make_leaving_table(self.registry),
                 reachability=self.reachability,
+                buffers=self.buffers,
                 forwarder=Forwarder(
                     ForwardingDependencies(
                         'here',
@@ -270,6 +276,7 @@
                         self.reachability,
                         lambda: self.peers,
                         list,
+                        self.buffers,
                     )
                 ),
             )
--- a/libs/serving/tests/scripted_servers.py
+++ b/libs/serving/tests/scripted_servers.py
@@ -1,6 +1,7 @@
 """Scripts of backend servers for the tests of request handling."""
 
 import asyncio
+from contextlib import suppress
 
 from fireflyhitch_standins.scripted_server import ReceivedRequest, Script
 
@@ -92,3 +93,25 @@
 
 def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
     writer.write(b'%x\r\n%b\r\n' % (len(data), data))
+
+
+def repeat(
+    part: bytes, *, first: bytes = b'', status: str = '200 OK', pause: float = 0
+) -> Script:
+    """Return a script that sends bytes without end, until the caller closes.
+
+    :param first: bytes before those; an id and a signature are added to a head.
+    :param pause: seconds between two parts.
+    """
+
+    async def script(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        head = f'HTTP/1.1 {status}\r\nX-Id: {request.request_id}\r\nX-Signed: 1\r\n'
+        with suppress(ConnectionError):
+            writer.write(first.replace(b'HEAD', head.encode()))
+            while not request.closed.is_set():
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(pause)
+        writer.close()
+
+    return script
