Probe only servers of services that the configuration names

Evidence: the new test failed before; with it the tests of partitioned daemons and of foreign entries pass.

--- a/libs/serving/fireflyhitch_serving/reachability.py
+++ b/libs/serving/fireflyhitch_serving/reachability.py
@@ -35,6 +35,11 @@
     return ''
 
 
+def _name_any(service: DeploymentId) -> bool:
+    """Return that a configuration may name it."""
+    return True
+
+
 class ServerReachability:
     """Whether any backend server can be reached from this daemon."""
 
@@ -44,13 +49,17 @@
         servers: ServerRegistry,
         rng: random.Random,
         find_health_path: Callable[[DeploymentId], str] = _find_no_path,
+        is_named: Callable[[DeploymentId], bool] = _name_any,
     ) -> None:
         """Create a state in which servers are reached.
 
         :param find_health_path: returns where a service's servers tell their health.
+        :param is_named: returns whether the configuration names a service. Entries of
+            others may be another writer's, and their addresses anything.
         """
         self.lost = False
         self._find_health_path = find_health_path
+        self._is_named = is_named
         # Servers that have not responded since the last response of any.
         self._unanswered: set[BackendServerId] = set()
         self._clock = clock
@@ -92,7 +101,7 @@
         servers = [
             record.server
             for record in self._servers.all().values()
-            if record.accepts_requests
+            if record.accepts_requests and self._is_named(record.server.service)
         ]
         if len(servers) < MIN_SERVERS:
             self._set_lost(lost=False)
--- a/libs/serving/tests/scene.py
+++ b/libs/serving/tests/scene.py
@@ -221,6 +221,7 @@
             self.clock,
             self.registry,
             random.Random(1),  # noqa: S311
+            is_named=lambda service: service == SERVICE,
         )
         self.crashes = make_crash_tracking(self.clock, self.registry, self.reachability)
         self.peers: dict[str, Address] = {}
--- a/libs/serving/tests/test_forwarding.py
+++ b/libs/serving/tests/test_forwarding.py
@@ -365,6 +365,20 @@
 
         run_scenario(RequestHarness(), script)
 
+    def test_servers_of_a_service_without_configuration_prove_nothing(self) -> None:
+        # Guards against foreign entries at dead addresses that make each request seem
+        # impossible to serve.
+        async def script(harness: RequestHarness) -> None:
+            for number in range(20):
+                name = f'foreign-{number}'
+                (await harness.add(name, respond(), service='print-jobs')).stop()
+            for name in ('a', 'b'):
+                await harness.add(name, respond())
+            await harness.reachability.check()
+            assert not harness.reachability.lost
+
+        run_scenario(RequestHarness(), script)
+
     def test_servers_are_not_blamed_for_a_lost_link(self) -> None:
         async def script(harness: RequestHarness) -> None:
             servers = [await harness.add(name, respond()) for name in ('a', 'b')]
