--- a/libs/serving/fireflyhitch_serving/forwarded_requests.py
+++ b/libs/serving/fireflyhitch_serving/forwarded_requests.py
@@ -131,7 +131,7 @@
     A refusal of what it could not read does not tell, and counts as a send.
     """
     try:
-        return parse_integer(find_header(headers, SENDS_HEADER))
+        return max(parse_integer(find_header(headers, SENDS_HEADER)), 0)
     except (TypeError, ValueError):
         return 1
 
