--- a/tests/users_platform/test_program.py
+++ b/tests/users_platform/test_program.py
@@ -3,7 +3,9 @@
 import asyncio
 import os
 import signal
+from pathlib import Path
 
+import pytest
 from cluster import (
     KEY,
     Cluster,
@@ -15,6 +17,7 @@
 from scene import ReceivedResponse
 
 from fireflyhitch_serving.connections import connect
+from fireflyhitch_users_platform.node_file import NodeFileError, load_node_file
 
 
 class TestServing:
@@ -187,6 +190,35 @@
 
         run_scenario(tmp_path, script)
 
+    @pytest.mark.parametrize(
+        ('old', 'new'),
+        [
+            (b'[limits]', b'\xff'),
+            (b'memory_mb = 300', b'memory_mb = inf'),
+            (b'grace_s = 5', b'grace_s = nan'),
+            (b'drain_ms = 2000', b'drain_ms = [2000]'),
+            (b'front = "127.0.0.1:', b'front = "127.0.0.1:9'),
+        ],
+    )
+    def test_settings_with_an_unusable_value_change_nothing(
+        self, tmp_path: Path, old: bytes, new: bytes
+    ) -> None:
+        # Guards against an error that ends the loop which reads them.
+        async def script(cluster: Cluster) -> None:
+            program = cluster.start('d1')
+            await wait_for(lambda: program.listening)
+            path = cluster.write_node_file('d1', grace=5)
+            changed = path.read_bytes()
+            assert old in changed
+            path.write_bytes(changed.replace(old, new))
+            with pytest.raises(NodeFileError):
+                load_node_file(path)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await asyncio.sleep(0.1)
+            assert program.grace == 8
+
+        run_scenario(tmp_path, script)
+
 
 class TestRequestValidation:
     async def _send_raw(self, cluster: Cluster, raw: bytes) -> int:
