Accept ids, sums and limits as daemons themselves write them

Found on rereading, before it was landed: its checks of numbers left out what daemons write themselves. Processes of servers are hashes of 64 bits, so holds in the store would have been refused as malformed; an era may be as large. Sums of callers' token counts, or a limit that a server announces, may exceed what one number may be, and then peers would have regarded a daemon's whole state as unreadable.

Change: ids have a bound of their own, sums too, and an announcement beyond the bound of a number announces nothing.

Evidence: the four new cases failed before and pass.

--- a/libs/routing/fireflyhitch_routing/announcements.py
+++ b/libs/routing/fireflyhitch_routing/announcements.py
@@ -5,7 +5,6 @@
 otherwise.
 """
 
-import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -13,6 +12,7 @@
 
 from loguru import logger
 
+from fireflyhitch_model.external_values import MAX_NUMBER
 from fireflyhitch_model.ids import BackendServerId, ProcessId
 from fireflyhitch_routing.broadcast_window import BroadcastWindow
 
@@ -69,7 +69,8 @@
         number = float(text)
     except ValueError:
         return None
-    return number if math.isfinite(number) and number >= 0 else None
+    # Beyond that, peers would regard this daemon's whole state as unreadable.
+    return number if 0 <= number <= MAX_NUMBER else None
 
 
 class Announcements:
--- a/libs/serving/fireflyhitch_serving/holds.py
+++ b/libs/serving/fireflyhitch_serving/holds.py
@@ -14,7 +14,7 @@
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.external_values import (
     PARSE_ERRORS,
-    parse_integer,
+    parse_id,
     parse_number,
 )
 from fireflyhitch_model.ids import ABSENT, ContentId, ProcessId
@@ -118,6 +118,6 @@
             parse_number(fields['until']) - self._peers.wall(), HOLD_SECONDS
         )
         processes = frozenset(
-            ProcessId(parse_integer(process)) for process in fields['processes']
+            ProcessId(parse_id(process)) for process in fields['processes']
         )
         return Hold(self._clock.monotonic() + remaining, processes)
--- a/libs/serving/fireflyhitch_serving/peer_state.py
+++ b/libs/serving/fireflyhitch_serving/peer_state.py
@@ -8,8 +8,9 @@
 import cbor2
 
 from fireflyhitch_model.external_values import (
-    check_number,
     check_text,
+    check_total,
+    parse_id,
     parse_number,
 )
 from fireflyhitch_model.ids import (
@@ -135,7 +136,8 @@
         key: AnswerCounts(*check_numbers(row))
         for key, row in message['answers'].items()
     }
-    check_numbers(message['newest'].values())
+    for revision in message['newest'].values():
+        parse_id(revision)
     crashes = {key: _decode_crash(*row) for key, row in message['crashes'].items()}
     return {
         **message,
@@ -180,16 +182,16 @@
 
 
 def _decode_report(value: float | None, age: float) -> Report:
-    return Report(None if value is None else check_number(value), check_number(age))
+    return Report(None if value is None else check_total(value), check_total(age))
 
 
 def check_numbers(row: Iterable[Any]) -> Iterable[Any]:
-    """Return a row of numbers.
+    """Return a row of numbers, sums among them.
 
     :raises ValueError: if it contains anything else; each use of it would fail later.
     """
     for value in row:
-        check_number(value)
+        check_total(value)
     return row
 
 
--- a/libs/serving/tests/test_malformed_messages.py
+++ b/libs/serving/tests/test_malformed_messages.py
@@ -1,6 +1,7 @@
 """Tests of what other daemons send or store, and this one cannot use."""
 
 import asyncio
+import json
 import operator
 import random
 from collections.abc import Callable
@@ -12,7 +13,11 @@
 from virtual_time import run_virtual
 
 from fireflyhitch_model.clock import ManualClock
-from fireflyhitch_model.ids import FailureDomainId
+from fireflyhitch_model.external_values import MAX_ID, MAX_NUMBER
+from fireflyhitch_model.identity import identify_process
+from fireflyhitch_model.ids import BackendServerId, ContentId, FailureDomainId
+from fireflyhitch_routing.announcements import parse_number
+from fireflyhitch_serving.holds import HOLDS_PREFIX
 from fireflyhitch_serving.hubs import HubTracker
 from fireflyhitch_serving.peer_channel import PeerChannel, PeerHandlers
 from fireflyhitch_serving.peer_state import PeerState, decode_state, encode_state
@@ -27,6 +32,7 @@
 NAN = float('nan')
 HUGE = 10**400
 PEER = ('127.0.0.1', 1)
+SERVER = BackendServerId('i-1')
 
 
 def render_state(**changes: Any) -> bytes:
@@ -85,6 +91,20 @@
     def test_bytes_that_hold_no_state_are_unreadable(self, data: bytes) -> None:
         assert decode_state(data) is None
 
+    def test_a_state_may_report_large_eras(self) -> None:
+        assert decode_state(render_state(newest={'op/': 4, 'era': MAX_ID})) is not None
+
+    def test_sums_of_the_largest_numbers_of_callers_leave_a_state_readable(
+        self,
+    ) -> None:
+        # Guards against a daemon that none of its peers hears any more.
+        work = {'i-1': [100, 100 * MAX_NUMBER]}
+        assert decode_state(render_state(work=work)) is not None
+
+    @pytest.mark.parametrize('text', ['1e300', 'inf', 'nan', '-1'])
+    def test_a_server_announces_nothing_that_peers_cannot_read(self, text: str) -> None:
+        assert parse_number(text) is None
+
     def test_a_state_that_cannot_be_applied_raises_no_error(self) -> None:
         def fail(state: PeerState) -> None:
             raise ZeroDivisionError
@@ -137,3 +157,18 @@
 
         run_virtual(script())
         assert not failed
+
+    def test_a_hold_under_servers_with_ids_of_64_bits_is_applied(self) -> None:
+        # Guards against checks of numbers that leave out ids as they are.
+        content = ContentId('crashing')
+
+        async def script() -> None:
+            cluster = Daemons(1, gent=3)
+            await cluster.start_all()
+            until = asyncio.get_running_loop().time() + 20
+            hold = {'until': until, 'processes': [identify_process(SERVER, 1), MAX_ID]}
+            cluster.store.put(f'{HOLDS_PREFIX}{content}', json.dumps(hold).encode())
+            await asyncio.sleep(1)
+            assert all(daemon.holds(content) for daemon in cluster.daemons.values())
+
+        run_virtual(script())
