--- a/tests/users_platform/test_caller_input.py
+++ b/tests/users_platform/test_caller_input.py
@@ -8,6 +8,7 @@
 from cluster import KEY, Cluster, run_scenario
 from loguru import logger
 
+from fireflyhitch_serving.client import MAX_BODY_BYTES
 from fireflyhitch_serving.connections import connect
 from fireflyhitch_serving.messages import Header, Headers, render_request
 from fireflyhitch_standins.users_formats import render_chunks
@@ -44,7 +45,7 @@
         statuses = []
         for _ in range(responses):
             statuses.append((await connection.read_head()).status)
-            await connection.read_whole_body()
+            await connection.read_whole_body(MAX_BODY_BYTES)
         return statuses
     finally:
         connection.close()
