--- a/libs/model/fireflyhitch_model/external_values.py
+++ b/libs/model/fireflyhitch_model/external_values.py
@@ -99,10 +99,10 @@
     :raises ValueError: if it is none, or not within 0 and ``MAX_ID``.
     :raises TypeError: if the value is neither.
     """
-    number = int(value)  # type: ignore[call-overload]
+    number: int = int(value)  # type: ignore[call-overload]
     if not 0 <= number <= MAX_ID:
         raise ValueError('id out of range')
-    return int(number)
+    return number
 
 
 def parse_seconds(milliseconds: object) -> float:
--- a/libs/routing/fireflyhitch_routing/announcements.py
+++ b/libs/routing/fireflyhitch_routing/announcements.py
@@ -12,7 +12,7 @@
 
 from loguru import logger
 
-from fireflyhitch_model.external_values import MAX_NUMBER
+from fireflyhitch_model import external_values
 from fireflyhitch_model.ids import BackendServerId, ProcessId
 from fireflyhitch_routing.broadcast_window import BroadcastWindow
 
@@ -66,11 +66,11 @@
     if text is None:
         return None
     try:
-        number = float(text)
+        # Beyond its bound, peers would regard this daemon's whole state as unreadable.
+        number = external_values.parse_number(text)
     except ValueError:
         return None
-    # Beyond that, peers would regard this daemon's whole state as unreadable.
-    return number if 0 <= number <= MAX_NUMBER else None
+    return None if number < 0 else number
 
 
 class Announcements:
--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -86,7 +86,10 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """A connection for requests that are sent one after the other."""
+    """A connection for requests that are sent one after the other.
+
+    :ivar has_received: whether any byte has come since the last request.
+    """
 
     def __init__(self, address: Address) -> None:
         """Create a protocol; ``connect`` opens a connection with one."""
@@ -101,9 +104,9 @@
         self._headers: Headers = []
         self._in_head = True
         self._framing_bytes = 0
-        self._received_bytes = 0
-        self._body_bytes = 0
+        self.has_received = False
         self._head_read = False
+        self._body_begun = False
         self._unread_heads = 0
         self._until_close = False
         self._in_response = False
@@ -125,23 +128,18 @@
         self._no_body = no_body
         self._keep_alive = True
         self._framing_bytes = 0
-        self._received_bytes = 0
-        self._body_bytes = 0
+        self.has_received = False
         self._head_read = False
+        self._body_begun = False
         self._transport.write(request)
 
-    @property
-    def has_received(self) -> bool:
-        """Return whether any byte has come since the request."""
-        return bool(self._received_bytes)
-
     @property
     def has_partial_response(self) -> bool:
         """Return whether bytes have come that are more than a response's head.
 
         A head may precede its body by long.
         """
-        return self.has_received and not (self._head_read and not self._body_bytes)
+        return self._body_begun or (self.has_received and not self._head_read)
 
     async def read_head(self) -> ResponseHead:
         """Wait for the head of a response.
@@ -225,7 +223,7 @@
             self._set_error('received bytes without a request')
             self.close()
             return
-        self._received_bytes += len(data)
+        self.has_received = True
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -278,7 +276,7 @@
         """Queue a part of the body."""
         self._events.append(body)
         self._framing_bytes = 0
-        self._body_bytes += len(body)
+        self._body_begun = True
         self._unread_bytes += len(body) + PART_OVERHEAD_BYTES
         if self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
             self._transport.pause_reading()
