Log what a new leader finds of usage, and by which era it trusts it

The users' record of two reports of one window could not tell which of three hypotheses holds: no line said what era a claim found recorded, which windows had recorded counts, or which counts were fixed and reported. The lines 'claiming', 'counts loaded', 'usage fixed' and 'usage reported' tell it now. No logic has changed.

--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -277,6 +277,12 @@
         self._lease = lease
         self._expires_at = sent_at + LEASE_SECONDS
         self._may_lack_records = self._follows_restore(keys)
+        logger.bind(
+            rank=rank,
+            era=self._eras.current,
+            recorded_era=keys.era.value.decode() if keys.era else None,
+            saw_restore=self._saw_restore,
+        ).info('claiming')
         # Whether the claim succeeded is read from the key, as at all other daemons.
         put = Put(LEADER_KEY, self._own_value(), ABSENT, self._lease)
         await self._health.track(self._store.put([put, *self._make_era_puts(keys)]))
--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -144,7 +144,13 @@
                 await self._restore_fixed()
                 self._leave_out_uncertain(leadership)
             self._loaded_under = fencing
-            logger.bind(fencing=fencing, deputy=fencing == DEPUTY).info('counts loaded')
+            logger.bind(
+                fencing=fencing,
+                deputy=fencing == DEPUTY,
+                stored=sorted(self._stored_windows),
+                known=sorted(self._fixed),
+                oldest_certain=self._oldest_certain,
+            ).info('counts loaded')
         now = self._wall_clock()
         if now - self._saved_at < SAVE_SECONDS:
             return
@@ -235,6 +241,7 @@
         logger.bind(
             window=window,
             requests=sum(counts.values()),
+            counts=counts,
             processes=self._tracker.count_reporters(window),
             all_heard=self._peers.all_heard(),
             fencing=leadership.fencing,
@@ -260,6 +267,9 @@
                 return None
             counts = stored
         self._fixed[window] = counts
+        logger.bind(
+            window=window, counts=counts, found=isinstance(result, Conflict)
+        ).info('usage fixed')
         return counts
 
 
