Report no window anew that an earlier leader may have reported

What follows from a restore was known to the first leader of the new era alone, and in its memory: which windows were uncertain, or which counts were to be written again. The era was recorded with its claim, before that was done, so the next leader took the store's records for complete and counted anew what had been reported. A process that started beside a copy older than any record of an era did not know of the restore at all.

The class: done was recorded before it was done, and nothing recorded was taken for nothing lost. Now a leader trusts that a key is missing only by a record of the present era ('fireflyhitch-usage-certainty'), which is written last, after all counts known have been written again; without it, or with one of another era, each leader does all of that anew, whoever led meanwhile. Fixed counts go to the peers before they are reported, and a successor reads them from there, so that windows are left out only where nobody knows their counts. A leader that led on through a restore goes on with what it knows, by a term that a restore does not end.

The test of fencing numbers checks the same plays now. The leader in test_usage_reports.py finds the record that nothing was lost: without one it rightly leaves out the window of before its lead.

--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -49,13 +49,13 @@
 
     :param fencing: grows with each new leader.
     :param seconds_left: time for which the leader may still act.
-    :param may_lack_records: whether a restore may have lost what an earlier leader
-        recorded of its actions.
+    :param term: the fencing number with which this daemon began to lead; it has led
+        without interruption since, also if the store was restored.
     """
 
     fencing: FencingNumber
     seconds_left: float
-    may_lack_records: bool = False
+    term: FencingNumber
 
 
 @immutable
@@ -105,7 +105,7 @@
         self._eras = eras
         self._era_known_at = boot_clock()
         self._reclaims_until = float('-inf')
-        self._may_lack_records = False
+        self._term = FencingNumber(ABSENT)
         self._saw_restore = False
         eras.add_callback(self._handle_restore)
 
@@ -118,7 +118,7 @@
         remaining = self._expires_at - MARGIN_SECONDS - self._clock()
         if remaining <= 0:
             return None
-        return Leadership(self._fencing, remaining, self._may_lack_records)
+        return Leadership(self._fencing, remaining, self._term)
 
     def find_leader(self) -> str | None:
         """Return the name of the leading daemon, as far as known."""
@@ -144,7 +144,9 @@
         self._fencing = None
         if value is not None and value == self._own_value():
             self._fencing = FencingNumber(revision)
-            logger.bind(fencing=revision).info('leading')
+            if previous != value:
+                self._term = self._fencing
+            logger.bind(fencing=revision, term=self._term).info('leading')
         elif previous is not None and previous == self._own_value():
             logger.info('no longer leading')
         self._wake.set()
@@ -276,7 +278,6 @@
             return
         self._lease = lease
         self._expires_at = sent_at + LEASE_SECONDS
-        self._may_lack_records = self._follows_restore(keys)
         logger.bind(
             rank=rank,
             era=self._eras.current,
--- a/libs/serving/fireflyhitch_serving/peer_listings.py
+++ b/libs/serving/fireflyhitch_serving/peer_listings.py
@@ -5,8 +5,9 @@
 long as that lasts; so would one that starts meanwhile, without any state.
 """
 
+import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from http import HTTPStatus
 from urllib.parse import parse_qs, urlencode, urlsplit
 
@@ -152,6 +153,15 @@
                 break
         return newest
 
+    async def read_all(self, prefix: str, names: Iterable[str]) -> list[Listing]:
+        """Read a prefix from all of some peers at once; some may not respond."""
+        addresses = self._peers.listed()
+        known = [(name, addresses[name]) for name in names if name in addresses]
+        found = await asyncio.gather(
+            *(self._read_one(name, address, prefix) for name, address in known)
+        )
+        return [listing for listing in found if listing is not None]
+
     async def _read_one(
         self, peer: str, address: Address, prefix: str
     ) -> Listing | None:
--- a/libs/serving/fireflyhitch_serving/saved_counts.py
+++ b/libs/serving/fireflyhitch_serving/saved_counts.py
@@ -19,18 +19,19 @@
 SAVED_KEY = f'{SAVED_PREFIX}recent'
 
 
-def make_deputy_key(domain: FailureDomainId) -> str:
-    """Return the key below which a failure domain's deputy saves counts."""
-    return f'{SAVED_PREFIX}deputy-{domain}'
-
-
 class SavedCounts:
     """Loads all saved counts, and saves some below one key."""
 
-    def __init__(self, store: AsyncStore, tracker: UsageTracker) -> None:
-        """Create it; nothing is loaded yet."""
+    def __init__(
+        self, store: AsyncStore, tracker: UsageTracker, domain: FailureDomainId
+    ) -> None:
+        """Create it; nothing is loaded yet.
+
+        :param domain: this daemon's, whose deputy has a key of its own.
+        """
         self._store = store
         self._tracker = tracker
+        self._deputy_key = _make_deputy_key(domain)
         self._revisions: dict[str, Revision] = {}
 
     async def load(self) -> None:
@@ -51,12 +52,14 @@
             for process, counts in saved.items():
                 self._tracker.merge_counts(process, counts)
 
-    async def save(self, key: str, counts: dict[str, WindowCounts]) -> bool:
+    async def save(self, counts: dict[str, WindowCounts], *, as_deputy: bool) -> bool:
         """Save counts unless the key has been written by another daemon.
 
+        :param as_deputy: whether this daemon acts in the leader's place.
         :returns: whether they were saved.
         :raises PlatformError: if it is not known whether they were.
         """
+        key = self._deputy_key if as_deputy else SAVED_KEY
         value = json.dumps(counts).encode()
         put = Put(key, value, self._revisions.get(key, ABSENT))
         result = await self._store.put([put])
@@ -66,23 +69,31 @@
         return True
 
 
+def _make_deputy_key(domain: FailureDomainId) -> str:
+    return f'{SAVED_PREFIX}deputy-{domain}'
+
+
 def decode_window(value: bytes) -> dict[CustomerId, int]:
     """Return the counts of one window.
 
     :raises PARSE_ERRORS: if they are malformed.
     """
-    return _check_window(json.loads(value))
+    return check_window(json.loads(value))
 
 
 def _decode(value: bytes) -> dict[str, WindowCounts]:
     return {
         process: {
-            parse_integer(window): _check_window(counts)
+            parse_integer(window): check_window(counts)
             for window, counts in windows.items()
         }
         for process, windows in json.loads(value).items()
     }
 
 
-def _check_window(counts: dict[str, object]) -> dict[CustomerId, int]:
+def check_window(counts: dict[str, object]) -> dict[CustomerId, int]:
+    """Return the counts of one window.
+
+    :raises ValueError: if one is malformed.
+    """
     return {CustomerId(name): check_count(count) for name, count in counts.items()}
--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -5,28 +5,19 @@
 """
 
 import asyncio
-import json
 from collections.abc import Callable
 
 from loguru import logger
 
 from fireflyhitch_model.errors import PlatformError
-from fireflyhitch_model.external_values import PARSE_ERRORS
-from fireflyhitch_model.ids import ABSENT, CustomerId, FencingNumber
+from fireflyhitch_model.ids import ABSENT, FencingNumber
 from fireflyhitch_model.records import immutable
-from fireflyhitch_platform.keyvalue import Conflict, KeyValue
 from fireflyhitch_serving.duty_calls import CallResult, DutyCalls
-from fireflyhitch_serving.leases import LEASE_SECONDS, LeaderLease, Leadership
-from fireflyhitch_serving.saved_counts import (
-    SAVED_KEY,
-    SavedCounts,
-    decode_window,
-)
-from fireflyhitch_serving.store import AsyncStore, Put
+from fireflyhitch_serving.fixed_counts import FixedCounts
+from fireflyhitch_serving.leases import LeaderLease, Leadership
+from fireflyhitch_serving.saved_counts import SavedCounts
 from fireflyhitch_serving.usage import UsageTracker
 
-# Outside the watched prefix: only a new leader reads it.
-USAGE_PREFIX = 'fireflyhitch-usage/'
 # Peers' last counts of a window arrive some exchange rounds after its end, allowing for
 # a lost message. With many daemons a round takes seconds, and an earlier report would
 # lack requests.
@@ -42,9 +33,6 @@
 # report held back for an unresponsive daemon, some windows after the requests. While
 # a stopped leader has no successor, its deputies save theirs.
 SAVE_SECONDS = 1.0
-# Fixed counts have no lease: leases may expire during a store outage, and a window must
-# not be fixed twice. They are deleted once no leader can need them any more.
-RETAINED_FIXED_WINDOWS = 60
 RETAINED_REPORTED_WINDOWS = 64
 # Stands for the fencing number of a deputy, which has none and only saves counts.
 DEPUTY = FencingNumber(ABSENT)
@@ -84,34 +72,30 @@
         self,
         tracker: UsageTracker,
         lease: LeaderLease,
-        store: AsyncStore,
+        saved: SavedCounts,
+        fixed: FixedCounts,
         calls: DutyCalls,
         wall_clock: Callable[[], float],
         peers: PeerCounts,
         schedule: UsageSchedule,
-        deputy_key: str,
     ) -> None:
-        """Create a reporter that has reported nothing.
-
-        :param deputy_key: the key below which it saves counts as a deputy.
-        """
+        """Create a reporter that has reported nothing."""
         self._tracker = tracker
         self._lease = lease
-        self._store = store
+        self._fixed = fixed
         self._calls = calls
         self._wall_clock = wall_clock
         self._peers = peers
-        self._saved = SavedCounts(store, tracker)
-        self._deputy_key = deputy_key
+        self._saved = saved
         self._window_seconds = schedule.window_seconds
         self._late_seconds = schedule.late_seconds
         # Number of windows before the newest whose reports may still be due.
         self._span = int(schedule.late_seconds // schedule.window_seconds) + 1
-        self._fixed: dict[int, dict[CustomerId, int]] = {}
-        self._stored_windows: set[int] = set()
         self._reported_windows: list[int] = []
         self._saved_at = 0.0
         self._loaded_under: FencingNumber | None = None
+        # The term in which this daemon has taken over all that was fixed before.
+        self._term: FencingNumber | None = None
         # Windows before this one are reported only with counts that were fixed.
         self._oldest_certain = 0
 
@@ -139,64 +123,53 @@
         """Load the saved counts on taking over, then save counts periodically."""
         fencing = leadership.fencing if leadership else DEPUTY
         if self._loaded_under != fencing:
-            await self._load_persisted()
-            if leadership is not None:
-                await self._restore_fixed()
-                self._leave_out_uncertain(leadership)
+            await self._saved.load()
+            if leadership is None:
+                await self._fixed.load()
+            else:
+                await self._take_over(leadership)
             self._loaded_under = fencing
             logger.bind(
                 fencing=fencing,
                 deputy=fencing == DEPUTY,
-                stored=sorted(self._stored_windows),
-                known=sorted(self._fixed),
+                stored=sorted(self._fixed.stored_windows),
+                known=sorted(self._fixed.windows),
                 oldest_certain=self._oldest_certain,
             ).info('counts loaded')
         now = self._wall_clock()
         if now - self._saved_at < SAVE_SECONDS:
             return
-        unfixed = self._tracker.find_unfixed(self._find_oldest_due(now), self._fixed)
+        unfixed = self._tracker.find_unfixed(
+            self._find_oldest_due(now), self._fixed.windows
+        )
         if not unfixed:
             return
-        key = self._deputy_key if fencing == DEPUTY else SAVED_KEY
-        if await self._saved.save(key, unfixed):
+        if await self._saved.save(unfixed, as_deputy=fencing == DEPUTY):
             self._saved_at = now
         else:
-            await self._load_persisted()
-
-    async def _load_persisted(self) -> None:
-        await self._saved.load()
-        fixed = await self._store.list(USAGE_PREFIX)
-        self._stored_windows = set()
-        for item in fixed.items:
-            suffix = item.key.removeprefix(USAGE_PREFIX)
-            counts = _read_fixed(item)
-            if counts is not None and suffix.isdecimal():
-                self._fixed[int(suffix)] = counts
-                self._stored_windows.add(int(suffix))
-
-    async def _restore_fixed(self) -> None:
-        """Write again the counts that this daemon has fixed and the store has lost.
-
-        They may have been reported, and a successor must report no others.
-        """
-        lost = sorted(self._fixed.keys() - self._stored_windows)
-        for window in lost:
-            value = json.dumps(self._fixed[window]).encode()
-            await self._store.put([Put(_key(window), value, ABSENT)])
-            logger.bind(window=window).info('fixed counts written again')
+            await self._saved.load()
 
-    def _leave_out_uncertain(self, leadership: Leadership) -> None:
-        """Leave out windows that a lost leader may have reported before a restore.
+    async def _take_over(self, leadership: Leadership) -> None:
+        """Learn which windows earlier leaders have fixed, and record how far that goes.
 
-        The store has lost which counts these had. Since the restore a whole lease has
-        passed; what was reported later is fixed in the store.
+        The record comes last: if this leader ends before, the next one does the same.
         """
-        if leadership.may_lack_records:
-            since = self._wall_clock() - LEASE_SECONDS
-            self._oldest_certain = self._tracker.find_window(since)
-            logger.bind(oldest=self._oldest_certain).warning(
-                'windows before a restore are not reported'
+        oldest = await self._fixed.load()
+        is_recorded = oldest is not None
+        if oldest is None and self._term == leadership.term:
+            oldest = self._oldest_certain
+        if oldest is None:
+            await self._fixed.ask_peers()
+            # Any window that has ended may have been reported.
+            oldest = self._tracker.find_window(self._wall_clock())
+        await self._fixed.write_again()
+        if not is_recorded:
+            await self._fixed.record_certainty(oldest)
+            logger.bind(oldest=oldest, known=sorted(self._fixed.windows)).warning(
+                'earlier windows are reported only as fixed'
             )
+        self._oldest_certain = oldest
+        self._term = leadership.term
 
     async def _report_due(self) -> None:
         now = self._wall_clock()
@@ -218,9 +191,7 @@
         newest = self._tracker.find_window(self._wall_clock()) - 1
         oldest = newest - 2 * self._span
         self._tracker.forget_before(oldest)
-        self._fixed = {
-            window: counts for window, counts in self._fixed.items() if window >= oldest
-        }
+        self._fixed.forget_before(oldest)
 
     def _is_settled(self, window: int, now: float) -> bool:
         elapsed = now - (window + 1) * self._window_seconds
@@ -231,9 +202,9 @@
         )
 
     async def _report(self, window: int) -> None:
-        counts = self._fixed.get(window)
+        counts = self._fixed.find(window)
         if counts is None and window >= self._oldest_certain:
-            counts = await self._fix(window)
+            counts = await self._fixed.fix(window, self._tracker.sum_window(window))
         leadership = self._lease.current_leadership()
         if counts is None or leadership is None:
             return
@@ -241,7 +212,7 @@
         logger.bind(
             window=window,
             requests=sum(counts.values()),
-            counts=counts,
+            counts=dict(counts),
             processes=self._tracker.count_reporters(window),
             all_heard=self._peers.all_heard(),
             fencing=leadership.fencing,
@@ -252,35 +223,3 @@
                 *self._reported_windows[-RETAINED_REPORTED_WINDOWS:],
                 window,
             ]
-
-    async def _fix(self, window: int) -> dict[CustomerId, int] | None:
-        counts = self._tracker.sum_window(window)
-        put = Put(_key(window), json.dumps(counts).encode(), ABSENT)
-        result = await self._store.put(
-            [put], deletes=[_key(window - RETAINED_FIXED_WINDOWS)]
-        )
-        if isinstance(result, Conflict):
-            if result.current is None:
-                return None
-            stored = _read_fixed(result.current)
-            if stored is None:
-                return None
-            counts = stored
-        self._fixed[window] = counts
-        logger.bind(
-            window=window, counts=counts, found=isinstance(result, Conflict)
-        ).info('usage fixed')
-        return counts
-
-
-def _read_fixed(item: KeyValue) -> dict[CustomerId, int] | None:
-    """Return fixed counts; ``None`` if they are malformed."""
-    try:
-        return decode_window(item.value)
-    except PARSE_ERRORS as error:
-        logger.bind(key=item.key, error=repr(error)).error('malformed fixed counts')
-        return None
-
-
-def _key(window: int) -> str:
-    return f'{USAGE_PREFIX}{window}'
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -36,6 +36,11 @@
 from fireflyhitch_serving.duty_calls import CallResult
 from fireflyhitch_serving.duty_ranking import LeadershipOrder
 from fireflyhitch_serving.errors import ServerError
+from fireflyhitch_serving.fixed_counts import (
+    USAGE_PREFIX,
+    FixedCounts,
+    KeeperCalls,
+)
 from fireflyhitch_serving.holds import HOLDS_PREFIX, HoldManager
 from fireflyhitch_serving.hubs import HubTracker
 from fireflyhitch_serving.leases import (
@@ -61,7 +66,7 @@
 )
 from fireflyhitch_serving.relays import ChangeRelay
 from fireflyhitch_serving.retry_budget import RetryBounds, RetryBudget
-from fireflyhitch_serving.saved_counts import make_deputy_key
+from fireflyhitch_serving.saved_counts import SavedCounts
 from fireflyhitch_serving.servers import ServerEntry, ServerRegistry
 from fireflyhitch_serving.shared_state import SharedComponents, SharedState
 from fireflyhitch_serving.stalls import StallDetector
@@ -266,10 +271,17 @@
             self._lease,
             self._health,
         )
+        self.fixed_counts = FixedCounts(
+            self._store,
+            self.eras,
+            self._peers,
+            KeeperCalls(self._channel.send_to, self._read_all),
+        )
         self._reporter = UsageReporter(
             self.usage,
             self._lease,
-            self._store,
+            SavedCounts(self._store, self.usage, self._domain),
+            self.fixed_counts,
             Duties(name, net.accepted_reports),
             self._peers.wall,
             PeerCounts(
@@ -278,7 +290,6 @@
                 deputy.acts,
             ),
             UsageSchedule(USAGE_WINDOW_SECONDS, USAGE_LATE_SECONDS),
-            make_deputy_key(self._domain),
         )
         self._holds = HoldManager(
             self.crashes.quarantine,
@@ -317,6 +328,8 @@
 
     def find_listing(self, prefix: str) -> Listing | None:
         """Return all keys below a prefix as it knows them."""
+        if prefix == USAGE_PREFIX:
+            return self.fixed_counts.make_listing()
         views = {view.prefix: view for view in self._views}
         return views[prefix].make_listing()
 
@@ -483,7 +496,12 @@
         self._shared.apply_peer_state(state)
         self.relay.update_group()
 
+    async def _read_all(self, prefix: str, daemons: list[str]) -> list[Listing]:
+        return await self._peer_listings.read_all(prefix, daemons)
+
     def _receive_other(self, data: bytes) -> bool:
+        if self.fixed_counts.receive(data):
+            return True
         message = decode_changes(data, self.eras.first)
         if message is None:
             is_summary = self._shared.apply_summaries(data)
--- a/libs/serving/tests/test_autoscaler.py
+++ b/libs/serving/tests/test_autoscaler.py
@@ -33,7 +33,8 @@
 
     def current_leadership(self) -> Leadership | None:
         """Return a leadership, unless another daemon leads."""
-        return Leadership(FencingNumber(7), 3) if self.is_leading else None
+        fencing = FencingNumber(7)
+        return Leadership(fencing, 3, fencing) if self.is_leading else None
 
     async def order_servers(
         self, leadership: Leadership, order: ServerOrder
--- a/libs/serving/tests/test_usage_after_restores.py
+++ b/libs/serving/tests/test_usage_after_restores.py
@@ -181,7 +181,6 @@
 
 
 class TestUsageReports:
-    @pytest.mark.xfail(strict=False, raises=AssertionError)
     @pytest.mark.parametrize('seed', range(5))
     @pytest.mark.parametrize('succession', SUCCESSIONS)
     def test_no_window_is_reported_twice_after_a_succession(
@@ -198,17 +197,10 @@
 
         assert not find_conflicts(run_play(seed, play).reports)
 
-    @pytest.mark.xfail(strict=False, raises=AssertionError)
     @pytest.mark.parametrize('seed', range(20))
     def test_no_window_is_reported_twice_round_restores(self, seed: int) -> None:
         """A successor counted a window anew that a leader of an earlier era had reported."""
-        scene = run_play(seed, Successions.play)
-        assert not find_conflicts(scene.reports)
-
-    @pytest.mark.parametrize('seed', range(20))
-    def test_fencing_numbers_rise_round_restores(self, seed: int) -> None:
-        """A later leader acted with a lower number than the one before."""
-        numbers = [
-            report.fencing for report in run_play(seed, Successions.play).reports
-        ]
+        reports = run_play(seed, Successions.play).reports
+        assert not find_conflicts(reports)
+        numbers = [report.fencing for report in reports]
         assert numbers == sorted(numbers)
--- a/libs/serving/tests/test_usage_reports.py
+++ b/libs/serving/tests/test_usage_reports.py
@@ -5,14 +5,24 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from fireflyhitch_model.clock import SystemClock
 from fireflyhitch_model.errors import PlatformError
-from fireflyhitch_model.ids import ABSENT, CustomerId, FencingNumber, Revision
+from fireflyhitch_model.ids import (
+    ABSENT,
+    CustomerId,
+    FailureDomainId,
+    FencingNumber,
+    Revision,
+)
 from fireflyhitch_model.states import Step
 from fireflyhitch_platform.keyvalue import KeyValue, Listing, Written
 from fireflyhitch_serving.duty_calls import CallResult
+from fireflyhitch_serving.fixed_counts import CERTAINTY_KEY, FixedCounts, KeeperCalls
 from fireflyhitch_serving.leases import Leadership
-from fireflyhitch_serving.saved_counts import SAVED_KEY, SAVED_PREFIX
+from fireflyhitch_serving.peers import PeerRegistry
+from fireflyhitch_serving.saved_counts import SAVED_KEY, SAVED_PREFIX, SavedCounts
 from fireflyhitch_serving.store import Put
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.usage import UsageTracker
 from fireflyhitch_serving.usage_reports import (
     PeerCounts,
@@ -21,6 +31,8 @@
 )
 
 BAKERY = CustomerId('bakery')
+# No restore has lost any fixed counts.
+NOTHING_LOST = b'{"era": 0, "oldest": 0}'
 
 
 class FakeLeader:
@@ -32,11 +44,14 @@
 
     def current_leadership(self) -> Leadership:
         """Return a valid leadership."""
-        return Leadership(FencingNumber(7), 3)
+        return Leadership(FencingNumber(7), 3, FencingNumber(7))
 
     async def list(self, prefix: str, *, stale: bool = False) -> Listing:
         """Return an empty listing."""
-        return Listing(ABSENT, ())
+        if prefix != CERTAINTY_KEY:
+            return Listing(ABSENT, ())
+        certainty = KeyValue(prefix, NOTHING_LOST, Revision(1), Revision(1))
+        return Listing(Revision(1), (certainty,))
 
     async def put(self, puts: Sequence[Put], deletes: object = ()) -> Written:
         """Accept the write."""
@@ -59,18 +74,31 @@
     propagation_seconds: float = 0.1,
 ) -> UsageReporter:
     """Return a reporter that has heard from all daemons."""
+    clock = SystemClock()
+    peers = PeerRegistry('local', FailureDomainId('gent'), clock, wall_clock)
+    fixed = FixedCounts(
+        leader,  # type: ignore[arg-type]
+        EraTracker(clock),
+        peers,
+        KeeperCalls(lambda *message: None, read_nothing),
+    )
     return UsageReporter(
         tracker,
         leader,  # type: ignore[arg-type]
-        leader,  # type: ignore[arg-type]
+        SavedCounts(leader, tracker, FailureDomainId('gent')),  # type: ignore[arg-type]
+        fixed,
         leader,  # type: ignore[arg-type]
         wall_clock,
         PeerCounts(lambda: True, lambda: propagation_seconds, bool),
         UsageSchedule(5, 10),
-        SAVED_KEY,
     )
 
 
+async def read_nothing(prefix: str, daemons: list[str]) -> list[Listing]:
+    """Return that no peer responds."""
+    return []
+
+
 class TestSettling:
     def test_a_window_waits_for_counts_that_propagate_slowly(self, monkeypatch) -> None:
         # With 75 daemons, one of another failure domain sends its counts every 1.9 s.
@@ -107,7 +135,7 @@
         if not self.readable:
             raise PlatformError('slow', step=Step.STORE_READ)
         if prefix != SAVED_PREFIX:
-            return Listing(ABSENT, ())
+            return await super().list(prefix)
         value = b'{"gone": {"1": {"bakery": 9}}}'
         kept = KeyValue(SAVED_KEY, value, Revision(3), Revision(3))
         return Listing(Revision(3), (kept,))
