Let a new process wait for a leader that a copy does not name

Two daemons led at once: the leader was cut off from the store, which came back as it was before any leader, and a process that started then claimed the lead within a second, while the leader still acted by its lease. The process had seen no restore, and took a store without the record of an era for a new one. Nothing recorded does not mean nothing lost: where the store tells an era, such a process waits for as long as a lost leader's lease can last.

The new case of test_restores.py failed with all three sizes before (two leaders); the file passes.

--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -19,6 +19,7 @@
 
 from loguru import logger
 
+from fireflyhitch_model.eras import UNKNOWN_ERA
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.ids import ABSENT, FencingNumber, LeaseId, Revision
 from fireflyhitch_model.records import immutable
@@ -238,9 +239,13 @@
         return self._clock() < self._era_known_at + LEASE_SECONDS
 
     def _follows_restore(self, keys: _StoredKeys) -> bool:
-        """Return whether no leader has been found since the store was restored."""
+        """Return whether no leader has been found since the store was restored.
+
+        A copy may be older than the first leader's record, and a process that has just
+        started cannot have seen the restore.
+        """
         if keys.era is None:
-            return self._saw_restore
+            return self._saw_restore or self._eras.current != UNKNOWN_ERA
         return keys.era.value != self._own_era()
 
     def _is_leader(self) -> bool:
--- a/libs/serving/tests/test_restores.py
+++ b/libs/serving/tests/test_restores.py
@@ -148,6 +148,16 @@
     await asyncio.sleep(REWRITE_SECONDS)
 
 
+async def restore_to_before_any_leader_and_start(scene: Restores) -> None:
+    """Start daemons beside a leader that is cut off, and a copy that names none."""
+    scene.cluster.store.unresponsive_to.add(scene.find_leader())
+    scene.cluster.store.restore(asyncio.get_running_loop().time() - 0.05)
+    for name in ('brugge-1', 'lier-1', 'kortrijk-1'):
+        scene.cluster.start(name)
+    scene.cluster.store.put(f'{SERVERS}{SERVER}', READY)
+    await asyncio.sleep(REWRITE_SECONDS)
+
+
 FAULTS = (
     restore_once,
     restore_in_series,
@@ -156,6 +166,7 @@
     restore_and_cut_watchers,
     restore_and_cut_domain,
     restore_and_start,
+    restore_to_before_any_leader_and_start,
 )
 
 
