Test usage reports of whole daemons whose leaders end in turn

Whole daemons, whose store comes back from an older copy: the leader, or all daemons, end round the restore, and then the first one that reports again. The earlier test of two reports of one window waited for reports of windows without any requests, which are the same whoever counts them; it waits for counts now.

--- a/tests/users_platform/test_restored_store.py
+++ b/tests/users_platform/test_restored_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 
 import pytest
@@ -13,6 +13,8 @@
 from fireflyhitch_standins.users_store import StoreCopy
 
 DAEMONS = ('d1', 'd2', 'd3', 'd4')
+# Started when all others have ended.
+SUCCESSORS = ('d5', 'd6', 'd7', 'd8')
 DOMAINS = ('gent', 'brugge')
 # Time from the store's acknowledgement until a change is in force everywhere.
 MAX_DELAY_SECONDS = 2.0
@@ -57,9 +59,9 @@
         await asyncio.sleep(2)
         return server
 
-    def start_daemons(self) -> None:
-        """Start all daemons, in two failure domains by turns."""
-        for daemon, domain in zip(DAEMONS, itertools.cycle(DOMAINS), strict=False):
+    def start_daemons(self, names: Iterable[str] = DAEMONS) -> None:
+        """Start daemons, in two failure domains by turns."""
+        for daemon, domain in zip(names, itertools.cycle(DOMAINS), strict=False):
             self.cluster.start(daemon, domain=domain)
 
     async def write_some(self) -> None:
@@ -232,7 +234,7 @@
             drill.start_daemons()
             await cluster.wait_ready(*DAEMONS)
             load = asyncio.create_task(_send_steadily(drill))
-            await _wait_for_reports(cluster, 3)
+            await _wait_for_counts(cluster, 3)
             leader = cluster.duties.calls[-1][1]
             await drill.restore(copy)
             cluster.kill(leader)
@@ -245,6 +247,40 @@
 
         run_drill(tmp_path, script)
 
+    @pytest.mark.parametrize('ends_all', [False, True], ids=['leader', 'all daemons'])
+    def test_no_window_is_reported_twice_when_leaders_end_in_turn(
+        self, tmp_path, ends_all: bool
+    ) -> None:
+        """The first leader after a restore ended, and with it what it knew of the loss."""
+
+        async def script(drill: Drill) -> None:
+            cluster = drill.cluster
+            put_configuration(cluster, drill.version)
+            await cluster.add_server('i-1', answer_signed())
+            copy = cluster.store.copy()
+            drill.start_daemons()
+            await cluster.wait_ready(*DAEMONS)
+            load = asyncio.create_task(_send_steadily(drill))
+            await _wait_for_counts(cluster, 3)
+            ended = DAEMONS if ends_all else (cluster.duties.calls[-1][1],)
+            for daemon in ended:
+                cluster.kill(daemon)
+            await drill.restore(copy)
+            if ends_all:
+                drill.start_daemons(SUCCESSORS)
+            before = len(cluster.duties.calls)
+            while len(cluster.duties.calls) == before:
+                await asyncio.sleep(0.01)
+            cluster.kill(cluster.duties.calls[-1][1])
+            before = len(cluster.duties.calls)
+            await asyncio.sleep(3 * MAX_IDLE_SECONDS)
+            load.cancel()
+            assert len(cluster.duties.calls) > before
+            _check_fencing(cluster)
+            _check_reports(cluster)
+
+        run_drill(tmp_path, script)
+
 
 class TestServers:
     def test_a_server_that_leaves_gets_nothing_after_a_restore(self, tmp_path) -> None:
@@ -347,15 +383,24 @@
         await asyncio.sleep(0.1)
 
 
+async def _wait_for_counts(cluster: Cluster, count: int) -> None:
+    """Wait for reports of some windows in which requests ran."""
+    while sum(bool(body['counts']) for body in cluster.duties.find('/usage')) < count:
+        await asyncio.sleep(0.1)
+
+
 async def _send_steadily(drill: Drill) -> None:
-    for daemon in itertools.cycle(DAEMONS):
+    for daemon in itertools.cycle((*DAEMONS, *SUCCESSORS)):
         if daemon in drill.cluster.programs:
             await drill.send(daemon, '/read/1', KEY)
         await asyncio.sleep(0.03)
 
 
-def _check_holders(cluster: Cluster) -> None:
-    """Check that fencing numbers grow, and differ from holder to holder."""
+def _check_fencing(cluster: Cluster) -> list[tuple[str, int]]:
+    """Check that fencing numbers grow, and differ from holder to holder.
+
+    :returns: the holder and the number of each call.
+    """
     calls = [(name, fencing) for _, name, fencing, _ in cluster.duties.calls]
     numbers = [fencing for _, fencing in calls]
     assert numbers == sorted(numbers)
@@ -363,6 +408,12 @@
     for name, fencing in calls:
         holders.setdefault(fencing, set()).add(name)
     assert all(len(names) == 1 for names in holders.values())
+    return calls
+
+
+def _check_holders(cluster: Cluster) -> None:
+    """Check that no daemon leads again after another one."""
+    calls = _check_fencing(cluster)
     turns = [who for who, _ in itertools.groupby(calls, lambda call: call[0])]
     assert len(turns) == len(set(turns))
 
