--- a/libs/serving/tests/test_malformed_messages.py
+++ b/libs/serving/tests/test_malformed_messages.py
@@ -17,6 +17,7 @@
 from fireflyhitch_model.identity import identify_process
 from fireflyhitch_model.ids import BackendServerId, ContentId, FailureDomainId
 from fireflyhitch_routing.announcements import parse_number
+from fireflyhitch_serving.fixed_counts import USAGE_PREFIX
 from fireflyhitch_serving.holds import HOLDS_PREFIX
 from fireflyhitch_serving.hubs import HubTracker
 from fireflyhitch_serving.peer_channel import PeerChannel, PeerHandlers
@@ -26,7 +27,6 @@
 from fireflyhitch_serving.saved_counts import SAVED_PREFIX
 from fireflyhitch_serving.stalls import StallDetector
 from fireflyhitch_serving.traffic import ControlTraffic
-from fireflyhitch_serving.usage_reports import USAGE_PREFIX
 
 GENT = FailureDomainId('gent')
 NAN = float('nan')
