Wait for a lost leader from when the store is first heard of

Two daemons led at once for 1.4 to 3.1 s (found by a review, all of three sizes): a process started while the store did not answer it and nobody listed it, heard of no era for six seconds, and then found a copy without any leader's record. It had waited since its start, and claimed beside the leader of before, which was cut off and still acted by its lease. It waits from when it first hears of an era now.

What a daemon saw of restores itself is no longer needed beside that: a store that tells an era and holds no record of one is waited for by all.

--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -107,7 +107,7 @@
         self._era_known_at = boot_clock()
         self._reclaims_until = float('-inf')
         self._term = FencingNumber(ABSENT)
-        self._saw_restore = False
+        eras.add_first_callback(self._record_era)
         eras.add_callback(self._handle_restore)
 
     def current_leadership(self) -> Leadership | None:
@@ -178,8 +178,7 @@
 
     def _handle_restore(self) -> None:
         """Write the key again if this daemon leads; otherwise wait like a new one."""
-        self._era_known_at = self._clock()
-        self._saw_restore = True
+        self._record_era()
         self._wake.set()
         if self.current_leadership() is not None:
             self._reclaims_until = self._expires_at - MARGIN_SECONDS
@@ -188,6 +187,9 @@
         self._lease = None
         self._reclaims_until = float('-inf')
 
+    def _record_era(self) -> None:
+        self._era_known_at = self._clock()
+
     def _reclaims(self) -> bool:
         """Return whether this daemon leads by a lease that a restore may have lost."""
         return self._clock() < self._reclaims_until
@@ -241,11 +243,11 @@
     def _follows_restore(self, keys: _StoredKeys) -> bool:
         """Return whether no leader has been found since the store was restored.
 
-        A copy may be older than the first leader's record, and a process that has just
-        started cannot have seen the restore.
+        A copy may be older than the first leader's record. A store that tells no era
+        has not been restored.
         """
         if keys.era is None:
-            return self._saw_restore or self._eras.current != UNKNOWN_ERA
+            return self._eras.current != UNKNOWN_ERA
         return keys.era.value != self._own_era()
 
     def _is_leader(self) -> bool:
@@ -287,7 +289,6 @@
             rank=rank,
             era=self._eras.current,
             recorded_era=keys.era.value.decode() if keys.era else None,
-            saw_restore=self._saw_restore,
         ).info('claiming')
         # Whether the claim succeeded is read from the key, as at all other daemons.
         put = Put(LEADER_KEY, self._own_value(), ABSENT, self._lease)
--- a/libs/serving/fireflyhitch_serving/store_eras.py
+++ b/libs/serving/fireflyhitch_serving/store_eras.py
@@ -38,6 +38,7 @@
         self._current: StoreEra | None = None
         self._known_since = float('-inf')
         self._callbacks: list[Callable[[], None]] = []
+        self._first_callbacks: list[Callable[[], None]] = []
 
     @property
     def current(self) -> StoreEra:
@@ -62,6 +63,14 @@
         """Add a callback for each new era after the first one; it must return at once."""
         self._callbacks.append(callback)
 
+    def add_first_callback(self, callback: Callable[[], None]) -> None:
+        """Add a callback for the first era that is known; it must return at once.
+
+        A process may have run for long without hearing of the store, which may have
+        been restored since.
+        """
+        self._first_callbacks.append(callback)
+
     def record_revision(self, revision: Revision, source: str) -> None:
         """Record the era of a peer's revision, if the peer knows any.
 
@@ -86,6 +95,8 @@
         if former is None:
             self._first = era
             log.info('store era known')
+            for first_callback in self._first_callbacks:
+                first_callback()
             return
         log.bind(former=former).warning('store restored from an older copy')
         for callback in self._callbacks:
--- a/libs/serving/tests/test_restores.py
+++ b/libs/serving/tests/test_restores.py
@@ -39,6 +39,8 @@
 SIZES = ((3, 3), (12, 12), (15, 14))
 SERVER = 'i-1'
 CHECK_SECONDS = 0.05
+# Longer than a lease.
+CUT_OFF_SECONDS = 6.0
 
 
 class Restores:
@@ -205,6 +207,30 @@
         run_virtual(script())
 
 
+class TestLeaders:
+    @pytest.mark.parametrize('sizes', SIZES)
+    def test_a_process_that_hears_of_an_era_late_leads_beside_nobody(
+        self, sizes: tuple[int, int]
+    ) -> None:
+        """A process waited from its start, not from when it first heard of the store."""
+        newcomers = ('brugge-1', 'lier-1', 'kortrijk-1')
+
+        async def script() -> None:
+            scene = Restores(sum(sizes), sizes)
+            cluster = scene.cluster
+            await scene.start()
+            cluster.store.unresponsive_to.update(newcomers)
+            for name in newcomers:
+                cluster.start(name)
+            await asyncio.sleep(CUT_OFF_SECONDS)
+            cluster.store.unresponsive_to.difference_update(newcomers)
+            cluster.store.unresponsive_to.add(scene.find_leader())
+            cluster.store.restore(asyncio.get_running_loop().time() - 0.05)
+            await scene.check_leaders()
+
+        run_virtual(script())
+
+
 class TestEarlierVersions:
     def test_daemons_that_tell_no_era_mislead_nobody(self) -> None:
         """Daemons of an earlier version go on with the revisions of before."""
