Keep odd entries, wrong clocks and differing counts out of usage reports

A window of which two counts are known is not reported: a missing report is only missing. So that this is noticed, counts are reported only once they are stored in the present era, also those that came from peers. - By a clock 7 s fast a window was reported before its end; the successor of a whole system's end counted it as the running one. Without a record the running window is left out, too. - The counts of eight windows of 800 customers made a datagram of 101,586 bytes (60,000 at most), and no peer learned any. Each window has a datagram of its own, and the last two are sent.

The key says in its name what it holds (complete-since).

--- a/libs/serving/fireflyhitch_serving/fixed_counts.py
+++ b/libs/serving/fireflyhitch_serving/fixed_counts.py
@@ -2,10 +2,11 @@
 
 Counts are fixed before they are reported, so whoever reports a window reports the same
 counts. A store that comes back from an older copy may lack them. So a leader sends them
-to peers as well, and a successor asks these; of windows that ended before it led, and
-that nobody knows, it reports none. How far that goes is recorded in the store, with its
-era, once all that is known has been written again. A leader that finds no record of the
-present era does it all anew, whoever led meanwhile and however far they came.
+to peers as well, and a successor asks these; other windows that ended before it led are
+not reported. The store holds since which window its fixed counts are complete, and in
+which era of its; this is written once all that is known has been written again. A
+leader that finds none of the present era does it all anew, whoever led meanwhile and
+however far they came.
 """
 
 import json
@@ -33,7 +34,7 @@
 
 # Outside the watched prefixes: only a new leader reads them.
 USAGE_PREFIX = 'fireflyhitch-usage/'
-CERTAINTY_KEY = 'fireflyhitch-usage-certainty'
+COMPLETE_SINCE_KEY = 'fireflyhitch-usage-complete-since'
 FIXED_COUNTS = 'fixed_counts'
 # Fixed counts have no lease: leases may expire during a store outage, and a window must
 # not be fixed twice. They are deleted once no leader can need them any more.
@@ -41,6 +42,10 @@
 # Peers that are sent and asked for counts. With few daemons these are all of them; with
 # many it would cost each leader more than its share of control traffic.
 MAX_KEEPERS = 20
+# Windows that are sent at each time, as a datagram may be lost.
+SENT_WINDOWS = 2
+# No window so far ahead has ended by any clock that daemons go by.
+MAX_WINDOWS_AHEAD = 10
 
 WindowRow = tuple[int, Mapping[CustomerId, int]]
 
@@ -74,8 +79,9 @@
         self._peers = peers
         self._keepers = keepers
         self._counts: dict[int, Mapping[CustomerId, int]] = {}
-        self._stored: frozenset[int] = frozenset()
-        self._certainty: KeyValue | None = None
+        self._stored: set[int] = set()
+        self._disputed: set[int] = set()
+        self._complete_since: KeyValue | None = None
         self._loaded_era = eras.current
 
     @property
@@ -85,26 +91,29 @@
 
     @property
     def stored_windows(self) -> frozenset[int]:
-        """Return the windows whose counts the store held when they were loaded."""
-        return self._stored
+        """Return the windows whose counts the store holds in the era last loaded."""
+        return frozenset(self._stored)
 
     def find(self, window: int) -> Mapping[CustomerId, int] | None:
         """Return a window's counts, if they are known to be fixed."""
         return self._counts.get(window)
 
-    def forget_before(self, window: int) -> None:
-        """Drop the windows before this one."""
+    def keep_only(self, oldest: int, newest: int) -> None:
+        """Drop the windows before one, and those that lie too far after another one."""
+        kept = range(oldest, newest + MAX_WINDOWS_AHEAD + 1)
         self._counts = {
-            known: counts for known, counts in self._counts.items() if known >= window
+            window: counts for window, counts in self._counts.items() if window in kept
         }
+        self._stored.intersection_update(self._counts)
+        self._disputed.intersection_update(self._counts)
 
     def receive(self, data: bytes) -> bool:
         """Apply a peer's datagram; return ``False`` for one of another kind."""
         rows = decode_rows(FIXED_COUNTS, data, _decode_row)
         if rows is None:
             return False
-        for window, counts in rows:
-            self._counts.setdefault(window, counts)
+        for row in rows:
+            self._learn(*row)
         return True
 
     def make_listing(self) -> Listing:
@@ -116,28 +125,28 @@
         )
         return Listing(revision, tuple(items))
 
-    async def load(self) -> int | None:
+    async def load(self, newest: int) -> int | None:
         """Read all fixed counts in the store.
 
-        :returns: the oldest window that is certainly not reported unless its counts are
-            fixed; ``None`` if nobody has recorded it in the store's present era.
+        :param newest: the window that is running.
+        :returns: the window since which the store's fixed counts are complete; ``None``
+            if nobody has recorded it in the store's present era.
         :raises PlatformError: if they cannot be read.
         """
-        self._certainty = await self._read_certainty()
+        self._complete_since = await self._read_complete_since()
         listing = await self._store.list(USAGE_PREFIX)
-        if self._certainty is not None:
-            self._check_era(self._certainty.revision)
+        if self._complete_since is not None:
+            self._check_era(self._complete_since.revision)
         self._check_era(listing.revision)
         self._loaded_era = self._eras.current
-        self._stored = frozenset(
-            window for window, _ in self._apply_items(listing.items)
-        )
-        return None if self._certainty is None else self._decode_certainty()
+        self._stored = {window for window, _ in self._apply_items(listing.items)}
+        since = self._decode_complete_since()
+        return None if since is None or _is_too_far(since, newest) else since
 
     async def ask_peers(self) -> None:
         """Read the fixed counts that peers know."""
         for listing in await self._keepers.read(USAGE_PREFIX, self._choose_keepers()):
-            self._apply_items(listing.items, replaces=False)
+            self._apply_items(listing.items)
 
     async def write_again(self) -> None:
         """Write the known counts that the store lacks.
@@ -145,23 +154,20 @@
         :raises PlatformError: if it is not known whether they were written.
         """
         for window in sorted(self._counts.keys() - self._stored):
-            put = Put(make_key(window), _encode(self._counts[window]), ABSENT)
-            result = await self._store.put([put])
-            if isinstance(result, Written):
-                self._check_era(result.revision)
-            logger.bind(window=window, counts=self._counts[window]).info(
-                'fixed counts written again'
-            )
+            await self.fix(window, self._counts[window])
 
-    async def record_certainty(self, oldest: int) -> None:
-        """Record that the store holds the fixed counts of a window and all later ones.
+    async def record_complete_since(self, window: int) -> None:
+        """Record since which window the store's fixed counts are complete.
 
         :raises PlatformError: if it is not known whether it was recorded.
         """
-        fields = {'era': self._loaded_era, 'oldest': oldest}
-        expected = ABSENT if self._certainty is None else self._certainty.revision
+        if self._eras.current != self._loaded_era:
+            raise _make_restored_error()
+        fields = {'era': self._loaded_era, 'window': window}
+        known = self._complete_since
+        expected = ABSENT if known is None else known.revision
         value = json.dumps(fields).encode()
-        result = await self._store.put([Put(CERTAINTY_KEY, value, expected)])
+        result = await self._store.put([Put(COMPLETE_SINCE_KEY, value, expected)])
         if not isinstance(result, Written):
             raise PlatformError('another leader recorded it', step=Step.STORE_WRITE)
         self._check_era(result.revision)
@@ -171,10 +177,19 @@
     ) -> Mapping[CustomerId, int] | None:
         """Fix a window's counts in the store, and send them to peers.
 
-        :returns: the counts that are fixed, by this daemon or another one; ``None`` if
-            that is not known.
+        :returns: the counts that the store holds; ``None`` if that is not known, or if
+            others are known as well, of which some may have been reported.
         :raises PlatformError: if the store does not answer.
         """
+        if self._eras.current != self._loaded_era:
+            return None
+        if window not in self._stored:
+            await self._store_counts(window, counts)
+        return self._counts[window] if window in self._stored - self._disputed else None
+
+    async def _store_counts(
+        self, window: int, counts: Mapping[CustomerId, int]
+    ) -> None:
         put = Put(make_key(window), _encode(counts), ABSENT)
         result = await self._store.put(
             [put], deletes=[make_key(window - RETAINED_WINDOWS)]
@@ -182,16 +197,16 @@
         if isinstance(result, Conflict):
             found = self._read_conflict(result)
             if found is None:
-                return None
+                return
             counts = found
         else:
             self._check_era(result.revision)
-        self._counts[window] = counts
+        self._learn(window, counts)
+        self._stored.add(window)
         logger.bind(
             window=window, counts=counts, found=isinstance(result, Conflict)
         ).info('usage fixed')
         self._send()
-        return counts
 
     def _read_conflict(self, result: Conflict) -> Mapping[CustomerId, int] | None:
         if result.current is None:
@@ -200,56 +215,60 @@
         return _read_counts(result.current)
 
     def _send(self) -> None:
-        """Send all counts that are known, as peers may lack earlier ones."""
-        rows = [(window, dict(counts)) for window, counts in self._counts.items()]
-        self._keepers.send(encode_rows(FIXED_COUNTS, rows), self._choose_keepers())
+        """Send the latest counts, each window in a datagram of its own."""
+        keepers = self._choose_keepers()
+        for window in sorted(self._stored - self._disputed)[-SENT_WINDOWS:]:
+            row = (window, dict(self._counts[window]))
+            self._keepers.send(encode_rows(FIXED_COUNTS, [row]), keepers)
 
     def _choose_keepers(self) -> list[str]:
         names = self._peers.listed().keys() - {self._peers.own}
         return rank_by_hash(USAGE_PREFIX, names)[:MAX_KEEPERS]
 
-    async def _read_certainty(self) -> KeyValue | None:
-        listing = await self._store.list(CERTAINTY_KEY)
-        found = (item for item in listing.items if item.key == CERTAINTY_KEY)
+    async def _read_complete_since(self) -> KeyValue | None:
+        listing = await self._store.list(COMPLETE_SINCE_KEY)
+        found = (item for item in listing.items if item.key == COMPLETE_SINCE_KEY)
         return next(found, None)
 
-    def _decode_certainty(self) -> int | None:
-        assert self._certainty is not None
+    def _decode_complete_since(self) -> int | None:
+        if self._complete_since is None:
+            return None
         try:
-            fields = json.loads(self._certainty.value)
-            era, oldest = parse_integer(fields['era']), parse_integer(fields['oldest'])
+            fields = json.loads(self._complete_since.value)
+            era, since = parse_integer(fields['era']), parse_integer(fields['window'])
         except PARSE_ERRORS as error:
-            logger.bind(error=repr(error)).error('malformed certainty of usage')
+            logger.bind(key=COMPLETE_SINCE_KEY, error=repr(error)).error(
+                'malformed fixed counts'
+            )
             return None
-        return oldest if era == self._loaded_era else None
-
-    def _apply_items(
-        self, items: Iterable[KeyValue], *, replaces: bool = True
-    ) -> list[WindowRow]:
-        """Apply stored counts, and return them.
+        return since if era == self._loaded_era else None
 
-        :param replaces: whether they count more than those known here.
-        """
+    def _apply_items(self, items: Iterable[KeyValue]) -> list[WindowRow]:
+        """Apply counts of the store or a peer, and return them."""
         rows = [row for row in map(_read_item, items) if row is not None]
-        for window, counts in rows:
-            known = self._counts.setdefault(window, counts)
-            if known != counts:
-                logger.bind(window=window, known=known, other=counts).error(
-                    'fixed counts differ'
-                )
-                if replaces:
-                    self._counts[window] = counts
+        for row in rows:
+            self._learn(*row)
         return rows
 
+    def _learn(self, window: int, counts: Mapping[CustomerId, int]) -> None:
+        known = self._counts.setdefault(window, counts)
+        if known != counts and window not in self._disputed:
+            self._disputed.add(window)
+            logger.bind(window=window, known=known, other=counts).error(
+                'fixed counts differ'
+            )
+
     def _check_era(self, revision: Revision) -> None:
         """Refuse what was read or written in another era than the present one.
 
         :raises PlatformError: if the store was restored since.
         """
         if revision < self._eras.floor:
-            raise PlatformError(
-                'the store was restored meanwhile', step=Step.STORE_READ
-            )
+            raise _make_restored_error()
+
+
+def _make_restored_error() -> PlatformError:
+    return PlatformError('the store was restored meanwhile', step=Step.STORE_READ)
 
 
 def make_key(window: int) -> str:
@@ -266,10 +285,18 @@
     return check_count(window), check_window(counts)
 
 
+def _is_too_far(window: int, newest: int) -> bool:
+    return window > newest + MAX_WINDOWS_AHEAD
+
+
 def _read_item(item: KeyValue) -> WindowRow | None:
-    suffix = item.key.removeprefix(USAGE_PREFIX)
-    counts = _read_counts(item) if suffix.isdecimal() else None
-    return None if counts is None else (int(suffix), counts)
+    """Return a window's fixed counts; ``None`` if key or value are malformed."""
+    try:
+        window = parse_integer(item.key.removeprefix(USAGE_PREFIX))
+        return check_count(window), decode_window(item.value)
+    except PARSE_ERRORS as error:
+        logger.bind(key=item.key, error=repr(error)).error('malformed fixed counts')
+        return None
 
 
 def _read_counts(item: KeyValue) -> dict[CustomerId, int] | None:
--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -97,7 +97,7 @@
         # The term in which this daemon has taken over all that was fixed before.
         self._term: FencingNumber | None = None
         # Windows before this one are reported only with counts that were fixed.
-        self._oldest_certain = 0
+        self._complete_since = 0
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -125,7 +125,7 @@
         if self._loaded_under != fencing:
             await self._saved.load()
             if leadership is None:
-                await self._fixed.load()
+                await self._load_fixed()
             else:
                 await self._take_over(leadership)
             self._loaded_under = fencing
@@ -134,7 +134,7 @@
                 deputy=fencing == DEPUTY,
                 stored=sorted(self._fixed.stored_windows),
                 known=sorted(self._fixed.windows),
-                oldest_certain=self._oldest_certain,
+                complete_since=self._complete_since,
             ).info('counts loaded')
         now = self._wall_clock()
         if now - self._saved_at < SAVE_SECONDS:
@@ -154,23 +154,29 @@
 
         The record comes last: if this leader ends before, the next one does the same.
         """
-        oldest = await self._fixed.load()
-        is_recorded = oldest is not None
-        if oldest is None and self._term == leadership.term:
-            oldest = self._oldest_certain
-        if oldest is None:
+        since = await self._load_fixed()
+        is_recorded = since is not None
+        if since is None and self._term == leadership.term:
+            since = self._complete_since
+        if since is None:
             await self._fixed.ask_peers()
-            # Any window that has ended may have been reported.
-            oldest = self._tracker.find_window(self._wall_clock())
+            # By a clock that was wrong, the running window may have been reported, too.
+            since = self._find_newest() + 1
         await self._fixed.write_again()
         if not is_recorded:
-            await self._fixed.record_certainty(oldest)
-            logger.bind(oldest=oldest, known=sorted(self._fixed.windows)).warning(
+            await self._fixed.record_complete_since(since)
+            logger.bind(since=since, known=sorted(self._fixed.windows)).warning(
                 'earlier windows are reported only as fixed'
             )
-        self._oldest_certain = oldest
+        self._complete_since = since
         self._term = leadership.term
 
+    async def _load_fixed(self) -> int | None:
+        return await self._fixed.load(self._find_newest())
+
+    def _find_newest(self) -> int:
+        return self._tracker.find_window(self._wall_clock())
+
     async def _report_due(self) -> None:
         now = self._wall_clock()
         for due in range(self._find_oldest_due(now), self._tracker.find_window(now)):
@@ -191,7 +197,7 @@
         newest = self._tracker.find_window(self._wall_clock()) - 1
         oldest = newest - 2 * self._span
         self._tracker.forget_before(oldest)
-        self._fixed.forget_before(oldest)
+        self._fixed.keep_only(oldest, newest)
 
     def _is_settled(self, window: int, now: float) -> bool:
         elapsed = now - (window + 1) * self._window_seconds
@@ -203,8 +209,11 @@
 
     async def _report(self, window: int) -> None:
         counts = self._fixed.find(window)
-        if counts is None and window >= self._oldest_certain:
-            counts = await self._fixed.fix(window, self._tracker.sum_window(window))
+        if counts is None and window < self._complete_since:
+            return
+        if counts is None:
+            counts = self._tracker.sum_window(window)
+        counts = await self._fixed.fix(window, counts)
         leadership = self._lease.current_leadership()
         if counts is None or leadership is None:
             return
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -226,8 +226,12 @@
         self._store = StoreClient(store, name, self.eras)
         self._health = StoreHealth(self._clock)
         self.eras.add_callback(self._health.record_restore)
+        self.clock_error = 0.0
         self._peers = PeerRegistry(
-            name, self._domain, self._clock, self._clock.monotonic
+            name,
+            self._domain,
+            self._clock,
+            lambda: self._clock.monotonic() + self.clock_error,
         )
         self.hubs = HubTracker(self._peers, self._clock)
         self._servers = make_servers()
--- a/libs/serving/tests/test_usage_after_restores.py
+++ b/libs/serving/tests/test_usage_after_restores.py
@@ -1,6 +1,7 @@
 """Tests of usage reports when leaders follow each other round a restore of the store."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable, Sequence
 
 import pytest
@@ -8,6 +9,12 @@
 from virtual_time import run_virtual
 
 from fireflyhitch_model.ids import CustomerId
+from fireflyhitch_serving.fixed_counts import (
+    COMPLETE_SINCE_KEY,
+    USAGE_PREFIX,
+    make_key,
+)
+from fireflyhitch_serving.peers import MAX_DATAGRAM_BYTES
 
 CUSTOMERS = tuple(CustomerId(name) for name in ('bakery', 'school'))
 REQUEST_SECONDS = 0.05
@@ -20,13 +27,16 @@
 PLAY_SECONDS = 40.0
 MAX_COPY_SECONDS = 15.0
 MAX_PAUSE_SECONDS = 6.0
+# Two daemons agree on the mean of their clocks.
+JUMP_SECONDS = 14.0
+WINDOW = 3
 
 
 class Successions:
     """Daemons that count requests, end and start, beside a store that is restored."""
 
-    def __init__(self, seed: int) -> None:
-        self.cluster = Daemons(seed, gent=3, aalst=2)
+    def __init__(self, seed: int, gent: int = 3, aalst: int = 2) -> None:
+        self.cluster = Daemons(seed, gent=gent, aalst=aalst)
         self.cluster.store.expires_leases = True
         self.reports: list[UsageReport] = []
         self.cluster.net.accepted_reports = self.reports
@@ -122,9 +132,13 @@
     return conflicts
 
 
-def run_play(seed: int, play: Callable[[Successions], Awaitable[None]]) -> Successions:
+def run_play(
+    seed: int,
+    play: Callable[[Successions], Awaitable[None]],
+    scene: Successions | None = None,
+) -> Successions:
     """Run a play and return its scene."""
-    scene = Successions(seed)
+    scene = scene or Successions(seed)
 
     async def script() -> None:
         await scene.start()
@@ -180,6 +194,31 @@
 )
 
 
+async def write_key_with_many_digits(scene: Successions) -> None:
+    """Have another writer leave a window's key with a number of 5,000 digits."""
+    scene.cluster.store.put(f'{USAGE_PREFIX}{"9" * 5000}', b'{}')
+    scene.kill(await scene.wait_for_leader())
+
+
+async def record_completeness_of_far_future(scene: Successions) -> None:
+    """Have the record name a window that is far ahead, as a wrong clock makes it."""
+    value = json.dumps({'era': scene.cluster.store.era, 'window': 10**9}).encode()
+    scene.cluster.store.put(COMPLETE_SINCE_KEY, value)
+    scene.kill(await scene.wait_for_leader())
+
+
+async def jump_clock(scene: Successions) -> None:
+    """Kill all when a leader reports whose clock has jumped, as the store comes back."""
+    leader = scene.cluster.daemons[await scene.wait_for_leader()]
+    leader.clock_error = JUMP_SECONDS
+    await asyncio.sleep(2 * USAGE_WINDOW_SECONDS)
+    before = len(scene.reports)
+    while len(scene.reports) == before:
+        await asyncio.sleep(0.001)
+    scene.kill(*scene.cluster.daemons)
+    scene.restore(MAX_COPY_SECONDS)
+
+
 class TestUsageReports:
     @pytest.mark.parametrize('seed', range(5))
     @pytest.mark.parametrize('succession', SUCCESSIONS)
@@ -204,3 +243,73 @@
         assert not find_conflicts(reports)
         numbers = [report.fencing for report in reports]
         assert numbers == sorted(numbers)
+
+    @pytest.mark.parametrize(
+        'fault', [write_key_with_many_digits, record_completeness_of_far_future]
+    )
+    def test_windows_are_reported_after_an_odd_entry(
+        self, fault: Callable[[Successions], Awaitable[None]]
+    ) -> None:
+        """An entry that no daemon writes, or a wrong clock, ended all reports for good."""
+
+        async def play(scene: Successions) -> None:
+            await fault(scene)
+            await asyncio.sleep(4 * MAX_IDLE_SECONDS)
+            now = asyncio.get_running_loop().time()
+            assert scene.reports[-1].window >= now // USAGE_WINDOW_SECONDS - 2
+
+        assert not find_conflicts(run_play(1, play).reports)
+
+    def test_a_clock_that_jumps_makes_no_window_reported_twice(self) -> None:
+        """A leader took a window for running that its predecessor had reported early."""
+
+        async def play(scene: Successions) -> None:
+            await jump_clock(scene)
+            await asyncio.sleep(4 * MAX_IDLE_SECONDS)
+
+        reports = run_play(1, play, Successions(1, gent=1, aalst=1)).reports
+        assert not find_conflicts(reports)
+
+
+class TestFixedCounts:
+    def test_counts_that_differ_between_peers_and_store_are_not_reported(self) -> None:
+        """A write that arrived after a restore replaced counts that had been reported."""
+
+        async def script() -> None:
+            cluster = Daemons(1, gent=2, aalst=1)
+            await cluster.start_all()
+            fixed = cluster.daemons['gent-1'].fixed_counts
+            await fixed.load(WINDOW)
+            await fixed.fix(WINDOW, {CUSTOMERS[0]: 7})
+            await asyncio.sleep(1)
+            cluster.store.restore(2)
+            cluster.store.put(make_key(WINDOW), json.dumps({CUSTOMERS[0]: 5}).encode())
+            successor = cluster.daemons['aalst-1'].fixed_counts
+            await successor.load(WINDOW)
+            await successor.ask_peers()
+            assert await successor.fix(WINDOW, {}) is None
+
+        run_virtual(script())
+
+    def test_fixed_counts_of_many_customers_fit_into_datagrams(self) -> None:
+        """Counts of all windows together grew too large, and no peer learned any."""
+        sizes: list[int] = []
+
+        def record(sender: str, to: str, data: bytes) -> bool:
+            sizes.append(len(data))
+            return False
+
+        async def script() -> None:
+            cluster = Daemons(1, gent=2, aalst=1)
+            cluster.net.should_drop = record
+            await cluster.start_all()
+            counts = {CustomerId(f'customer-{number}'): 1000 for number in range(800)}
+            fixed = cluster.daemons['gent-1'].fixed_counts
+            await fixed.load(WINDOW)
+            for window in range(WINDOW, WINDOW + 8):
+                await fixed.fix(window, counts)
+            await asyncio.sleep(1)
+            assert cluster.daemons['aalst-1'].fixed_counts.find(WINDOW) == counts
+
+        run_virtual(script())
+        assert max(sizes) <= MAX_DATAGRAM_BYTES
--- a/libs/serving/tests/test_usage_reports.py
+++ b/libs/serving/tests/test_usage_reports.py
@@ -17,7 +17,11 @@
 from fireflyhitch_model.states import Step
 from fireflyhitch_platform.keyvalue import KeyValue, Listing, Written
 from fireflyhitch_serving.duty_calls import CallResult
-from fireflyhitch_serving.fixed_counts import CERTAINTY_KEY, FixedCounts, KeeperCalls
+from fireflyhitch_serving.fixed_counts import (
+    COMPLETE_SINCE_KEY,
+    FixedCounts,
+    KeeperCalls,
+)
 from fireflyhitch_serving.leases import Leadership
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.saved_counts import SAVED_KEY, SAVED_PREFIX, SavedCounts
@@ -32,7 +36,7 @@
 
 BAKERY = CustomerId('bakery')
 # No restore has lost any fixed counts.
-NOTHING_LOST = b'{"era": 0, "oldest": 0}'
+NOTHING_LOST = b'{"era": 0, "window": 0}'
 
 
 class FakeLeader:
@@ -48,10 +52,10 @@
 
     async def list(self, prefix: str, *, stale: bool = False) -> Listing:
         """Return an empty listing."""
-        if prefix != CERTAINTY_KEY:
+        if prefix != COMPLETE_SINCE_KEY:
             return Listing(ABSENT, ())
-        certainty = KeyValue(prefix, NOTHING_LOST, Revision(1), Revision(1))
-        return Listing(Revision(1), (certainty,))
+        complete = KeyValue(prefix, NOTHING_LOST, Revision(1), Revision(1))
+        return Listing(Revision(1), (complete,))
 
     async def put(self, puts: Sequence[Put], deletes: object = ()) -> Written:
         """Accept the write."""
