Let counts that daemons know replace those of a late write

The platform's store may carry out a call without an answer seconds later, if its condition still holds. A leader that gets no answer fixes the window again, with the counts of that moment, and reports these. If the store then comes back from an older copy, the first write finds the key free again, and a new leader took what the store held for what had been reported; the leader of before the restore did so itself. What a store holds whose era has no record of completeness is applied after what the daemon and its peers know, and replaced by it; a write that another one precedes begins the take-over anew. A window of which daemons know two counts is not reported.

--- a/libs/serving/fireflyhitch_serving/fixed_counts.py
+++ b/libs/serving/fireflyhitch_serving/fixed_counts.py
@@ -7,10 +7,14 @@
 which era of its; this is written once all that is known has been written again. A
 leader that finds none of the present era does it all anew, whoever led meanwhile and
 however far they came.
+
+A write whose answer was lost may be carried out late, in a restored store that lacks the
+counts that were fixed instead. So in such a store, counts that daemons know replace those
+found there.
 """
 
 import json
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
 from typing import Any
 
 from loguru import logger
@@ -25,7 +29,13 @@
 from fireflyhitch_model.ids import ABSENT, CustomerId, Revision
 from fireflyhitch_model.records import immutable
 from fireflyhitch_model.states import Step
-from fireflyhitch_platform.keyvalue import Conflict, KeyValue, Listing, Written
+from fireflyhitch_platform.keyvalue import (
+    Conflict,
+    KeyValue,
+    Listing,
+    WriteResult,
+    Written,
+)
 from fireflyhitch_serving.peer_state import decode_rows, encode_rows
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.saved_counts import check_window, decode_window
@@ -63,6 +73,14 @@
     read: Callable[[str, list[str]], Awaitable[list[Listing]]]
 
 
+@immutable
+class _StoredCounts:
+    """A window's counts as the store holds them."""
+
+    counts: Mapping[CustomerId, int]
+    revision: Revision
+
+
 class FixedCounts:
     """The fixed counts that this daemon knows, and those in the store."""
 
@@ -79,15 +97,15 @@
         self._peers = peers
         self._keepers = keepers
         self._counts: dict[int, Mapping[CustomerId, int]] = {}
-        self._stored: set[int] = set()
+        self._stored: dict[int, _StoredCounts] = {}
         self._disputed: set[int] = set()
         self._complete_since: KeyValue | None = None
         self._loaded_era = eras.current
 
     @property
     def windows(self) -> frozenset[int]:
-        """Return the windows whose counts are known here."""
-        return frozenset(self._counts)
+        """Return the windows whose counts are known here or in the store."""
+        return frozenset(self._counts.keys() | self._stored.keys())
 
     @property
     def stored_windows(self) -> frozenset[int]:
@@ -104,8 +122,10 @@
         self._counts = {
             window: counts for window, counts in self._counts.items() if window in kept
         }
-        self._stored.intersection_update(self._counts)
-        self._disputed.intersection_update(self._counts)
+        self._stored = {
+            window: stored for window, stored in self._stored.items() if window in kept
+        }
+        self._disputed.intersection_update(kept)
 
     def receive(self, data: bytes) -> bool:
         """Apply a peer's datagram; return ``False`` for one of another kind."""
@@ -126,7 +146,7 @@
         return Listing(revision, tuple(items))
 
     async def load(self, newest: int) -> int | None:
-        """Read all fixed counts in the store.
+        """Read all fixed counts in the store, and apply them if they are complete.
 
         :param newest: the window that is running.
         :returns: the window since which the store's fixed counts are complete; ``None``
@@ -139,22 +159,38 @@
             self._check_era(self._complete_since.revision)
         self._check_era(listing.revision)
         self._loaded_era = self._eras.current
-        self._stored = {window for window, _ in self._apply_items(listing.items)}
+        self._stored = dict(_read_items(listing.items))
         since = self._decode_complete_since()
-        return None if since is None or _is_too_far(since, newest) else since
+        if since is None or _is_too_far(since, newest):
+            return None
+        for window, stored in self._stored.items():
+            self._learn(window, stored.counts)
+        return since
+
+    def apply_stored(self) -> None:
+        """Apply the counts that were loaded, of windows that are not known otherwise."""
+        for window, stored in self._stored.items():
+            self._counts.setdefault(window, stored.counts)
 
     async def ask_peers(self) -> None:
         """Read the fixed counts that peers know."""
         for listing in await self._keepers.read(USAGE_PREFIX, self._choose_keepers()):
-            self._apply_items(listing.items)
+            for window, told in _read_items(listing.items):
+                self._learn(window, told.counts)
 
     async def write_again(self) -> None:
-        """Write the known counts that the store lacks.
+        """Write the known counts that the store lacks, or holds otherwise.
 
         :raises PlatformError: if it is not known whether they were written.
         """
-        for window in sorted(self._counts.keys() - self._stored):
-            await self.fix(window, self._counts[window])
+        for window, counts in sorted(self._counts.items()):
+            stored = self._stored.get(window)
+            if stored is not None and stored.counts == counts:
+                continue
+            expected = ABSENT if stored is None else stored.revision
+            result = await self._put(window, counts, expected)
+            if isinstance(result, Conflict):
+                raise PlatformError('fixed meanwhile', step=Step.STORE_WRITE)
 
     async def record_complete_since(self, window: int) -> None:
         """Record since which window the store's fixed counts are complete.
@@ -184,41 +220,47 @@
         if self._eras.current != self._loaded_era:
             return None
         if window not in self._stored:
-            await self._store_counts(window, counts)
-        return self._counts[window] if window in self._stored - self._disputed else None
+            result = await self._put(window, counts, ABSENT)
+            if isinstance(result, Conflict):
+                self._apply_conflict(window, result)
+        return self._find_stored(window)
+
+    def _find_stored(self, window: int) -> Mapping[CustomerId, int] | None:
+        """Return a window's counts if the store and all daemons hold the same."""
+        stored = self._stored.get(window)
+        if stored is None or window in self._disputed:
+            return None
+        return stored.counts if stored.counts == self._counts.get(window) else None
 
-    async def _store_counts(
-        self, window: int, counts: Mapping[CustomerId, int]
-    ) -> None:
-        put = Put(make_key(window), _encode(counts), ABSENT)
+    async def _put(
+        self, window: int, counts: Mapping[CustomerId, int], expected: Revision
+    ) -> WriteResult:
+        put = Put(make_key(window), _encode(counts), expected)
         result = await self._store.put(
             [put], deletes=[make_key(window - RETAINED_WINDOWS)]
         )
-        if isinstance(result, Conflict):
-            found = self._read_conflict(result)
-            if found is None:
-                return
-            counts = found
-        else:
+        if isinstance(result, Written):
             self._check_era(result.revision)
-        self._learn(window, counts)
-        self._stored.add(window)
-        logger.bind(
-            window=window, counts=counts, found=isinstance(result, Conflict)
-        ).info('usage fixed')
-        self._send()
-
-    def _read_conflict(self, result: Conflict) -> Mapping[CustomerId, int] | None:
+            self._stored[window] = _StoredCounts(counts, result.revision)
+            self._learn(window, counts)
+            logger.bind(window=window, counts=counts).info('usage fixed')
+            self._send()
+        return result
+
+    def _apply_conflict(self, window: int, result: Conflict) -> None:
+        """Apply the counts that another daemon has fixed."""
         if result.current is None:
-            return None
+            return
         self._check_era(result.current.revision)
-        return _read_counts(result.current)
+        for _, found in _read_items([result.current]):
+            self._stored[window] = found
+            self._learn(window, found.counts)
 
     def _send(self) -> None:
         """Send the latest counts, each window in a datagram of its own."""
         keepers = self._choose_keepers()
-        for window in sorted(self._stored - self._disputed)[-SENT_WINDOWS:]:
-            row = (window, dict(self._counts[window]))
+        for window in sorted(self._stored.keys() - self._disputed)[-SENT_WINDOWS:]:
+            row = (window, dict(self._stored[window].counts))
             self._keepers.send(encode_rows(FIXED_COUNTS, [row]), keepers)
 
     def _choose_keepers(self) -> list[str]:
@@ -243,13 +285,6 @@
             return None
         return since if era == self._loaded_era else None
 
-    def _apply_items(self, items: Iterable[KeyValue]) -> list[WindowRow]:
-        """Apply counts of the store or a peer, and return them."""
-        rows = [row for row in map(_read_item, items) if row is not None]
-        for row in rows:
-            self._learn(*row)
-        return rows
-
     def _learn(self, window: int, counts: Mapping[CustomerId, int]) -> None:
         known = self._counts.setdefault(window, counts)
         if known != counts and window not in self._disputed:
@@ -289,20 +324,13 @@
     return window > newest + MAX_WINDOWS_AHEAD
 
 
-def _read_item(item: KeyValue) -> WindowRow | None:
-    """Return a window's fixed counts; ``None`` if key or value are malformed."""
-    try:
-        window = parse_integer(item.key.removeprefix(USAGE_PREFIX))
-        return check_count(window), decode_window(item.value)
-    except PARSE_ERRORS as error:
-        logger.bind(key=item.key, error=repr(error)).error('malformed fixed counts')
-        return None
-
-
-def _read_counts(item: KeyValue) -> dict[CustomerId, int] | None:
-    """Return fixed counts; ``None`` if they are malformed."""
-    try:
-        return decode_window(item.value)
-    except PARSE_ERRORS as error:
-        logger.bind(key=item.key, error=repr(error)).error('malformed fixed counts')
-        return None
+def _read_items(items: Iterable[KeyValue]) -> Iterator[tuple[int, _StoredCounts]]:
+    """Yield the windows' counts; malformed keys and values are left out."""
+    for item in items:
+        try:
+            window = parse_integer(item.key.removeprefix(USAGE_PREFIX))
+            counts = decode_window(item.value)
+        except PARSE_ERRORS as error:
+            logger.bind(key=item.key, error=repr(error)).error('malformed fixed counts')
+            continue
+        yield window, _StoredCounts(counts, item.revision)
--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -155,21 +155,26 @@
         The record comes last: if this leader ends before, the next one does the same.
         """
         since = await self._load_fixed()
-        is_recorded = since is not None
-        if since is None and self._term == leadership.term:
-            since = self._complete_since
         if since is None:
+            since = await self._complete_fixed(leadership)
+        self._complete_since = since
+        self._term = leadership.term
+
+    async def _complete_fixed(self, leadership: Leadership) -> int:
+        """Write again what is known to be fixed; return since when that is complete."""
+        if self._term == leadership.term:
+            since = self._complete_since
+        else:
             await self._fixed.ask_peers()
             # By a clock that was wrong, the running window may have been reported, too.
             since = self._find_newest() + 1
+        self._fixed.apply_stored()
         await self._fixed.write_again()
-        if not is_recorded:
-            await self._fixed.record_complete_since(since)
-            logger.bind(since=since, known=sorted(self._fixed.windows)).warning(
-                'earlier windows are reported only as fixed'
-            )
-        self._complete_since = since
-        self._term = leadership.term
+        await self._fixed.record_complete_since(since)
+        logger.bind(since=since, known=sorted(self._fixed.windows)).warning(
+            'earlier windows are reported only as fixed'
+        )
+        return since
 
     async def _load_fixed(self) -> int | None:
         return await self._fixed.load(self._find_newest())
