--- a/tests/users_platform/test_program.py
+++ b/tests/users_platform/test_program.py
@@ -17,6 +17,7 @@
 from scene import ReceivedResponse
 
 from fireflyhitch_serving.connections import connect
+from fireflyhitch_serving.errors import ServerError
 from fireflyhitch_users_platform.node_file import NodeFileError, load_node_file
 
 
@@ -166,6 +167,18 @@
 
         run_scenario(tmp_path, script)
 
+    def test_a_process_that_ends_takes_no_more_requests(self, tmp_path) -> None:
+        # Guards against a request that is read while the last log lines are written.
+        async def script(cluster: Cluster) -> None:
+            server = await cluster.start_serving('d1')
+            os.kill(os.getpid(), signal.SIGTERM)
+            await cluster.join('d1')
+            with pytest.raises(ServerError):
+                await cluster.send_request('d1')
+            assert not server.seen
+
+        run_scenario(tmp_path, script)
+
 
 class TestSettings:
     def test_changed_settings_are_applied_on_sighup(self, tmp_path) -> None:
