Answer all requests before a stopping process exits

At the end of the grace period the process exited with the requests that it had admitted before the balancer left it, whose time limit was longer than the grace: those at a server, those that waited for a place and those of other daemons. A request that waited could still be passed on a moment before.

The handler now ends all requests 0.1 s before the exit: one that may have run with 504 (unknown), one that has not with 503 (not run); a response that has begun is broken off as before. One that has not been sent when the balancer has left, and whose deadline is later than the exit, is refused then and no longer passed on, by the same measure as new requests.

test_stopping_requests.py: the tests of requests in progress, of another daemon and without a place failed before (connection closed, no response); those of arriving requests passed before; all pass.

--- a/libs/serving/fireflyhitch_serving/admission.py
+++ b/libs/serving/fireflyhitch_serving/admission.py
@@ -145,14 +145,27 @@
         """Refuse a request that may outlast this process.
 
         It would be cut off midway; another daemon can serve it now.
+
+        :raises RefusedError: if its time limit ends after the process.
         """
+        self._check_end(self._clock.monotonic() + find_time_limit(route, info))
+
+    def check_unsent(self, exchange: Exchange) -> None:
+        """Refuse a request that has waited to be sent and may outlast this process.
+
+        :raises RefusedError: if its deadline is after the end of the process.
+        """
+        if not exchange.sends:
+            self._check_end(exchange.deadline)
+
+    def _check_end(self, latest: float) -> None:
         deadline = self._deps.shutdown_deadline()
-        if deadline is None:
-            return
-        if self._clock.monotonic() + find_time_limit(route, info) > deadline:
-            raise self.build_transient_refusal(
-                'stopping', 'this daemon is about to stop'
-            )
+        if deadline is not None and latest > deadline:
+            raise self.make_stopping_error()
+
+    def make_stopping_error(self) -> RefusedError:
+        """Return the error for a request that this process can't complete."""
+        return self.build_transient_refusal('stopping', 'this daemon is about to stop')
 
     def _find_customer(
         self, catalog: Catalog, route: Route, info: RequestInfo
--- a/libs/serving/fireflyhitch_serving/destinations.py
+++ b/libs/serving/fireflyhitch_serving/destinations.py
@@ -69,7 +69,7 @@
 
     def _place(self, exchange: Exchange) -> Destination | None:
         """Return a target, ``None`` if there is no place now."""
-        self._check_quarantine(exchange)
+        self._check_refusal(exchange)
         if self._deps.reachability.lost:
             return self._find_peer(exchange)
         candidates = self._policy.find_candidates(exchange)
@@ -106,7 +106,7 @@
 
         :raises RefusedError: if it need not wait for any of them.
         """
-        self._check_quarantine(exchange)
+        self._check_refusal(exchange)
         candidates = self._policy.find_candidates(exchange)
         available = self._policy.filter_by_rate_limit(candidates)
         self._check_candidates(exchange, candidates, available)
@@ -233,6 +233,15 @@
         log_started(exchange, waiter.expected, seconds)
         self._deps.record_wait(WaitRecord(exchange.service, waiter.expected, seconds))
 
+    def _check_refusal(self, exchange: Exchange) -> None:
+        """Refuse a request that may no longer be sent.
+
+        :raises RefusedError: if it has come to be held while it waited, or if it may
+            outlast this process.
+        """
+        self._check_quarantine(exchange)
+        self._admission.check_unsent(exchange)
+
     def _check_quarantine(self, exchange: Exchange) -> None:
         """Refuse a request that has come to be held while it waited.
 
--- a/libs/serving/fireflyhitch_serving/lifecycle.py
+++ b/libs/serving/fireflyhitch_serving/lifecycle.py
@@ -17,6 +17,8 @@
 BALANCER_LEAVE_SECONDS = 2.6
 # Part of the grace period reserved for the process to exit after the last response.
 EXIT_MARGIN_SECONDS = 0.6
+# So long before that, requests in progress end, so that callers get their responses.
+ANSWER_MARGIN_SECONDS = 0.1
 POLL_SECONDS = 0.05
 # Idle connections are closed over several polls, so that callers don't all reconnect at
 # once; shutdown ends after this long without a connection.
@@ -30,10 +32,12 @@
     :param serviceable: returns why the daemon cannot serve yet, or ``None`` if it can.
     :param grace: seconds from the stop signal until the process is killed.
     :param count_forwarded: returns how many requests of other daemons are in progress.
-    :param shutdown_deadline: monotonic time at which a stopping process exits, set when
-        the balancer has had time to remove the daemon. A balancer with too few other
-        daemons still sends callers here; their requests must complete before the
-        process exits.
+    :param end_requests: lets all requests end by a monotonic time: a caller whose request
+        is not complete then gets a response that says so.
+    :param shutdown_deadline: monotonic time at which a stopping process ends its last
+        requests, set when the balancer has had time to remove the daemon. A balancer
+        with too few other daemons still sends callers here; their requests must complete
+        before.
     """
 
     front: ListenerState
@@ -41,6 +45,7 @@
     serviceable: Callable[[], str | None]
     grace: float
     count_forwarded: Callable[[], int] = int
+    end_requests: Callable[[float], object] = float
     stopping: bool = False
     was_ready: bool = False
     shutdown_deadline: float | None = None
@@ -66,7 +71,8 @@
         logger.bind(busy=self.front.busy).info('stopping')
         await asyncio.sleep(BALANCER_LEAVE_SECONDS)
         self.front.closing = True
-        self.shutdown_deadline = until
+        self.shutdown_deadline = until - ANSWER_MARGIN_SECONDS
+        self.end_requests(self.shutdown_deadline)
         last_connected = self.clock.monotonic()
         while self.clock.monotonic() < until:
             self.front.close_idle()
--- a/libs/serving/fireflyhitch_serving/request_handler.py
+++ b/libs/serving/fireflyhitch_serving/request_handler.py
@@ -32,6 +32,7 @@
 from fireflyhitch_serving.replies import Reply
 from fireflyhitch_serving.request_heads import Reason, RequestHead
 from fireflyhitch_serving.request_reader import InvalidRequest
+from fireflyhitch_serving.serving_time import ServingTime
 
 # Requests of other daemons in progress at once. Each of them is relayed by two daemons,
 # and callers of this daemon come first.
@@ -65,6 +66,7 @@
             dependencies, self._policy, self._destinations.waiting
         )
         self.forwarded_in_progress = 0
+        self.serving_time = ServingTime(self._clock)
 
     async def serve(self, request: CallerRequest, reply: Reply) -> None:
         """Serve one request up to its final response."""
@@ -164,8 +166,9 @@
     async def _serve_with_deadline(self, exchange: Exchange) -> None:
         now = self._clock.monotonic()
         try:
-            async with asyncio.timeout(exchange.deadline - now):
-                await self._run_attempts(exchange)
+            async with asyncio.timeout(exchange.deadline - now) as timeout:
+                with self.serving_time.track(timeout):
+                    await self._run_attempts(exchange)
         except TimeoutError:
             self._handle_timeout(exchange)
         except asyncio.CancelledError:
@@ -215,15 +218,19 @@
         raise make_no_server_error(self._admission, exchange)
 
     def _handle_timeout(self, exchange: Exchange) -> None:
+        stopping = self.serving_time.is_cut(exchange.deadline)
         if exchange.reply.begun:
-            self._abort_response(exchange, 'the time limit was exceeded')
+            reason = 'the process stops' if stopping else 'the time limit was exceeded'
+            self._abort_response(exchange, reason)
             return
         if not exchange.runs:
+            if stopping:
+                raise self._admission.make_stopping_error()
             raise make_no_server_error(self._admission, exchange)
         raise RefusedError(
             Refusal(
                 HTTPStatus.GATEWAY_TIMEOUT,
-                'timeout',
+                'stopping' if stopping else 'timeout',
                 'no answer in the time allowed',
                 Outcome.UNKNOWN,
             )
