Answer requests sent ahead before a stopping daemon closes

Only the last response asks for the close now. Whatever is read behind a response that closes is passed on to nobody.

--- a/libs/serving/fireflyhitch_serving/callers.py
+++ b/libs/serving/fireflyhitch_serving/callers.py
@@ -82,8 +82,11 @@
 
     @property
     def closing(self) -> bool:
-        """Tell whether responses ask the caller to close its connection."""
-        return self.state.closing
+        """Tell whether the response asks the caller to close its connection.
+
+        Requests that the caller has sent ahead get their responses first.
+        """
+        return self.state.closing and not self._queue
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is served or being received."""
@@ -111,6 +114,8 @@
     def close_after_write(self) -> None:
         """Close the connection when the write buffer is empty."""
         self._end_input()
+        # Nobody could get a response to what was sent after this request.
+        self._queue.clear()
         if self._reader.is_dropping:
             self._linger()
         else:
--- a/libs/serving/tests/test_stopping_requests.py
+++ b/libs/serving/tests/test_stopping_requests.py
@@ -191,6 +191,46 @@
         run(script)
 
 
+class TestPipelinedRequests:
+    def test_requests_sent_ahead_get_their_responses_first(self) -> None:
+        # Guards against a close behind the first response, when others were read.
+        async def script(harness: RequestHarness) -> None:
+            await harness.add('a', respond())
+            async with RawCaller(harness) as caller, stop_within(harness, caller):
+                caller.send(SHORT[1:], SHORT * 2)
+                assert [await caller.read_status() for _ in range(3)] == [200, 200, 200]
+                assert await caller.is_closed()
+
+        run(script)
+
+    def test_those_behind_long_work_are_refused_when_it_ends(self) -> None:
+        # Guards against requests that are cut, or sent, after the one before them.
+        async def script(harness: RequestHarness) -> None:
+            server = await harness.add('a', stay_silent())
+            async with RawCaller(harness) as caller:
+                caller.send((LONG_HEAD + NO_BODY) * 2)
+                await server.arrived.wait()
+                async with stop(harness):
+                    assert await caller.read_status() == 504
+                    assert await caller.read_status() == 503
+                    assert await caller.is_closed()
+            assert len(server.seen) == 1
+
+        run(script)
+
+    def test_nothing_sent_after_the_last_response_is_passed_on(self) -> None:
+        # Guards against work for a caller whose connection is about to close.
+        async def script(harness: RequestHarness) -> None:
+            server = await harness.add('a', respond())
+            async with RawCaller(harness) as caller, stop_within(harness, caller):
+                caller.send(SHORT_HEAD[1:], CLOSE, NO_BODY, SHORT)
+                assert await caller.read_status() == 200
+                assert await caller.is_closed()
+            assert len(server.seen) == 1
+
+        run(script)
+
+
 class TestArrivingRequests:
     def test_long_work_is_refused_before_its_body(self) -> None:
         # Guards against a body that is read in vain, and cut when the grace ends.
