Have a new leader learn from peers which moves have ended

After a restore, a leader that had started since knew of a move only what the copy held: it began again a move that had ended, or ended it in another way, and the status went from an end back to 'running'. The second record of the new era, which such a leader wrote, also replaced what the other daemons remembered: they sent requests to the old version, whose servers had been stopped, or to one that had been rolled back.

The class: the store's record was taken for all that is known. Daemons compared eras by the revision last applied, so only the first record of an era was held against what they knew; and what they knew reached no leader. Now an end stays the end of its order whatever a record says, and a leader asks its peers once in a term for each order, before it writes anything of it. It learns their ends and starts by target, duration and number, and writes them into the store. A record that comes before its order is kept until the order comes.

--- a/libs/serving/fireflyhitch_serving/move_orders.py
+++ b/libs/serving/fireflyhitch_serving/move_orders.py
@@ -79,6 +79,7 @@
     is_stored: bool = True
     withdrawn: int = 0
     _revision: Revision = ABSENT
+    _stored: MoveRecord = field(default_factory=MoveRecord)
     _earlier: deque[MoveOrder] = field(
         default_factory=lambda: deque(maxlen=MAX_EARLIER)
     )
@@ -124,29 +125,53 @@
         """Apply a record from the store; ``None`` if it holds none.
 
         What is known of the newest order's move stays known if a restored store lacks
-        it, or holds an earlier state.
+        it, or holds an earlier state, also if a leader that knew less has written that.
         """
         if revision < self._revision:
             # The view of the store may be behind what this daemon has written.
             return
-        is_restored = find_era(revision) > find_era(self._revision)
         self._revision = revision
-        if self.has_begun and is_restored and self._precedes(record):
-            self.is_stored = False
-            return
-        self.record = record or MoveRecord()
-        self.is_stored = True
+        self._stored = record or MoveRecord()
+        self.is_stored = not self._is_outdated(self._stored, revision)
+        if self.is_stored:
+            self.record = self._stored
 
-    def _precedes(self, record: MoveRecord | None) -> bool:
-        """Return whether a record is of an earlier state than the one known."""
-        if record is None or record.order != self.record.order:
-            return True
-        return record.end is None and self.record.end is not None
+    def learn(
+        self, order: MoveOrder, record: MoveRecord, *, is_rewritten: bool
+    ) -> bool:
+        """Apply what a peer knows of an order's move; return whether it was news.
+
+        :param is_rewritten: whether the store came back from an older copy a moment ago.
+        """
+        known = self.order
+        if known is None or not order.repeats(known):
+            return False
+        if order.number != known.number and not is_rewritten:
+            return False
+        if self.has_begun and (self.has_ended or record.end is None):
+            return False
+        self.record = replace(record, order=known.number)
+        self.is_stored = False
+        return True
+
+    def _is_outdated(self, record: MoveRecord, revision: Revision) -> bool:
+        """Return whether more is known of the newest order's move than a record tells."""
+        if not self.has_begun:
+            return False
+        if record.order == self.record.order:
+            return self.has_ended and record.end is not self.record.end
+        assert self.order is not None
+        is_same_era = find_era(revision) == find_era(self.order.revision)
+        # The record of an order that is still to come is known before that order.
+        return not is_same_era or record.order < self.order.number
 
     def _replace_order(self, order: MoveOrder) -> None:
         if self.order is not None:
             self._earlier.append(self.order)
         self.order = order
+        if self._stored.order == order.number:
+            self.record = self._stored
+            self.is_stored = True
 
     def _adopt(self, order: MoveOrder, known: MoveOrder) -> None:
         """Go on with the move under the number that its order has now."""
--- a/libs/serving/fireflyhitch_serving/moves.py
+++ b/libs/serving/fireflyhitch_serving/moves.py
@@ -6,13 +6,13 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from itertools import chain
 
 from loguru import logger
 
 from fireflyhitch_model.errors import PlatformError
-from fireflyhitch_model.ids import ABSENT, DeploymentId, Revision
+from fireflyhitch_model.ids import ABSENT, DeploymentId, FencingNumber, Revision
 from fireflyhitch_model.records import immutable
 from fireflyhitch_platform.keyvalue import KeyValue, Written
 from fireflyhitch_rollout.short_moves import (
@@ -104,6 +104,31 @@
             self._drop_counts(service)
         self.apply(service)
 
+    def list_known(self) -> Iterable[tuple[MoveOrder, MoveRecord]]:
+        """Return the newest orders whose moves have begun, with their records."""
+        for move in self._moves.values():
+            if move.order is not None and move.has_begun:
+                yield move.order, move.record
+
+    def learn(
+        self, order: MoveOrder, record: MoveRecord, *, is_rewritten: bool
+    ) -> None:
+        """Apply what a peer knows of a move.
+
+        :param is_rewritten: whether operators write what a restore has lost.
+        """
+        move = self.find(order.service)
+        if not move.learn(order, record, is_rewritten=is_rewritten):
+            return
+        logger.bind(
+            service=order.service,
+            target=order.target,
+            end=record.end.value if record.end else None,
+        ).info('move known to a peer')
+        if move.has_ended:
+            self._drop_counts(order.service)
+        self.apply(order.service)
+
     def count(
         self,
         service: DeploymentId,
@@ -227,13 +252,20 @@
         store: AsyncStore,
         status_format: StatusFormat,
         wall_clock: Callable[[], float],
+        ask_peers: Callable[[], Awaitable[None]],
     ) -> None:
-        """Create an idle coordinator."""
+        """Create an idle coordinator.
+
+        :param ask_peers: has the tracker learn what peers know of moves.
+        """
         self._tracker = tracker
         self._lease = lease
         self._store = store
         self._status_format = status_format
         self._wall_clock = wall_clock
+        self._ask_peers = ask_peers
+        # The orders of which peers were asked, and the term in which they were.
+        self._asked: dict[MoveOrder, FencingNumber] = {}
 
     async def run(self) -> None:
         """Apply and advance all moves until cancelled."""
@@ -255,6 +287,9 @@
         order = move.order
         if order is None:
             return
+        await self._ask_once(order)
+        if move.order != order or self._lease.current_leadership() is None:
+            return
         record = move.record
         if not move.has_begun:
             record = MoveRecord(order.number, self._wall_clock())
@@ -272,6 +307,20 @@
         if end is not None:
             await self._write(move, order, MoveRecord(order.number, record.began, end))
 
+    async def _ask_once(self, order: MoveOrder) -> None:
+        """Learn what peers know, once in a term for each order.
+
+        A store that came back from an older copy may lack that a move has begun or ended,
+        and a process that has just started knows only what the store holds.
+        """
+        leadership = self._lease.current_leadership()
+        if leadership is None or self._asked.get(order) == leadership.term:
+            return
+        moves = [self._tracker.find(service) for service in self._tracker.services()]
+        orders = [move.order for move in moves if move.order is not None]
+        await self._ask_peers()
+        self._asked = dict.fromkeys(orders, leadership.term)
+
     async def _write(self, move: Move, order: MoveOrder, record: MoveRecord) -> None:
         """Write record and state together, conditional on what the store holds.
 
--- a/tests/users_platform/test_moves.py
+++ b/tests/users_platform/test_moves.py
@@ -184,3 +184,23 @@
         tracker.apply_order(MoveOrder(PLANNING, 'v2', 60, restored(9)))
         tracker.apply_record(PLANNING, COMPLETED, restored(11))
         assert find_share(shares) == 1
+
+    def test_a_record_of_a_leader_that_knew_less_is_not_used(self) -> None:
+        """The second record of an era replaced what daemons remembered of the end."""
+        tracker, shares = make_completed_move()
+        tracker.apply_record(PLANNING, None, restored(7))
+        tracker.apply_record(PLANNING, RUNNING, restored(10))
+        tracker.apply(PLANNING)
+        assert find_share(shares) == 1
+        assert not tracker.find(PLANNING).is_stored
+
+    def test_the_record_of_a_new_order_may_come_before_the_order(self) -> None:
+        """Orders and records are told apart; the leader hears of orders first."""
+        tracker, shares = make_completed_move()
+        record = COMPLETED.replace(b'9', b'12', 1)
+        tracker.apply_record(PLANNING, record, restored(14))
+        assert find_share(shares) == 1
+        tracker.apply_order(MoveOrder(PLANNING, 'v3', 60, restored(12)))
+        assert tracker.find(PLANNING).is_stored
+        assert tracker.find(PLANNING).has_ended
+        assert find_share(shares) == 1
