Test with whole daemons that a new leader learns of a move's end

A move is completed, the store comes back as it was before the order, all daemons but one end, and processes that have just started lead.

--- a/tests/users_platform/test_restored_store.py
+++ b/tests/users_platform/test_restored_store.py
@@ -26,6 +26,7 @@
 # Time within which servers and operators have written again what was lost.
 REWRITE_SECONDS = 1.0
 NEW_KEY = 'key-after-the-restore'
+STATUS_KEY = 'status/rollout/planning'
 
 Change = Callable[[Cluster], None]
 
@@ -359,6 +360,39 @@
         run_drill(tmp_path, script)
 
 
+class TestMoves:
+    def test_a_new_leader_learns_from_peers_that_a_move_has_ended(
+        self, tmp_path
+    ) -> None:
+        """A process that started after the end led, and began the move again."""
+
+        async def script(drill: Drill) -> None:
+            cluster = drill.cluster
+            old = await drill.start()
+            await cluster.add_server('i-2', answer_signed(), version='v2')
+            copy = cluster.store.copy()
+            order = {'service': 'planning', 'target': 'v2', 'duration_s': 6}
+            cluster.store.put('op/rollout/planning', order)
+            await _send_until_moved(drill)
+            known = DAEMONS[-1]
+            for daemon in DAEMONS:
+                if daemon != known:
+                    cluster.kill(daemon)
+            await drill.restore(copy)
+            drill.start_daemons(SUCCESSORS)
+            stored = cluster.store.read
+            seen = len(old.seen)
+            for _ in range(80):
+                await drill.send(known, '/read/1', KEY)
+                state = stored(STATUS_KEY)
+                assert state is None or state['state'] == 'completed'
+                await asyncio.sleep(0.1)
+            assert stored(STATUS_KEY)['state'] == 'completed'
+            assert len(old.seen) == seen
+
+        run_drill(tmp_path, script)
+
+
 class TestRegistrations:
     def test_daemons_register_again_if_the_copy_lacks_them(self, tmp_path) -> None:
         """Guards against daemons that their peers no longer list."""
@@ -378,6 +412,17 @@
         run_drill(tmp_path, script)
 
 
+async def _send_until_moved(drill: Drill) -> None:
+    """Send requests until a move has been completed."""
+    state = 'running'
+    while state == 'running':
+        await drill.send(DAEMONS[-1], '/read/1', KEY)
+        await asyncio.sleep(0.02)
+        found = drill.cluster.store.read(STATUS_KEY)
+        state = found['state'] if found else 'running'
+    assert state == 'completed'
+
+
 async def _wait_for_reports(cluster: Cluster, count: int) -> None:
     while len(cluster.duties.find('/usage')) < count:
         await asyncio.sleep(0.1)
