Tell orders apart that got the same number in two eras

After a restore the store gives numbers out again. An order whose number an earlier one of the service had had, with another target, counted as begun, ended or withdrawn at all daemons that knew the earlier one: after a completed move it got all requests at once, untried. What is known of the earlier order is dropped now when such an order takes its number.

Both tests failed before: the new order had begun (and had ended), and was withdrawn with the earlier one.

--- a/libs/serving/fireflyhitch_serving/move_orders.py
+++ b/libs/serving/fireflyhitch_serving/move_orders.py
@@ -168,11 +168,21 @@
     def _replace_order(self, order: MoveOrder) -> None:
         if self.order is not None:
             self._earlier.append(self.order)
+            self._forget(order.number)
         self.order = order
-        if self._stored.order == order.number:
+        is_same_era = find_era(self._revision) == find_era(order.revision)
+        if is_same_era and self._stored.order == order.number:
             self.record = self._stored
             self.is_stored = True
 
+    def _forget(self, number: int) -> None:
+        """Drop what is known of an order whose number another one has got."""
+        if self.record.order == number:
+            self.record = MoveRecord()
+            self.is_stored = False
+        if self.withdrawn == number:
+            self.withdrawn = 0
+
     def _adopt(self, order: MoveOrder, known: MoveOrder) -> None:
         """Go on with the move under the number that its order has now."""
         self.order = order
--- a/tests/users_platform/test_moves.py
+++ b/tests/users_platform/test_moves.py
@@ -185,6 +185,22 @@
         tracker.apply_record(PLANNING, COMPLETED, restored(11))
         assert find_share(shares) == 1
 
+    def test_another_order_with_the_same_number_is_a_new_one(self) -> None:
+        """An order that got a number again had ended before it began."""
+        tracker, shares = make_completed_move()
+        tracker.apply_order(MoveOrder(PLANNING, 'v3', 60, restored(9)))
+        assert not tracker.find(PLANNING).has_begun
+        assert not find_share(shares)
+
+    def test_a_withdrawn_version_does_not_withdraw_the_next_one(self) -> None:
+        """An order that got a number again was withdrawn with the earlier one."""
+        tracker, _ = make_running_move()
+        tracker.update_peer_evidence('peer', {'planning|9|v2|r': [5, 5, 0]})
+        tracker.apply(PLANNING)
+        assert tracker.find(PLANNING).is_withdrawn
+        tracker.apply_order(MoveOrder(PLANNING, 'v3', 60, restored(9)))
+        assert not tracker.find(PLANNING).is_withdrawn
+
     def test_a_record_of_a_leader_that_knew_less_is_not_used(self) -> None:
         """The second record of an era replaced what daemons remembered of the end."""
         tracker, shares = make_completed_move()
