Hold nothing back anew that a complete answer has released

The store came back from a copy that named a hold which had been released since, by a complete answer. Daemons that knew of the answer released it again; those that had started after the release did not know, among them perhaps the leader, which kept the hold in the store. They refused a harmless request for up to ten minutes from the last crash.

A daemon that knows of the answer now tells all others again when the store names such a hold, with the answer's age, however old: an age above a minute was left out, so that a recipient took the crashes for unexplained.

The simulated store ends leases after the time for which they were granted, and gives their numbers out again after a restore, as the platform's does.

--- a/libs/routing/fireflyhitch_routing/crashes.py
+++ b/libs/routing/fireflyhitch_routing/crashes.py
@@ -48,7 +48,7 @@
     :param crashes: rows of server process, seconds since its crash, and seconds that the
         request had run there.
     :param completed_age: seconds since the request last completed; ``None`` if it has
-        not lately.
+        not, as far as known.
     """
 
     crashes: list[tuple[ProcessId, float, float]]
@@ -80,13 +80,13 @@
 
     def make_report(self, now: float) -> CrashReport:
         """Return the report for other daemons."""
-        completed_age = now - self.completed_at
+        has_completed = self.completed_at > float('-inf')
         return CrashReport(
             [
                 (process, round(now - crash.at, 2), round(crash.at - crash.began, 2))
                 for process, crash in self.crashes.items()
             ],
-            round(completed_age, 2) if completed_age < EXONERATION_SECONDS else None,
+            round(now - self.completed_at, 2) if has_completed else None,
         )
 
     def add_crash(self, process: ProcessId, crash: ServerCrash) -> bool:
@@ -164,6 +164,12 @@
             suspect.broadcast.mark_local(now)
             self._mark_changed(content, suspect, now)
 
+    def report_again(self, content: ContentId, now: float) -> None:
+        """Send the record of a request again, as other daemons may lack it."""
+        suspect = self._suspects[content]
+        suspect.broadcast.mark_local(now)
+        self._mark_changed(content, suspect, now)
+
     def apply_reports(self, reports: CrashReports, now: float) -> None:
         """Merge the reports of another daemon."""
         for content, report in reports.items():
--- a/libs/routing/fireflyhitch_routing/quarantine.py
+++ b/libs/routing/fireflyhitch_routing/quarantine.py
@@ -82,9 +82,17 @@
         """Return the current holds by request content."""
         return self._held
 
-    def add_hold(self, content: ContentId, hold: Hold) -> None:
-        """Add a hold that another daemon decided on."""
-        if content not in self._held and len(self._held) < MAX_HELD:
+    def add_hold(self, content: ContentId, hold: Hold, now: float) -> None:
+        """Add a hold that another daemon decided on, unless the request has completed.
+
+        Who tells of it may not know that, so all daemons are told again.
+        """
+        if content in self._held:
+            return
+        if self._has_completed(content):
+            self._tracker.report_again(content, now)
+            logger.bind(content=content).info('released request not held again')
+        elif len(self._held) < MAX_HELD:
             self._hold(content, hold, 'told')
 
     def review(self, now: float, settle_seconds: float) -> None:
@@ -164,9 +172,13 @@
 
     def _release_if_over(self, content: ContentId, now: float) -> None:
         hold = self._held[content]
-        suspect = self._tracker.find(content)
-        completed = suspect is not None and not suspect.find_attributable_crashes()
+        completed = self._has_completed(content)
         if hold.until > now and not completed:
             return
         del self._held[content]
         logger.bind(content=content, answered=completed).info('request released')
+
+    def _has_completed(self, content: ContentId) -> bool:
+        """Return whether a complete response exonerates a request from all crashes."""
+        suspect = self._tracker.find(content)
+        return suspect is not None and not suspect.find_attributable_crashes()
--- a/libs/routing/tests/test_crashes.py
+++ b/libs/routing/tests/test_crashes.py
@@ -185,7 +185,7 @@
     def test_a_hold_from_the_store_takes_effect_at_once(self) -> None:
         fleet = Fleet()
         hold = Hold(fleet.now + 10, frozenset((ProcessId(1),)))
-        fleet.quarantines[0].add_hold(CRASHING, hold)
+        fleet.quarantines[0].add_hold(CRASHING, hold, fleet.now)
         assert fleet.quarantines[0].find_remaining_hold(CRASHING, fleet.now) == 10
 
 
--- a/libs/serving/fireflyhitch_serving/holds.py
+++ b/libs/serving/fireflyhitch_serving/holds.py
@@ -70,7 +70,7 @@
             )
             return
         self._stored.add(content)
-        self._quarantine.add_hold(content, hold)
+        self._quarantine.add_hold(content, hold, self._clock.monotonic())
 
     async def run(self) -> None:
         """Review, write and delete holds until cancelled."""
--- a/libs/serving/tests/test_crash_detection.py
+++ b/libs/serving/tests/test_crash_detection.py
@@ -117,7 +117,9 @@
             await asyncio.sleep(DETECTION_SECONDS)
             content = list(harness.crashes.tracker.all())[0]
             hold = Hold(harness.clock.monotonic() + 30, frozenset())
-            harness.crashes.quarantine.add_hold(content, hold)
+            harness.crashes.quarantine.add_hold(
+                content, hold, harness.clock.monotonic()
+            )
             response = await harness.ask(request_id='r2')
             assert response.status == 503
             assert response.headers['x-outcome'] == 'not-run'
--- /dev/null
+++ b/libs/serving/tests/test_holds_after_restores.py
@@ -0,0 +1,104 @@
+"""Tests of holds, in virtual time, when the store comes back from an older copy."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from daemons_scene import Daemons
+from virtual_time import run_virtual
+
+from fireflyhitch_model.ids import ContentId
+from fireflyhitch_serving.holds import HOLDS_PREFIX
+
+CRASHING = ContentId('crashing')
+CRASHES = 3
+RETRY_INTERVAL_SECONDS = 0.5
+# Until all daemons have heard of a crash or a response, and reviewed their holds.
+SETTLE_SECONDS = 3.0
+# A lease, the wait of the others, a claim, and the discovery of peers.
+SUCCESSION_SECONDS = 10.0
+CHECK_SECONDS = 0.001
+
+
+class Holds:
+    """Daemons that hold a request back, beside a store that is restored."""
+
+    def __init__(self, seed: int) -> None:
+        self.cluster = Daemons(seed, gent=3, aalst=2)
+        self.cluster.store.expires_leases = True
+
+    async def start(self) -> None:
+        """Start all daemons."""
+        await self.cluster.start_all()
+
+    async def crash_servers(self) -> None:
+        """Have servers crash under the request until it is held."""
+        names = list(self.cluster.daemons)
+        for number in range(CRASHES):
+            self.cluster.daemons[names[number]].record_crash(CRASHING, number)
+            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert self.find_holding() == set(names)
+
+    def find_holding(self) -> set[str]:
+        """Return the daemons that hold the request back."""
+        daemons = self.cluster.daemons.items()
+        return {name for name, daemon in daemons if daemon.holds(CRASHING)}
+
+    def is_stored(self) -> bool:
+        """Return whether the store has the hold."""
+        now = asyncio.get_running_loop().time()
+        return bool(self.cluster.store.read(HOLDS_PREFIX, now).items)
+
+    async def restart(self, *names: str) -> None:
+        """Kill daemons, and start them again."""
+        for name in names:
+            self.cluster.kill(name)
+        for name in names:
+            self.cluster.start(name)
+        await asyncio.sleep(SUCCESSION_SECONDS)
+
+    def find_leader(self) -> str:
+        """Return the daemon that leads."""
+        daemons = self.cluster.daemons
+        return next(name for name in daemons if daemons[name].leads())
+
+
+def run_play(seed: int, play: Callable[[Holds], Awaitable[None]]) -> None:
+    """Run a play beside a scene of its own."""
+
+    async def script() -> None:
+        scene = Holds(seed)
+        await scene.start()
+        await play(scene)
+
+    run_virtual(script())
+
+
+class TestReleasedHolds:
+    @pytest.mark.parametrize('seed', range(4))
+    @pytest.mark.parametrize('age', [10.0, 100.0])
+    def test_a_released_hold_in_the_copy_holds_nothing_back(
+        self, seed: int, age: float
+    ) -> None:
+        """Daemons that had started since the release held a harmless request back."""
+
+        async def play(scene: Holds) -> None:
+            await scene.crash_servers()
+            copied_at = asyncio.get_running_loop().time()
+            responder, *others = scene.cluster.daemons
+            tracker = scene.cluster.daemons[responder].crashes.tracker
+            tracker.record_response(CRASHING, copied_at)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert not scene.find_holding()
+            assert not scene.is_stored()
+            await scene.restart(*others)
+            await asyncio.sleep(age)
+            scene.cluster.store.restore(asyncio.get_running_loop().time() - copied_at)
+            assert scene.is_stored()
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert not scene.find_holding()
+            await asyncio.sleep(SUCCESSION_SECONDS)
+            assert not scene.is_stored()
+
+        run_play(seed, play)
--- a/libs/serving/tests/virtual_store.py
+++ b/libs/serving/tests/virtual_store.py
@@ -18,7 +18,6 @@
     WriteResult,
     Written,
 )
-from fireflyhitch_serving.leases import LEASE_SECONDS
 from fireflyhitch_serving.store import Put, WatchResult
 from fireflyhitch_serving.store_eras import EraTracker
 
@@ -49,6 +48,7 @@
     kept_leases: dict[int, float] = field(default_factory=dict)
     key_leases: dict[str, int] = field(default_factory=dict)
     granted_leases: dict[int, float] = field(default_factory=dict)
+    lease_seconds: dict[int, float] = field(default_factory=dict)
     lease_by_number: dict[int, int] = field(default_factory=dict)
     _revision: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -112,11 +112,19 @@
         return lost
 
     def _restore_leases(self, until: float) -> None:
-        """Hold the leases that were granted until a time, and their keys."""
+        """Hold the leases that were granted until a time, and their keys.
+
+        The numbers of the others will be given out again.
+        """
+        self.granted_leases = {
+            lease: granted_at
+            for lease, granted_at in self.granted_leases.items()
+            if granted_at <= until
+        }
+        self.leases = max(self.granted_leases, default=0)
         self.kept_leases = {}
-        for lease, granted_at in self.granted_leases.items():
-            if granted_at <= until:
-                self.keep_lease(lease)
+        for lease in self.granted_leases:
+            self.keep_lease(lease)
         self.key_leases = {}
         for item in self.read('', until).items:
             held_by = self.lease_by_number.get(find_number(item.revision))
@@ -126,7 +134,7 @@
     def keep_lease(self, lease: int) -> None:
         """Grant or renew a lease."""
         now = asyncio.get_running_loop().time()
-        self.kept_leases[lease] = now + LEASE_SECONDS
+        self.kept_leases[lease] = now + self.lease_seconds[lease]
 
     def end_leases(self) -> None:
         """End the leases that have run out, and delete their keys."""
@@ -218,6 +226,7 @@
         self._store.leases += 1
         now = asyncio.get_running_loop().time()
         self._store.granted_leases[self._store.leases] = now
+        self._store.lease_seconds[self._store.leases] = seconds
         self._store.keep_lease(self._store.leases)
         return LeaseId(self._store.leases)
 
