Write holds again as soon as a restored store lacks them

What holds the store has, the leader knew from its own writes and from the changes in its view. After a restore from a copy that lacked a hold, the leader took it for stored until the view dropped the key, 2.3 s or more later, and for ever if the view had not seen it stored before the restore. If all daemons ended meanwhile, the request was sent to servers again and crashed three more of them. The leader now lists the holds once in each term and era, applies them, and writes those that are missing.

--- a/libs/serving/fireflyhitch_serving/holds.py
+++ b/libs/serving/fireflyhitch_serving/holds.py
@@ -2,7 +2,8 @@
 
 Daemons exchange crash records and derive the same holds from them. A daemon that missed
 some reads the holds from the store; so do all daemons when all were restarted. Only the
-leader writes holds, and their keys expire with their lease.
+leader writes holds, and their keys expire with their lease. Which ones the store has it
+reads when it begins to lead, and when the store comes back from an older copy.
 """
 
 import asyncio
@@ -11,17 +12,25 @@
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.eras import find_era
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.external_values import (
     PARSE_ERRORS,
     parse_id,
     parse_number,
 )
-from fireflyhitch_model.ids import ABSENT, ContentId, ProcessId
+from fireflyhitch_model.ids import (
+    ABSENT,
+    ContentId,
+    FencingNumber,
+    ProcessId,
+    StoreEra,
+)
 from fireflyhitch_routing.quarantine import HOLD_SECONDS, Hold, Quarantine
 from fireflyhitch_serving.leases import FIREFLYHITCH_PREFIX, LeaderLease
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.store import AsyncStore, Put
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.store_health import StoreHealth
 
 HOLDS_PREFIX = f'{FIREFLYHITCH_PREFIX}holds/'
@@ -42,6 +51,7 @@
         health: StoreHealth,
         clock: Clock,
         peers: PeerRegistry,
+        eras: EraTracker,
     ) -> None:
         """Create a manager without stored holds."""
         self._quarantine = quarantine
@@ -50,7 +60,9 @@
         self._health = health
         self._clock = clock
         self._peers = peers
+        self._eras = eras
         self._stored: set[ContentId] = set()
+        self._listed_for: tuple[FencingNumber, StoreEra] | None = None
 
     def apply_change(self, key_suffix: str, value: bytes | None) -> None:
         """Apply a change of a hold's key.
@@ -78,14 +90,30 @@
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             settle_seconds = SETTLED_ROUNDS * self._peers.propagation_seconds()
             self._quarantine.review(self._clock.monotonic(), settle_seconds)
-            if self._lease.current_leadership() is None or not self._health.answers:
+            leadership = self._lease.current_leadership()
+            if leadership is None or not self._health.answers:
                 continue
             try:
+                await self._list_stored(leadership.term)
                 await self._sync()
             except PlatformError as error:
                 self._health.record_failure(error)
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _list_stored(self, term: FencingNumber) -> None:
+        """Read which holds the store has, once in each term and era.
+
+        They are applied as well: one that the view has not delivered yet would be taken
+        for released.
+        """
+        if self._listed_for == (term, self._eras.current):
+            return
+        listing = await self._health.track(self._store.list(HOLDS_PREFIX))
+        self._stored = set()
+        for item in listing.items:
+            self.apply_change(item.key.removeprefix(HOLDS_PREFIX), item.value)
+        self._listed_for = (term, find_era(listing.revision))
+
     async def _sync(self) -> None:
         held = dict(self._quarantine.held())
         for content in held.keys() - self._stored:
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -298,6 +298,7 @@
             self._health,
             self._clock,
             self._peers,
+            self.eras,
         )
         self.relay = ChangeRelay(
             self._peers,
--- a/libs/serving/tests/test_holds_after_restores.py
+++ b/libs/serving/tests/test_holds_after_restores.py
@@ -102,3 +102,41 @@
             assert not scene.is_stored()
 
         run_play(seed, play)
+
+
+class TestLostHolds:
+    @pytest.mark.parametrize('seed', range(4))
+    @pytest.mark.parametrize('lead', [0.7, 1.5])
+    def test_a_hold_that_the_copy_lacks_is_written_at_once(
+        self, seed: int, lead: float
+    ) -> None:
+        """All daemons ended while the leader took a lost hold for one that may return."""
+
+        async def play(scene: Holds) -> None:
+            copied_at = asyncio.get_running_loop().time()
+            await scene.crash_servers()
+            scene.cluster.store.restore(asyncio.get_running_loop().time() - copied_at)
+            await asyncio.sleep(lead)
+            await scene.restart(*scene.cluster.daemons)
+            assert scene.find_holding() == set(scene.cluster.daemons)
+
+        run_play(seed, play)
+
+    @pytest.mark.parametrize('seed', range(4))
+    def test_a_hold_is_written_again_if_nobody_saw_it_stored(self, seed: int) -> None:
+        """A hold that was written just before the copy's loss was taken for stored."""
+
+        async def play(scene: Holds) -> None:
+            store = scene.cluster.store
+            store.stalled_watchers.update(scene.cluster.daemons)
+            writing = asyncio.ensure_future(scene.crash_servers())
+            while not scene.is_stored():
+                await asyncio.sleep(CHECK_SECONDS)
+            await asyncio.sleep(CHECK_SECONDS)
+            store.restore(RETRY_INTERVAL_SECONDS / 2)
+            store.stalled_watchers.clear()
+            await writing
+            await scene.restart(*scene.cluster.daemons)
+            assert scene.find_holding() == set(scene.cluster.daemons)
+
+        run_play(seed, play)
