Save crash records again after a restore that lost them

Crash records were saved when they differed from those last saved, and expected the revision last read. A restore that lost them changed neither: they were not saved again, and where the copy lacked the key, each later save met a conflict for ever, four writes and four listings a second. If all daemons ended then, servers had to crash three times more before the request was held back. Whoever saves the records now loads what the store has once in each era, and saves what it lacks.

--- a/libs/serving/fireflyhitch_serving/saved_crashes.py
+++ b/libs/serving/fireflyhitch_serving/saved_crashes.py
@@ -12,9 +12,16 @@
 from loguru import logger
 
 from fireflyhitch_model.clock import Clock
+from fireflyhitch_model.eras import find_era
 from fireflyhitch_model.errors import PlatformError
 from fireflyhitch_model.external_values import parse_number
-from fireflyhitch_model.ids import ABSENT, ContentId, FailureDomainId, Revision
+from fireflyhitch_model.ids import (
+    ABSENT,
+    ContentId,
+    FailureDomainId,
+    Revision,
+    StoreEra,
+)
 from fireflyhitch_platform.keyvalue import Written
 from fireflyhitch_routing.crashes import CrashReport, CrashTracker
 from fireflyhitch_serving.deputies import LeaderDeputy
@@ -23,6 +30,7 @@
 from fireflyhitch_serving.packing import pack, unpack
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.store import AsyncStore, Put
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.store_health import StoreHealth
 
 # No watch is triggered by keys with this prefix.
@@ -36,7 +44,11 @@
 
 
 class SavedCrashes:
-    """Loads the saved crash records once, and saves them when they change."""
+    """Loads the saved crash records at first, and saves them when they change.
+
+    A store that comes back from an older copy may lack some, or their key. Whoever saves
+    them loads what it has then, and saves them again.
+    """
 
     def __init__(
         self,
@@ -47,6 +59,7 @@
         health: StoreHealth,
         clock: Clock,
         peers: PeerRegistry,
+        eras: EraTracker,
     ) -> None:
         """Create it; nothing is loaded yet."""
         self._tracker = tracker
@@ -57,24 +70,29 @@
         self._clock = clock
         self._peers = peers
         self._key = make_key(peers.own_domain)
+        self._eras = eras
+        self._loaded_era: StoreEra | None = None
         self._revisions: dict[str, Revision] = {}
         self._saved: frozenset[tuple[ContentId, int]] = frozenset()
 
     async def run(self) -> None:
         """Load the records, then save those of all daemons while this one acts."""
-        is_loaded = False
         while True:
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
             try:
-                if not is_loaded:
-                    await self._load()
-                    is_loaded = True
-                elif self._acts():
-                    await self._save()
+                await self._step()
             except PlatformError as error:
                 self._health.record_failure(error)
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def _step(self) -> None:
+        if self._loaded_era is None:
+            await self._load()
+        elif self._acts():
+            if self._loaded_era != self._eras.current:
+                await self._load()
+            await self._save()
+
     def _acts(self) -> bool:
         if self._lease.current_leadership() is not None:
             return self._health.answers
@@ -82,8 +100,10 @@
 
     async def _load(self) -> None:
         listing = await self._health.track(self._store.list(SAVED_CRASHES_PREFIX))
+        self._loaded_era = find_era(listing.revision)
+        self._revisions = {item.key: item.revision for item in listing.items}
+        self._saved = frozenset()
         for item in listing.items:
-            self._revisions[item.key] = item.revision
             self._apply(item.key, item.value)
 
     def _apply(self, key: str, value: bytes) -> None:
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -67,6 +67,7 @@
 from fireflyhitch_serving.relays import ChangeRelay
 from fireflyhitch_serving.retry_budget import RetryBounds, RetryBudget
 from fireflyhitch_serving.saved_counts import SavedCounts
+from fireflyhitch_serving.saved_crashes import SavedCrashes
 from fireflyhitch_serving.servers import ServerEntry, ServerRegistry
 from fireflyhitch_serving.shared_state import SharedComponents, SharedState
 from fireflyhitch_serving.stalls import StallDetector
@@ -300,6 +301,16 @@
             self._peers,
             self.eras,
         )
+        self._saved_crashes = SavedCrashes(
+            self.crashes.tracker,
+            self._store,
+            self._lease,
+            deputy,
+            self._health,
+            self._clock,
+            self._peers,
+            self.eras,
+        )
         self.relay = ChangeRelay(
             self._peers,
             name,
@@ -471,6 +482,7 @@
             self._registrations,
             sweeper,
             self._holds,
+            self._saved_crashes,
             probe,
             self._channel,
             summary_relay,
--- a/libs/serving/tests/test_holds_after_restores.py
+++ b/libs/serving/tests/test_holds_after_restores.py
@@ -33,12 +33,16 @@
 
     async def crash_servers(self) -> None:
         """Have servers crash under the request until it is held."""
-        names = list(self.cluster.daemons)
         for number in range(CRASHES):
-            self.cluster.daemons[names[number]].record_crash(CRASHING, number)
-            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+            await self.crash_server(number)
         await asyncio.sleep(SETTLE_SECONDS)
-        assert self.find_holding() == set(names)
+        assert self.find_holding() == set(self.cluster.daemons)
+
+    async def crash_server(self, number: int) -> None:
+        """Have a server crash under the request, which a daemon of its own sent."""
+        name = list(self.cluster.daemons)[number]
+        self.cluster.daemons[name].record_crash(CRASHING, number)
+        await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
     def find_holding(self) -> set[str]:
         """Return the daemons that hold the request back."""
@@ -50,6 +54,11 @@
         now = asyncio.get_running_loop().time()
         return bool(self.cluster.store.read(HOLDS_PREFIX, now).items)
 
+    def restore(self, copied_at: float) -> None:
+        """Bring the store back from a copy."""
+        now = asyncio.get_running_loop().time()
+        self.cluster.store.restore(now - copied_at)
+
     async def restart(self, *names: str) -> None:
         """Kill daemons, and start them again."""
         for name in names:
@@ -140,3 +149,61 @@
             assert scene.find_holding() == set(scene.cluster.daemons)
 
         run_play(seed, play)
+
+
+class TestSavedCrashes:
+    @pytest.mark.parametrize('seed', range(4))
+    @pytest.mark.parametrize('copied_crashes', [0, 1])
+    def test_records_that_the_copy_lacks_are_saved_again(
+        self, seed: int, copied_crashes: int
+    ) -> None:
+        """Servers went on to crash when all daemons ended after a restore."""
+
+        async def play(scene: Holds) -> None:
+            for number in range(copied_crashes):
+                await scene.crash_server(number)
+            copied_at = asyncio.get_running_loop().time()
+            for number in range(copied_crashes, CRASHES - 1):
+                await scene.crash_server(number)
+            scene.restore(copied_at)
+            await asyncio.sleep(SETTLE_SECONDS)
+            await scene.restart(*scene.cluster.daemons)
+            await scene.crash_server(CRASHES - 1)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert scene.find_holding() == set(scene.cluster.daemons)
+
+        run_play(seed, play)
+
+    @pytest.mark.parametrize('seed', range(4))
+    def test_records_are_saved_after_the_restore_lost_their_key(
+        self, seed: int
+    ) -> None:
+        """No later record was saved, as the key's revision of before was expected."""
+
+        async def play(scene: Holds) -> None:
+            copied_at = asyncio.get_running_loop().time()
+            await scene.crash_server(0)
+            scene.restore(copied_at)
+            await asyncio.sleep(SETTLE_SECONDS)
+            await scene.crash_server(1)
+            await asyncio.sleep(SETTLE_SECONDS)
+            await scene.restart(*scene.cluster.daemons)
+            await scene.crash_server(2)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert scene.find_holding() == set(scene.cluster.daemons)
+
+        run_play(seed, play)
+
+    @pytest.mark.parametrize('seed', range(4))
+    def test_records_outlast_a_restart_of_all_daemons(self, seed: int) -> None:
+        """Nothing but the store has the records then."""
+
+        async def play(scene: Holds) -> None:
+            for number in range(CRASHES - 1):
+                await scene.crash_server(number)
+            await scene.restart(*scene.cluster.daemons)
+            await scene.crash_server(CRASHES - 1)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert scene.find_holding() == set(scene.cluster.daemons)
+
+        run_play(seed, play)
