Refuse a configuration whose names are no text

A route whose prefix was a list was put into force, and each request for its host then failed while its route was searched: callers got a closed connection. Other names failed later, in headers, logs and messages.

--- a/tests/users_platform/test_foreign_entries.py
+++ b/tests/users_platform/test_foreign_entries.py
@@ -97,6 +97,17 @@
         with pytest.raises(ConfigurationError):
             read_catalog(json.dumps(changed).encode())
 
+    @pytest.mark.parametrize('field', ['name', 'host', 'prefix', 'service'])
+    @pytest.mark.parametrize('value', [7, ['a'], {'a': 1}, 'a\r\nb'])
+    def test_a_name_that_is_no_text_refuses_a_configuration(
+        self, field: str, value: object
+    ) -> None:
+        # Guards against a route at which the search for each request's route fails.
+        changed = make_configuration()
+        changed['routes'][0][field] = value
+        with pytest.raises(ConfigurationError):
+            read_catalog(json.dumps(changed).encode())
+
     @pytest.mark.parametrize('value', [DEEP, b'[]', b'\xff'])
     def test_bytes_that_hold_no_configuration_are_refused(self, value: bytes) -> None:
         with pytest.raises(ConfigurationError):
