Check the crash records and numbers of CBOR messages

A saved crash record whose process was a list passed the reader and failed in the tracker: the loop that loads and saves records ended and began again each second, and nobody saved any. Peers' records were as little checked. Both are now read by one function. A decimal number with a large exponent, some bytes in CBOR, was expanded to an integer of up to 10^9 digits before its range was checked; only plain numbers and text are converted.

--- a/libs/model/fireflyhitch_model/external_values.py
+++ b/libs/model/fireflyhitch_model/external_values.py
@@ -90,7 +90,7 @@
     :raises ValueError: if it is none, or not within ``MAX_NUMBER``.
     :raises TypeError: if the value is neither.
     """
-    return int(check_range(int(value)))  # type: ignore[call-overload]
+    return int(check_range(_convert_integer(value)))
 
 
 def parse_id(value: object) -> int:
@@ -99,12 +99,19 @@
     :raises ValueError: if it is none, or not within 0 and ``MAX_ID``.
     :raises TypeError: if the value is neither.
     """
-    number: int = int(value)  # type: ignore[call-overload]
+    number = _convert_integer(value)
     if not 0 <= number <= MAX_ID:
         raise ValueError('id out of range')
     return number
 
 
+def _convert_integer(value: object) -> int:
+    # A decimal number with a large exponent, which CBOR can hold, would take all memory.
+    if not isinstance(value, int | float | str | bytes):
+        raise TypeError(f'not an integer: {value!r:.40}')
+    return int(value)
+
+
 def parse_seconds(milliseconds: object) -> float:
     """Return a duration given in milliseconds, in seconds; errors as ``parse_number``."""
     return parse_number(milliseconds) / MILLISECONDS
--- a/libs/serving/fireflyhitch_serving/peer_state.py
+++ b/libs/serving/fireflyhitch_serving/peer_state.py
@@ -19,6 +19,7 @@
     CustomerId,
     DeploymentId,
     FailureDomainId,
+    ProcessId,
 )
 from fireflyhitch_model.records import immutable
 from fireflyhitch_routing.announcements import Report, ReportsByKind
@@ -138,7 +139,7 @@
     }
     for revision in message['newest'].values():
         parse_id(revision)
-    crashes = {key: _decode_crash(*row) for key, row in message['crashes'].items()}
+    crashes = decode_crashes(message['crashes'])
     return {
         **message,
         'work': work,
@@ -173,12 +174,23 @@
     }
 
 
+def decode_crashes(rows: Mapping[ContentId, Any]) -> dict[ContentId, CrashReport]:
+    """Return reports on requests.
+
+    :raises ValueError: if one is malformed, as other errors of ``DECODE_ERRORS``.
+    """
+    return {
+        ContentId(check_text(content)): _decode_crash(*row)
+        for content, row in rows.items()
+    }
+
+
 def _decode_crash(crash_rows: list[list[Any]], answered: float | None) -> CrashReport:
     rows = [
-        (process, parse_number(age), parse_number(ran))
+        (ProcessId(parse_id(process)), parse_number(age), parse_number(ran))
         for process, age, ran in crash_rows
     ]
-    return CrashReport(rows, answered)
+    return CrashReport(rows, None if answered is None else parse_number(answered))
 
 
 def _decode_report(value: float | None, age: float) -> Report:
--- a/libs/serving/fireflyhitch_serving/saved_crashes.py
+++ b/libs/serving/fireflyhitch_serving/saved_crashes.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import Any
 
 from loguru import logger
 
@@ -21,6 +20,7 @@
 from fireflyhitch_serving.leases import LeaderLease
 from fireflyhitch_serving.malformed import DECODE_ERRORS
 from fireflyhitch_serving.packing import pack, unpack
+from fireflyhitch_serving.peer_state import decode_crashes
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.store import AsyncStore, Put
 from fireflyhitch_serving.store_health import StoreHealth
@@ -132,16 +132,15 @@
     message = unpack(value)
     elapsed = max(wall - parse_number(message['at']), 0)
     reports = {
-        ContentId(content): _add_age(elapsed, *row)
-        for content, row in message['reports'].items()
+        content: _add_age(elapsed, report)
+        for content, report in decode_crashes(message['reports']).items()
     }
     return {content: report for content, report in reports.items() if report.crashes}
 
 
-def _add_age(
-    elapsed: float, rows: list[list[Any]], completed_age: float | None
-) -> CrashReport:
-    crashes = [(process, age + elapsed, ran) for process, age, ran in rows]
+def _add_age(elapsed: float, report: CrashReport) -> CrashReport:
+    crashes = [(process, age + elapsed, ran) for process, age, ran in report.crashes]
+    completed_age = report.completed_age
     return CrashReport(
         [crash for crash in crashes if crash[1] <= MAX_AGE_SECONDS],
         None if completed_age is None else completed_age + elapsed,
--- a/libs/serving/tests/test_malformed_messages.py
+++ b/libs/serving/tests/test_malformed_messages.py
@@ -5,6 +5,7 @@
 import operator
 import random
 from collections.abc import Callable
+from decimal import Decimal
 from typing import Any
 
 import cbor2
@@ -13,10 +14,16 @@
 from virtual_time import run_virtual
 
 from fireflyhitch_model.clock import ManualClock
-from fireflyhitch_model.external_values import MAX_ID, MAX_NUMBER
+from fireflyhitch_model.external_values import (
+    MAX_ID,
+    MAX_NUMBER,
+    parse_id,
+    parse_integer,
+)
 from fireflyhitch_model.identity import identify_process
 from fireflyhitch_model.ids import BackendServerId, ContentId, FailureDomainId
 from fireflyhitch_routing.announcements import parse_number
+from fireflyhitch_serving.fixed_counts import USAGE_PREFIX
 from fireflyhitch_serving.holds import HOLDS_PREFIX
 from fireflyhitch_serving.hubs import HubTracker
 from fireflyhitch_serving.peer_channel import PeerChannel, PeerHandlers
@@ -26,7 +33,6 @@
 from fireflyhitch_serving.saved_counts import SAVED_PREFIX
 from fireflyhitch_serving.stalls import StallDetector
 from fireflyhitch_serving.traffic import ControlTraffic
-from fireflyhitch_serving.usage_reports import USAGE_PREFIX
 
 GENT = FailureDomainId('gent')
 NAN = float('nan')
@@ -57,7 +63,32 @@
     )
 
 
+class TestNumbers:
+    @pytest.mark.parametrize('parse', [parse_id, parse_integer])
+    def test_a_decimal_number_is_not_expanded(
+        self, parse: Callable[[object], int]
+    ) -> None:
+        # Guards against a few bytes of CBOR that become an integer of 400 MB.
+        with pytest.raises(TypeError):
+            parse(Decimal('1E+1000'))
+
+
 class TestStates:
+    @pytest.mark.parametrize(
+        'crashes',
+        [
+            {'a': ([([1], 1.0, 1.0)], None)},
+            {'a': ([(1, 1.0, 1.0)], 'x')},
+            {'a': ([(1, 1.0, 1.0)], NAN)},
+            {7: ([(1, 1.0, 1.0)], None)},
+        ],
+    )
+    def test_a_state_with_an_unusable_crash_record_is_unreadable(
+        self, crashes: dict[Any, Any]
+    ) -> None:
+        # Guards against records that the saving of crash records fails at.
+        assert decode_state(render_state(crashes=crashes)) is None
+
     @pytest.mark.parametrize(
         'changes',
         [
