Let odd entries of other writers end no view, lead or duty

The class: a value was read, and a later step failed that no reader guards. Keys are made encodable where they are read from the store, values where they are decoded.

--- a/libs/serving/fireflyhitch_serving/fixed_counts.py
+++ b/libs/serving/fireflyhitch_serving/fixed_counts.py
@@ -42,6 +42,9 @@
 # many it would cost each leader more than its share of control traffic.
 MAX_KEEPERS = 20
 
+# Of a window's number; more are not of this system.
+MAX_WINDOW_DIGITS = 20
+
 WindowRow = tuple[int, Mapping[CustomerId, int]]
 
 
@@ -268,7 +271,9 @@
 
 def _read_item(item: KeyValue) -> WindowRow | None:
     suffix = item.key.removeprefix(USAGE_PREFIX)
-    counts = _read_counts(item) if suffix.isdecimal() else None
+    if not suffix.isdecimal() or len(suffix) > MAX_WINDOW_DIGITS:
+        return None
+    counts = _read_counts(item)
     return None if counts is None else (int(suffix), counts)
 
 
--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -125,7 +125,7 @@
         """Return the name of the leading daemon, as far as known."""
         if self._leader is None:
             return None
-        process = self._leader.decode().split(' ')[0]
+        process = self._leader.decode(errors='replace').split(' ')[0]
         return process.rpartition('/')[0]
 
     def mark_keys_listed(self) -> None:
@@ -286,7 +286,7 @@
         logger.bind(
             rank=rank,
             era=self._eras.current,
-            recorded_era=keys.era.value.decode() if keys.era else None,
+            recorded_era=keys.era.value.decode(errors='replace') if keys.era else None,
             saw_restore=self._saw_restore,
         ).info('claiming')
         # Whether the claim succeeded is read from the key, as at all other daemons.
--- a/libs/serving/fireflyhitch_serving/move_orders.py
+++ b/libs/serving/fireflyhitch_serving/move_orders.py
@@ -2,9 +2,18 @@
 
 import json
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from typing import Any
+
+from loguru import logger
 
 from fireflyhitch_model.eras import find_era, find_number
+from fireflyhitch_model.external_values import (
+    PARSE_ERRORS,
+    parse_integer,
+    parse_number,
+)
 from fireflyhitch_model.ids import ABSENT, DeploymentId, Revision
 from fireflyhitch_model.records import immutable
 from fireflyhitch_rollout.short_moves import MoveEnd
@@ -60,10 +69,20 @@
 
 
 def decode_record(value: bytes) -> MoveRecord:
-    """Decode a record as stored."""
-    fields = json.loads(value)
-    end = MoveEnd(fields['end']) if fields['end'] else None
-    return MoveRecord(fields['order'], fields['began'], end)
+    """Decode a record as stored; a malformed one stands for no move, as a missing one."""
+    try:
+        return _decode_record(json.loads(value))
+    except PARSE_ERRORS as error:
+        logger.bind(error=repr(error)).error('malformed move record')
+        return MoveRecord()
+
+
+def _decode_record(fields: Mapping[str, Any]) -> MoveRecord:
+    return MoveRecord(
+        parse_integer(fields['order']),
+        parse_number(fields['began']),
+        MoveEnd(fields['end']) if fields['end'] else None,
+    )
 
 
 @dataclass(slots=True)
--- a/libs/serving/fireflyhitch_serving/saved_counts.py
+++ b/libs/serving/fireflyhitch_serving/saved_counts.py
@@ -7,6 +7,7 @@
 from fireflyhitch_model.external_values import (
     PARSE_ERRORS,
     check_count,
+    check_text,
     parse_integer,
 )
 from fireflyhitch_model.ids import ABSENT, CustomerId, FailureDomainId, Revision
@@ -83,7 +84,7 @@
 
 def _decode(value: bytes) -> dict[str, WindowCounts]:
     return {
-        process: {
+        check_text(process): {
             parse_integer(window): check_window(counts)
             for window, counts in windows.items()
         }
@@ -96,4 +97,7 @@
 
     :raises ValueError: if one is malformed.
     """
-    return {CustomerId(name): check_count(count) for name, count in counts.items()}
+    return {
+        CustomerId(check_text(name)): check_count(count)
+        for name, count in counts.items()
+    }
--- a/libs/standins/fireflyhitch_standins/users_store.py
+++ b/libs/standins/fireflyhitch_standins/users_store.py
@@ -101,7 +101,10 @@
 
     def put(self, key: str, value: object) -> None:
         """Write a key as an operator or a backend server would."""
-        data = json.dumps(value).encode()
+        self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, data: bytes) -> None:
+        """Write a key as another writer would, with any value."""
         self._others[key] = data
         self._server.call(lambda: self._write({key: (data, 0)}))
 
