Take a status outside 100 to 599 for no response

A response with the status 600 or 999 reached callers, also through a peer, and calls to the platform. One with 000, 001 or 099 was taken for an interim response: the request waited until its deadline, 5 s here, and a repeatable one was not sent elsewhere before. The parser already refused -1, 0200, 2000 and what is no number. All end the exchange at once now.

test_response_statuses.py: of 75 cases 20 failed before (the statuses named above; 200 of 600 and 999 in callers' hands, 504 after the deadline, calls without an error), all pass.

--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -48,6 +48,8 @@
 MAX_SKIPPED_BYTES = 262_144
 # Complete heads that have not been read. A late response may precede the one expected.
 MAX_UNREAD_HEADS = 8
+# Of a status, as of which there are none (RFC 9110, 15).
+END_OF_STATUSES = 600
 # What each unread part of a body uses besides its bytes.
 PART_OVERHEAD_BYTES = 64
 
@@ -274,6 +276,9 @@
         """Queue the head, except for interim responses (1xx)."""
         self._in_head = False
         status = self._parser.get_status_code()
+        if not HTTPStatus.CONTINUE <= status < END_OF_STATUSES:
+            # The parser stops at an error.
+            raise ValueError(f'invalid status: {status}')
         if status < HTTPStatus.OK:
             return
         self._head_read = True
