--- a/libs/serving/tests/test_malformed_messages.py
+++ b/libs/serving/tests/test_malformed_messages.py
@@ -4,6 +4,8 @@
 import json
 import operator
 import random
+import tracemalloc
+import zlib
 from collections.abc import Callable
 from decimal import Decimal
 from typing import Any
@@ -26,6 +28,7 @@
 from fireflyhitch_serving.fixed_counts import USAGE_PREFIX
 from fireflyhitch_serving.holds import HOLDS_PREFIX
 from fireflyhitch_serving.hubs import HubTracker
+from fireflyhitch_serving.packing import unpack
 from fireflyhitch_serving.peer_channel import PeerChannel, PeerHandlers
 from fireflyhitch_serving.peer_state import PeerState, decode_state, encode_state
 from fireflyhitch_serving.peers import PeerRegistry
@@ -39,6 +42,7 @@
 HUGE = 10**400
 PEER = ('127.0.0.1', 1)
 SERVER = BackendServerId('i-1')
+UNPACKED_BYTES = 100_000_000
 
 
 def render_state(**changes: Any) -> bytes:
@@ -73,6 +77,20 @@
             parse(Decimal('1E+1000'))
 
 
+class TestPackedValues:
+    def test_a_small_value_does_not_unpack_to_a_large_one(self) -> None:
+        # Guards against an entry, or a datagram, that takes the process's memory.
+        packed = zlib.compress(cbor2.dumps(bytes(UNPACKED_BYTES)))
+        tracemalloc.start()
+        try:
+            with pytest.raises(ValueError, match='larger'):
+                unpack(packed)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak < UNPACKED_BYTES / 2
+
+
 class TestStates:
     @pytest.mark.parametrize(
         'crashes',
