--- a/libs/serving/fireflyhitch_serving/connections.py
+++ b/libs/serving/fireflyhitch_serving/connections.py
@@ -18,6 +18,7 @@
 from fireflyhitch_serving.messages import Headers, find_header, render_request
 from fireflyhitch_serving.sockets import (
     SERVER_RECEIVE_BUFFER,
+    count_unsent,
     enable_keepalive,
     reset_on_close,
     set_receive_buffer,
@@ -47,6 +48,8 @@
 MAX_SKIPPED_BYTES = 262_144
 # Complete heads that have not been read. A late response may precede the one expected.
 MAX_UNREAD_HEADS = 8
+# Of a status, as of which there are none (RFC 9110, 15).
+END_OF_STATUSES = 600
 # What each unread part of a body uses besides its bytes.
 PART_OVERHEAD_BYTES = 64
 
@@ -237,8 +240,14 @@
         self._wake_reader()
 
     def eof_received(self) -> bool:
-        """End a response whose body lasts until the connection closes."""
-        if self._until_close and self._in_response:
+        """End a response whose body lasts until the connection closes.
+
+        A server that ends while a request is being sent to it closes its connection like
+        one that has responded in full, so such a response counts as cut off.
+        """
+        if self._is_sending():
+            self._set_error('connection closed while the request was sent')
+        elif self._until_close and self._in_response:
             self._in_response = False
             self._events.append(_Marker.END)
         self._set_error('connection closed by the server')
@@ -267,6 +276,9 @@
         """Queue the head, except for interim responses (1xx)."""
         self._in_head = False
         status = self._parser.get_status_code()
+        if not HTTPStatus.CONTINUE <= status < END_OF_STATUSES:
+            # The parser stops at an error.
+            raise ValueError(f'invalid status: {status}')
         if status < HTTPStatus.OK:
             return
         self._head_read = True
@@ -337,6 +349,12 @@
                 self._transport.resume_reading()
         return event
 
+    def _is_sending(self) -> bool:
+        transport = self._transport
+        if transport is None:
+            return False
+        return bool(transport.get_write_buffer_size() or count_unsent(transport))
+
     def _is_usable(self) -> bool:
         transport = self._transport
         return (
--- a/libs/serving/tests/test_malformed_messages.py
+++ b/libs/serving/tests/test_malformed_messages.py
@@ -4,7 +4,10 @@
 import json
 import operator
 import random
+import tracemalloc
+import zlib
 from collections.abc import Callable
+from decimal import Decimal
 from typing import Any
 
 import cbor2
@@ -13,13 +16,19 @@
 from virtual_time import run_virtual
 
 from fireflyhitch_model.clock import ManualClock
-from fireflyhitch_model.external_values import MAX_ID, MAX_NUMBER
+from fireflyhitch_model.external_values import (
+    MAX_ID,
+    MAX_NUMBER,
+    parse_id,
+    parse_integer,
+)
 from fireflyhitch_model.identity import identify_process
 from fireflyhitch_model.ids import BackendServerId, ContentId, FailureDomainId
 from fireflyhitch_routing.announcements import parse_number
 from fireflyhitch_serving.fixed_counts import USAGE_PREFIX
 from fireflyhitch_serving.holds import HOLDS_PREFIX
 from fireflyhitch_serving.hubs import HubTracker
+from fireflyhitch_serving.packing import unpack
 from fireflyhitch_serving.peer_channel import PeerChannel, PeerHandlers
 from fireflyhitch_serving.peer_state import PeerState, decode_state, encode_state
 from fireflyhitch_serving.peers import PeerRegistry
@@ -33,6 +42,7 @@
 HUGE = 10**400
 PEER = ('127.0.0.1', 1)
 SERVER = BackendServerId('i-1')
+UNPACKED_BYTES = 100_000_000
 
 
 def render_state(**changes: Any) -> bytes:
@@ -57,7 +67,46 @@
     )
 
 
+class TestNumbers:
+    @pytest.mark.parametrize('parse', [parse_id, parse_integer])
+    def test_a_decimal_number_is_not_expanded(
+        self, parse: Callable[[object], int]
+    ) -> None:
+        # Guards against a few bytes of CBOR that become an integer of 400 MB.
+        with pytest.raises(TypeError):
+            parse(Decimal('1E+1000'))
+
+
+class TestPackedValues:
+    def test_a_small_value_does_not_unpack_to_a_large_one(self) -> None:
+        # Guards against an entry, or a datagram, that takes the process's memory.
+        packed = zlib.compress(cbor2.dumps(bytes(UNPACKED_BYTES)))
+        tracemalloc.start()
+        try:
+            with pytest.raises(ValueError, match='larger'):
+                unpack(packed)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak < UNPACKED_BYTES / 2
+
+
 class TestStates:
+    @pytest.mark.parametrize(
+        'crashes',
+        [
+            {'a': ([([1], 1.0, 1.0)], None)},
+            {'a': ([(1, 1.0, 1.0)], 'x')},
+            {'a': ([(1, 1.0, 1.0)], NAN)},
+            {7: ([(1, 1.0, 1.0)], None)},
+        ],
+    )
+    def test_a_state_with_an_unusable_crash_record_is_unreadable(
+        self, crashes: dict[Any, Any]
+    ) -> None:
+        # Guards against records that the saving of crash records fails at.
+        assert decode_state(render_state(crashes=crashes)) is None
+
     @pytest.mark.parametrize(
         'changes',
         [
