Release no server by a listing that a restore has set back

A store that came back from an older copy listed reclaimable servers as ready that were gone, until their entries expired; the leader that led on released the on-demand servers that ran in their place. Or it listed servers as leaving that had restarted under their ids, and the leader ordered fewer than ran. For 5 s after a restore, and after a process has first heard of an era, orders only raise what was ordered last and what was listed before.

The two new cases of test_autoscaler.py failed before (on-demand orders of 0 in all four domains, an order of 3 for 6 that ran); the file passes.

--- a/libs/serving/fireflyhitch_serving/autoscaler.py
+++ b/libs/serving/fireflyhitch_serving/autoscaler.py
@@ -159,7 +159,11 @@
         self._calls = calls
         self._clock = clock
         self._find_overload_demand = find_overload_demand
+        # Returns whether the servers may be listed as they were some time ago, by a store
+        # that was restored; none is released then.
+        self.is_listing_outdated: Callable[[], bool] = bool
         self._placed_orders: dict[_OrderKey, _PlacedOrder] = {}
+        self._counts: dict[_OrderKey, int] = {}
         self._peaks: dict[DeploymentId, _Peak] = {}
         self._floors: dict[DeploymentId, float] = {}
         self._listings: dict[DeploymentId, _Listing] = {}
@@ -178,6 +182,7 @@
         if self._lease.current_leadership() is None:
             self._placed_orders.clear()
             self._floors.clear()
+            self._counts.clear()
             return
         for service in services:
             if service.scale is not None:
@@ -317,12 +322,16 @@
         self, order: ServerOrder, present: int, start_seconds: float
     ) -> None:
         key = (order.service, order.failure_domain, order.reclaimable)
+        if not self.is_listing_outdated():
+            self._counts[key] = present
         placed = self._placed_orders.get(key)
         now = self._clock.monotonic()
         if placed is None and present == order.count:
             return
         if placed is not None and placed.is_current(order, present, now):
             return
+        if self._releases_by_outdated_listing(key, order, present):
+            return
         leadership = self._lease.current_leadership()
         if leadership is None:
             return
@@ -340,6 +349,21 @@
             result=result.value,
         ).info('servers ordered')
 
+    def _releases_by_outdated_listing(
+        self, key: _OrderKey, order: ServerOrder, present: int
+    ) -> bool:
+        """Return whether an order may only follow from servers listed as of before.
+
+        Those listed again may be gone, and those listed as leaving may have restarted.
+        """
+        if not self.is_listing_outdated():
+            return False
+        known = [self._counts.get(key, present)]
+        placed = self._placed_orders.get(key)
+        if placed is not None:
+            known.append(placed.count)
+        return order.count < max(known)
+
     def _record_order(
         self,
         key: _OrderKey,
--- a/libs/serving/tests/test_autoscaler.py
+++ b/libs/serving/tests/test_autoscaler.py
@@ -8,7 +8,12 @@
 from scene import SERVICE, make_catalog
 
 from fireflyhitch_model.clock import ManualClock
-from fireflyhitch_model.ids import BackendServerId, FailureDomainId, FencingNumber
+from fireflyhitch_model.ids import (
+    BackendServerId,
+    FailureDomainId,
+    FencingNumber,
+    StoreEra,
+)
 from fireflyhitch_routing.service_demand import NO_DEMAND, LevelDemand
 from fireflyhitch_serving.autoscaler import Autoscaler
 from fireflyhitch_serving.catalog import EngineCapacity, ScaleBounds, Service
@@ -16,6 +21,7 @@
 from fireflyhitch_serving.duty_calls import CallResult, ServerOrder
 from fireflyhitch_serving.leases import Leadership
 from fireflyhitch_serving.servers import ServerEntry, ServerRegistry
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.workloads import Workloads
 
 DOMAINS = {FailureDomainId(name): 1.0 for name in ('a', 'b', 'c', 'd')}
@@ -51,6 +57,7 @@
         self.registry = ServerRegistry()
         self.leader = FakeLeader()
         self.clock = ManualClock()
+        self.eras = EraTracker(self.clock)
         catalog = replace(make_catalog(), services={SERVICE: SCALED})
         self.autoscaler = Autoscaler(
             lambda: catalog,
@@ -62,6 +69,7 @@
             self.clock,
             lambda service: shed,
         )
+        self.autoscaler.is_listing_outdated = self.eras.is_recent
 
     def list_servers(self, numbers: range) -> None:
         """List on-demand servers, spread over the domains."""
@@ -92,6 +100,28 @@
         )
         self.registry.put(entry)
 
+    def list_all_reclaimable(self, count: int) -> None:
+        """List so many reclaimable servers in each domain."""
+        for number, domain in enumerate(DOMAINS):
+            for place in range(count):
+                name = f'{domain}-r{place}'
+                self.list_reclaimable(name)
+                record = self.registry.find(BackendServerId(name))
+                assert record is not None
+                record.server = replace(
+                    record.server,
+                    failure_domain=domain,
+                    address=Address('127.0.0.2', 1 + 99 * number + place),
+                )
+
+    def find_on_demand(self) -> dict[FailureDomainId, int]:
+        """Return the latest on-demand order of each domain."""
+        return {
+            order.failure_domain: order.count
+            for order in self.leader.orders
+            if not order.reclaimable
+        }
+
     def reclaim_all(self) -> None:
         """Remove all reclaimable servers, as the platform does."""
         for server_id, record in list(self.registry.all().items()):
@@ -325,6 +355,72 @@
         assert max(ordered) >= 15
 
 
+class TestRestores:
+    def test_no_server_is_released_as_a_copy_lists_reclaimed_ones(
+        self, monkeypatch
+    ) -> None:
+        """On-demand servers were released for reclaimable ones that were long gone."""
+        monkeypatch.setattr(f'{Autoscaler.__module__}.CHECK_INTERVAL_SECONDS', 0)
+        harness = ScalingHarness(demand=1)
+        harness.eras.record(StoreEra(1), 'store')
+        harness.list_servers(range(16))
+        for record in harness.registry.all().values():
+            record.requests = 15
+
+        async def script() -> None:
+            await harness.advance_time(8)
+            ordered = harness.find_on_demand()
+            assert sum(ordered.values()) >= 16
+            placed = len(harness.leader.orders)
+            harness.eras.record(StoreEra(2), 'store')
+            harness.list_all_reclaimable(40)
+            await harness.advance_time(3)
+            harness.reclaim_all()
+            await harness.advance_time(1)
+            assert all(
+                order.count >= ordered[order.failure_domain]
+                for order in harness.leader.orders[placed:]
+                if not order.reclaimable
+            )
+
+        asyncio.run(script())
+
+    def test_no_server_is_released_as_a_copy_lists_it_as_leaving(
+        self, monkeypatch
+    ) -> None:
+        """Servers that a domain has beyond its share, while another lacks some, ended."""
+        monkeypatch.setattr(f'{Autoscaler.__module__}.CHECK_INTERVAL_SECONDS', 0)
+        harness = ScalingHarness()
+        harness.eras.record(StoreEra(1), 'store')
+        harness.list_all_reclaimable(6)
+        lacking, full, *_ = sorted(DOMAINS)
+        for place in range(1, 6):
+            harness.registry.remove(BackendServerId(f'{lacking}-r{place}'))
+        entries = [
+            record.server
+            for record in harness.registry.all().values()
+            if record.server.failure_domain == full
+        ]
+
+        async def script() -> None:
+            await harness.advance_time(8)
+            placed = len(harness.leader.orders)
+            harness.eras.record(StoreEra(2), 'store')
+            for entry in entries[2:]:
+                harness.registry.put(replace(entry, ready=False))
+            await harness.advance_time(2)
+            for entry in entries:
+                harness.registry.put(entry)
+            await harness.advance_time(1)
+            assert all(
+                order.count >= 6
+                for order in harness.leader.orders[placed:]
+                if order.reclaimable and order.failure_domain == full
+            )
+
+        asyncio.run(script())
+
+
 class TestShedding:
     @pytest.mark.parametrize('shed', [LevelDemand(200), LevelDemand(1, 15)])
     def test_refused_demand_orders_servers(self, shed, monkeypatch) -> None:  # type: ignore[no-untyped-def]
