Register again when a restore loses what no view has seen

A daemon took its own write for stored until its view told otherwise. A restore that lost the registration before any watch had returned it left nothing for the view to miss: the daemon stayed unregistered, and its peers shared limits and sent messages without it. A write of an earlier era that the view has not told counts no more.

--- a/libs/serving/fireflyhitch_serving/registrations.py
+++ b/libs/serving/fireflyhitch_serving/registrations.py
@@ -19,6 +19,7 @@
 from fireflyhitch_serving.leases import FIREFLYHITCH_PREFIX, LeaderLease
 from fireflyhitch_serving.peers import PeerRegistry
 from fireflyhitch_serving.store import AsyncStore, Put
+from fireflyhitch_serving.store_eras import EraTracker
 from fireflyhitch_serving.store_health import StoreHealth
 
 DAEMONS_PREFIX = f'{FIREFLYHITCH_PREFIX}daemons/'
@@ -77,6 +78,7 @@
         registration: Registration,
         health: StoreHealth,
         clock: Clock,
+        eras: EraTracker,
     ) -> None:
         """Create a manager of a registration that may not be stored yet."""
         self._store = store
@@ -85,6 +87,7 @@
         self._value = registration.encode()
         self._health = health
         self._clock = clock
+        self._eras = eras
         self._started = clock.monotonic()
         self._listed_since: float | None = None
         self._is_loaded = False
@@ -146,7 +149,9 @@
             self._stored = StoredValue()
 
     def _apply_own(self, value: bytes | None, revision: Revision) -> None:
-        self._stored = StoredValue(value, ABSENT if value is None else revision)
+        self._stored = StoredValue(
+            value, ABSENT if value is None else revision, is_seen=True
+        )
         if value == self._value and self._listed_since is None:
             self._listed_since = self._clock.monotonic()
 
@@ -154,7 +159,7 @@
         """Write the registration whenever the stored value differs, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_SECONDS)
-            if not self._is_loaded or self._stored.value == self._value:
+            if not self._is_loaded or self._is_registered():
                 continue
             try:
                 await self._register()
@@ -162,6 +167,16 @@
                 self._health.record_failure(error)
                 await asyncio.sleep(RETRY_SECONDS)
 
+    def _is_registered(self) -> bool:
+        """Return whether the store has the registration.
+
+        The view tells if a restore has lost it, but not if it never saw it.
+        """
+        stored = self._stored
+        if not stored.is_seen and stored.revision < self._eras.floor:
+            self._stored = StoredValue()
+        return self._stored.value == self._value
+
     async def _register(self) -> None:
         key = f'{DAEMONS_PREFIX}{self._daemon}'
         put = Put(key, self._value, self._stored.revision)
@@ -179,10 +194,14 @@
 
 @immutable
 class StoredValue:
-    """The last known value of a key; ``None`` at revision 0 if there is none."""
+    """The last known value of a key; ``None`` at revision 0 if there is none.
+
+    :param is_seen: whether the view of the store has told it.
+    """
 
     value: bytes | None = None
     revision: Revision = ABSENT
+    is_seen: bool = False
 
 
 class RegistrationSweeper:
--- a/libs/serving/tests/daemons_scene.py
+++ b/libs/serving/tests/daemons_scene.py
@@ -250,7 +250,13 @@
         net.channels[address] = self._channel
         registration = Registration(address, self._domain, net.find_link_mbps(name))
         self._registrations = RegistrationManager(
-            self._store, self._peers, name, registration, self._health, self._clock
+            self._store,
+            self._peers,
+            name,
+            registration,
+            self._health,
+            self._clock,
+            self.eras,
         )
         leadership_order = LeadershipOrder(
             self._peers, self._summaries, self._registrations.has_discovered_peers
--- a/libs/serving/tests/test_registrations.py
+++ b/libs/serving/tests/test_registrations.py
@@ -43,13 +43,15 @@
 def make_manager(store: VirtualStore) -> RegistrationManager:
     """Return the manager of a daemon that has just started."""
     clock = LoopClock()
+    eras = EraTracker(clock)
     return RegistrationManager(
-        StoreClient(store, 'front-1', EraTracker(clock)),
+        StoreClient(store, 'front-1', eras),
         PeerRegistry('front-1', OWN.failure_domain, clock, clock.monotonic),
         'front-1',
         OWN,
         StoreHealth(clock),
         clock,
+        eras,
     )
 
 
@@ -150,3 +152,58 @@
             assert scene.find_listed() == set(scene.daemons)
 
         run_virtual(script())
+
+
+class TestRestores:
+    @pytest.mark.parametrize('seed', range(4))
+    @pytest.mark.parametrize('delay', [0.001, 0.02, 0.2])
+    @pytest.mark.parametrize('is_seen', [True, False])
+    def test_registration_lost_as_it_was_written_is_written_again(
+        self, seed: int, delay: float, is_seen: bool
+    ) -> None:
+        """A daemon took its own write for stored, and stayed unregistered."""
+
+        async def script() -> None:
+            scene = Daemons(seed, gent=3, aalst=2)
+            scene.store.expires_leases = True
+            await scene.start_all()
+            if not is_seen:
+                scene.store.stalled_watchers.update({*scene.daemons, 'gent-4'})
+            copied_at = asyncio.get_running_loop().time()
+            scene.start('gent-4')
+            while 'gent-4' not in scene.find_listed():
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(delay)
+            scene.store.restore(asyncio.get_running_loop().time() - copied_at)
+            assert 'gent-4' not in scene.find_listed()
+            scene.store.stalled_watchers.clear()
+            await asyncio.sleep(GONE_SECONDS)
+            assert scene.find_listed() == set(scene.daemons)
+
+        run_virtual(script())
+
+    @pytest.mark.parametrize('seed', range(4))
+    @pytest.mark.parametrize('delay', [0, 0.5, 5])
+    def test_no_running_daemon_is_deleted_for_long(
+        self, seed: int, delay: float
+    ) -> None:
+        """A leader swept registrations by what a copy listed."""
+
+        async def script() -> None:
+            scene = Daemons(seed, gent=4, aalst=3)
+            scene.store.expires_leases = True
+            await scene.start_all()
+            scene.kill('aalst-3')
+            await asyncio.sleep(GONE_SECONDS + 3)
+            assert 'aalst-3' not in scene.find_listed()
+            scene.start('gent-5')
+            await asyncio.sleep(delay)
+            scene.store.restore(GONE_SECONDS + 3 + delay)
+            await asyncio.sleep(3)
+            assert scene.find_listed() >= set(scene.daemons)
+            for _ in range(300):
+                assert scene.find_listed() >= set(scene.daemons)
+                await asyncio.sleep(0.1)
+            assert scene.find_listed() == set(scene.daemons)
+
+        run_virtual(script())
