Save that a request was answered, if a copy has its crash records

After a restore, the leader took what it knows for saved if it knew of no crash that no answer explains: the copy kept the records of before the answer. Daemons that started later loaded them, did not know of the answer, and held the request back. What counts as saved is now what the loaded key holds.

--- a/libs/serving/fireflyhitch_serving/saved_crashes.py
+++ b/libs/serving/fireflyhitch_serving/saved_crashes.py
@@ -104,16 +104,19 @@
         self._revisions = {item.key: item.revision for item in listing.items}
         self._saved = frozenset()
         for item in listing.items:
-            self._apply(item.key, item.value)
+            reports = self._apply(item.key, item.value)
+            if item.key == self._key:
+                self._saved = _list_crashes(reports)
 
-    def _apply(self, key: str, value: bytes) -> None:
+    def _apply(self, key: str, value: bytes) -> Reports:
         try:
             reports = _decode(value, self._peers.wall())
         except DECODE_ERRORS as error:
             logger.bind(key=key, error=repr(error)).error('malformed crash records')
-            return
+            return {}
         self._tracker.apply_reports(reports, self._clock.monotonic())
         logger.bind(key=key, contents=len(reports)).info('crash records loaded')
+        return reports
 
     async def _save(self) -> None:
         """Save the records if they have changed.
@@ -121,11 +124,7 @@
         Another daemon may have written them meanwhile; its records are merged.
         """
         reports = self._tracker.build_evidence(self._clock.monotonic())
-        current = frozenset(
-            (content, process)
-            for content, report in reports.items()
-            for process, _, _ in report.crashes
-        )
+        current = _list_crashes(reports)
         if current == self._saved:
             return
         value = pack({'at': self._peers.wall(), 'reports': reports})
@@ -144,6 +143,14 @@
     return f'{SAVED_CRASHES_PREFIX}{domain}'
 
 
+def _list_crashes(reports: Reports) -> frozenset[tuple[ContentId, int]]:
+    return frozenset(
+        (content, process)
+        for content, report in reports.items()
+        for process, _, _ in report.crashes
+    )
+
+
 def _decode(value: bytes, wall: float) -> dict[ContentId, CrashReport]:
     """Return saved reports with the ages that they have now.
 
--- a/libs/serving/tests/test_holds_after_restores.py
+++ b/libs/serving/tests/test_holds_after_restores.py
@@ -18,6 +18,11 @@
 # A lease, the wait of the others, a claim, and the discovery of peers.
 SUCCESSION_SECONDS = 10.0
 CHECK_SECONDS = 0.001
+WATCH_SECONDS = 0.05
+DISTURBANCES = 4
+MAX_COPY_SECONDS = 15.0
+# Until the leader or its deputies have written what a copy lacks.
+WRITE_SECONDS = 1.5
 
 
 class Holds:
@@ -26,6 +31,7 @@
     def __init__(self, seed: int) -> None:
         self.cluster = Daemons(seed, gent=3, aalst=2)
         self.cluster.store.expires_leases = True
+        self.longest_holding = 0.0
 
     async def start(self) -> None:
         """Start all daemons."""
@@ -49,6 +55,15 @@
         daemons = self.cluster.daemons.items()
         return {name for name, daemon in daemons if daemon.holds(CRASHING)}
 
+    async def watch_holding(self) -> None:
+        """Note for how long any daemon has held the request back without a break."""
+        since = asyncio.get_running_loop().time()
+        while True:
+            now = asyncio.get_running_loop().time()
+            since = since if self.find_holding() else now
+            self.longest_holding = max(self.longest_holding, now - since)
+            await asyncio.sleep(WATCH_SECONDS)
+
     def is_stored(self) -> bool:
         """Return whether the store has the hold."""
         now = asyncio.get_running_loop().time()
@@ -67,10 +82,10 @@
             self.cluster.start(name)
         await asyncio.sleep(SUCCESSION_SECONDS)
 
-    def find_leader(self) -> str:
-        """Return the daemon that leads."""
+    def find_leaders(self) -> list[str]:
+        """Return the daemon that leads, if one does."""
         daemons = self.cluster.daemons
-        return next(name for name in daemons if daemons[name].leads())
+        return [name for name in daemons if daemons[name].leads()]
 
 
 def run_play(seed: int, play: Callable[[Holds], Awaitable[None]]) -> None:
@@ -207,3 +222,58 @@
             assert scene.find_holding() == set(scene.cluster.daemons)
 
         run_play(seed, play)
+
+
+async def disturb(scene: Holds, kept: str | None) -> None:
+    """Restore the store and end daemons again and again, at random.
+
+    :param kept: a daemon that does not end; if there is none, all may end at once.
+    """
+    rng = scene.cluster.rng
+    for _ in range(DISTURBANCES):
+        scene.cluster.store.restore(rng.uniform(0.5, MAX_COPY_SECONDS))
+        await asyncio.sleep(rng.uniform(WRITE_SECONDS, 2 * SETTLE_SECONDS))
+        names = [name for name in scene.cluster.daemons if name != kept]
+        ended = rng.choice((names, rng.sample(names, 2), scene.find_leaders()))
+        for name in ended:
+            if name == kept:
+                continue
+            scene.cluster.kill(name)
+            await asyncio.sleep(rng.uniform(0, RETRY_INTERVAL_SECONDS))
+            scene.cluster.start(name)
+        await asyncio.sleep(rng.uniform(0, SUCCESSION_SECONDS))
+    await asyncio.sleep(SUCCESSION_SECONDS)
+
+
+class TestDisturbances:
+    @pytest.mark.parametrize('seed', range(12))
+    def test_a_crashing_request_stays_held(self, seed: int) -> None:
+        """A hold was lost when restores and ends of daemons followed each other."""
+
+        async def play(scene: Holds) -> None:
+            await scene.crash_servers()
+            await disturb(scene, None)
+            assert scene.find_holding() == set(scene.cluster.daemons)
+            assert scene.is_stored()
+
+        run_play(seed, play)
+
+    @pytest.mark.parametrize('seed', range(12))
+    def test_an_answered_request_stays_released(self, seed: int) -> None:
+        """A released hold came back when restores and ends of daemons followed."""
+
+        async def play(scene: Holds) -> None:
+            await scene.crash_servers()
+            responder, *_ = scene.cluster.daemons
+            tracker = scene.cluster.daemons[responder].crashes.tracker
+            now = asyncio.get_running_loop().time()
+            tracker.record_response(CRASHING, now)
+            await asyncio.sleep(SETTLE_SECONDS)
+            watching = asyncio.ensure_future(scene.watch_holding())
+            await disturb(scene, responder)
+            watching.cancel()
+            assert scene.longest_holding <= SETTLE_SECONDS
+            assert not scene.find_holding()
+            assert not scene.is_stored()
+
+        run_play(seed, play)
