Ask peers whether a request was answered when records say to hold it

Crash records that daemons of another failure domain had saved stayed in the store when that domain had ended, and a restore brings back others: nobody deletes them but who saved them. Daemons that started later loaded them and held back, for up to ten minutes, a request that had been answered since; the daemons that knew of the answer heard nothing of it. A daemon that decides on a hold by its own records now sends these to all, and whoever knows of an answer tells it, also if it is more than a minute old.

--- a/libs/routing/fireflyhitch_routing/crashes.py
+++ b/libs/routing/fireflyhitch_routing/crashes.py
@@ -113,10 +113,7 @@
         completed_age = (
             float('inf') if report.completed_age is None else report.completed_age
         )
-        return (
-            now - self.completed_at < EXONERATION_SECONDS
-            and now - self.completed_at < completed_age - RESPONSE_REPORT_SECONDS
-        )
+        return now - self.completed_at < completed_age - RESPONSE_REPORT_SECONDS
 
 
 class CrashTracker:
--- a/libs/routing/fireflyhitch_routing/quarantine.py
+++ b/libs/routing/fireflyhitch_routing/quarantine.py
@@ -118,6 +118,8 @@
         until = max(crash.at for crash in crashes.values()) + HOLD_SECONDS
         if until > now and len(self._held) < MAX_HELD:
             self._hold(content, Hold(until, frozenset(crashes)), 'seen')
+            # The records may be from a copy of the store; others may know a response.
+            self._tracker.report_again(content, now)
 
     def _find_crashes(self, content: ContentId) -> Mapping[ProcessId, ServerCrash]:
         """Return the crashes for which something is to be held; none if it is not."""
--- a/libs/serving/tests/test_holds_after_restores.py
+++ b/libs/serving/tests/test_holds_after_restores.py
@@ -127,6 +127,35 @@
 
         run_play(seed, play)
 
+    @pytest.mark.parametrize('seed', range(4))
+    @pytest.mark.parametrize('age', [10.0, 100.0])
+    def test_records_saved_by_an_ended_domain_hold_nothing_back(
+        self, seed: int, age: float
+    ) -> None:
+        """New daemons loaded records that nobody had deleted, and knew of no answer."""
+
+        async def play(scene: Holds) -> None:
+            await scene.crash_servers()
+            leader = scene.find_leaders()[0]
+            domain = scene.cluster.find_daemons(leader.partition('-')[0])
+            for name in domain:
+                scene.cluster.kill(name)
+            await asyncio.sleep(SUCCESSION_SECONDS)
+            responder = next(iter(scene.cluster.daemons.values()))
+            now = asyncio.get_running_loop().time()
+            responder.crashes.tracker.record_response(CRASHING, now)
+            await asyncio.sleep(age)
+            assert not scene.find_holding()
+            for name in domain:
+                scene.cluster.start(name)
+            await asyncio.sleep(SETTLE_SECONDS)
+            assert not scene.find_holding()
+            await asyncio.sleep(SUCCESSION_SECONDS)
+            assert not scene.find_holding()
+            assert not scene.is_stored()
+
+        run_play(seed, play)
+
 
 class TestLostHolds:
     @pytest.mark.parametrize('seed', range(4))
