Leave out only windows that ended before a new leader's term

A leader that finds no record of what earlier ones reported leaves out windows up to the one of the moment at which its take-over came through. While the store lost answers each attempt took seconds, and windows that ended under this leader, which nobody else could have reported, went unreported. The moment is now that at which its term began.

The new test failed without it.

--- a/libs/serving/fireflyhitch_serving/usage_reports.py
+++ b/libs/serving/fireflyhitch_serving/usage_reports.py
@@ -98,6 +98,9 @@
         self._term: FencingNumber | None = None
         # Windows before this one are reported only with counts that were fixed.
         self._complete_since = 0
+        # The term in which this daemon leads, and the window in which that began.
+        self._led_term: FencingNumber | None = None
+        self._led_since = 0
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -123,11 +126,11 @@
         """Load the saved counts on taking over, then save counts periodically."""
         fencing = leadership.fencing if leadership else DEPUTY
         if self._loaded_under != fencing:
-            await self._saved.load()
             if leadership is None:
                 await self._load_fixed()
             else:
                 await self._take_over(leadership)
+            await self._saved.load()
             self._loaded_under = fencing
             logger.bind(
                 fencing=fencing,
@@ -154,20 +157,27 @@
 
         The record comes last: if this leader ends before, the next one does the same.
         """
+        self._begin_term(leadership)
         since = await self._load_fixed()
         if since is None:
             since = await self._complete_fixed(leadership)
         self._complete_since = since
         self._term = leadership.term
 
+    def _begin_term(self, leadership: Leadership) -> None:
+        """Record when a term began; taking over may take several attempts."""
+        if self._led_term != leadership.term:
+            self._led_term = leadership.term
+            self._led_since = self._find_newest()
+
     async def _complete_fixed(self, leadership: Leadership) -> int:
         """Write again what is known to be fixed; return since when that is complete."""
         if self._term == leadership.term:
             since = self._complete_since
         else:
             await self._fixed.ask_peers()
-            # By a clock that was wrong, the running window may have been reported, too.
-            since = self._find_newest() + 1
+            # By a clock that was wrong, the window of that moment may have been reported.
+            since = self._led_since + 1
         self._fixed.apply_stored()
         await self._fixed.write_again()
         await self._fixed.record_complete_since(since)
--- a/libs/serving/tests/test_usage_reports.py
+++ b/libs/serving/tests/test_usage_reports.py
@@ -169,6 +169,37 @@
         assert leader.reported[1] == {BAKERY: 9}
 
 
+class UncertainStoreLeader(UnreadableStoreLeader):
+    """A leader that cannot read at first the store that has come back from a copy."""
+
+    async def list(self, prefix: str, *, stale: bool = False) -> Listing:
+        """Return no record of completeness, or fail."""
+        listing = await super().list(prefix)
+        return Listing(ABSENT, ()) if prefix == COMPLETE_SINCE_KEY else listing
+
+
+class TestLongTakeover:
+    def test_only_windows_before_the_term_are_left_out(self, monkeypatch) -> None:
+        """Windows that ended while a leader took over were never reported."""
+        monkeypatch.setattr(f'{UsageReporter.__module__}.CHECK_INTERVAL_SECONDS', 0)
+        leader = UncertainStoreLeader()
+        tracker = UsageTracker('local', 5)
+        clock = [13.0]
+        reporter = make_reporter(leader, tracker, lambda: clock[0])
+
+        async def script() -> None:
+            tracker.merge_counts('remote', {3: {BAKERY: 30}})
+            running = asyncio.create_task(reporter.run())
+            await asyncio.sleep(0.01)
+            clock[0] = 23.0
+            leader.readable = True
+            await asyncio.sleep(0.1)
+            running.cancel()
+
+        asyncio.run(script())
+        assert leader.reported == {3: {BAKERY: 30}}
+
+
 class TestSavedCounts:
     def test_a_late_leader_saves_windows_that_nobody_has_fixed(
         self, monkeypatch
