Tell a new system from a store that went back before any leader

The platform tells it: 'bootstrap' in the settings file is true only when the whole system starts for the first time. Such a process, as long as it has seen no restore, records at once that no fixed counts can be missing, and its claim waits for nobody. All others go on as before. The stand-in's settings file has the field as the platform's has it; it is false once a daemon of the test has ended.

Both tests pass, unchanged, as do the tests of duties after restores.

--- a/libs/serving/fireflyhitch_serving/fixed_counts.py
+++ b/libs/serving/fireflyhitch_serving/fixed_counts.py
@@ -90,12 +90,17 @@
         eras: EraTracker,
         peers: PeerRegistry,
         keepers: KeeperCalls,
+        is_new_system: Callable[[], bool] = bool,
     ) -> None:
-        """Create a table without any."""
+        """Create a table without any.
+
+        :param is_new_system: returns whether nobody can have led before this process.
+        """
         self._store = store
         self._eras = eras
         self._peers = peers
         self._keepers = keepers
+        self._is_new_system = is_new_system
         self._counts: dict[int, Mapping[CustomerId, int]] = {}
         self._stored: dict[int, _StoredCounts] = {}
         self._disputed: set[int] = set()
@@ -160,6 +165,9 @@
         self._check_era(listing.revision)
         self._loaded_era = self._eras.current
         self._stored = dict(_read_items(listing.items))
+        if self._complete_since is None and self._is_new_system():
+            await self.record_complete_since(0)
+            return 0
         since = self._decode_complete_since()
         if since is None or _is_too_far(since, newest):
             return None
--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -82,12 +82,14 @@
         health: StoreHealth,
         find_claim_rank: Callable[[], int | None],
         eras: EraTracker,
+        is_new_system: Callable[[], bool] = bool,
     ) -> None:
         """Create a lease that is not held.
 
         :param boot_clock: seconds that also pass while the instance is suspended.
         :param find_claim_rank: returns how many daemons claim before this one; ``None``
             if this one does not claim.
+        :param is_new_system: returns whether nobody can have led before this process.
         """
         self.stopping = False
         self._store = store
@@ -104,6 +106,7 @@
         self._keys_listed = False
         self._wake = asyncio.Event()
         self._eras = eras
+        self._is_new_system = is_new_system
         self._era_known_at = boot_clock()
         self._reclaims_until = float('-inf')
         self._term = FencingNumber(ABSENT)
@@ -247,7 +250,7 @@
         has not been restored.
         """
         if keys.era is None:
-            return self._eras.current != UNKNOWN_ERA
+            return self._eras.current != UNKNOWN_ERA and not self._is_new_system()
         return keys.era.value != self._own_era()
 
     def _is_leader(self) -> bool:
--- a/libs/serving/fireflyhitch_serving/store_eras.py
+++ b/libs/serving/fireflyhitch_serving/store_eras.py
@@ -54,6 +54,11 @@
         """
         return UNKNOWN_ERA if self._first is None else self._first
 
+    @property
+    def has_changed(self) -> bool:
+        """Return whether the store has come back from an older copy since the start."""
+        return self._first != self._current
+
     @property
     def floor(self) -> Revision:
         """Return a revision below all of the current era."""
--- a/libs/standins/fireflyhitch_standins/users_formats.py
+++ b/libs/standins/fireflyhitch_standins/users_formats.py
@@ -16,6 +16,7 @@
 region = "vlaanderen"
 internal_ports = [{node.peer_port},{node.peer_port}]
 seeds = []
+bootstrap = {first_start}
 new_field = "to be passed over"
 [listen]
 front = "{host}:{node.front}"
@@ -68,6 +69,7 @@
     :param host: address that the daemon listens at.
     :param memory_mb: megabytes that the daemon's process may use.
     :param descriptors: descriptors that it may have open.
+    :param first_start: whether the whole system starts for the first time.
     """
 
     name: str
@@ -81,11 +83,13 @@
     host: str = HOST
     memory_mb: int = 300
     descriptors: int = 4100
+    first_start: bool = False
 
 
 def render_node_file(node: Node) -> str:
     """Render a daemon's settings file."""
-    return NODE_FILE.format(node=node, host=node.host)
+    first_start = str(node.first_start).lower()
+    return NODE_FILE.format(node=node, host=node.host, first_start=first_start)
 
 
 def render_route(
--- a/tests/users_platform/cluster.py
+++ b/tests/users_platform/cluster.py
@@ -61,6 +61,7 @@
         self.store_addresses: dict[str, str] = {}
         self._folder = folder
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._is_first_start = True
         self._ports: dict[str, tuple[int, int, int]] = {}
         self._servers: list[ScriptedServer] = []
 
@@ -99,6 +100,7 @@
             self.duties.address,
             domain,
             grace,
+            first_start=self._is_first_start,
         )
         path.write_text(render_node_file(node) + extra)
         return path
@@ -126,11 +128,13 @@
 
     def kill(self, name: str) -> None:
         """Stop a daemon abruptly, as if it were killed."""
+        self._is_first_start = False
         self._tasks.pop(name).cancel()
         self.programs.pop(name).cancel_tasks()
 
     async def join(self, name: str) -> None:
         """Wait until a daemon has shut down."""
+        self._is_first_start = False
         await self._tasks.pop(name)
         self.programs.pop(name).cancel_tasks()
 
