Test bytes without end behind a whole response

On a kept connection, of five kinds: the connection ends, its bytes are not kept, and the next request gets a response of its own.

--- a/libs/serving/tests/test_endless_responses.py
+++ b/libs/serving/tests/test_endless_responses.py
@@ -56,6 +56,14 @@
     'failure': repeat(CHUNK, first=CHUNKED, status='500 Failed'),
     'other response': repeat(FILL, first=b'HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n'),
 }
+WHOLE = b'HEADContent-Length: 4\r\n\r\ndone'
+BEHIND_RESPONSES = {
+    'no response': repeat(FILL, first=WHOLE),
+    'blank lines': repeat(b'\r\n' * 900, first=WHOLE),
+    'interim responses': repeat(b'HTTP/1.1 100 Continue\r\n\r\n' * 90, first=WHOLE),
+    'slow bytes': repeat(b'x', first=WHOLE, pause=PAUSE_SECONDS / 4),
+    'heads': repeat(b'HTTP/1.1 204 No\r\nX-Id: r9\r\n\r\n' * 90, first=WHOLE),
+}
 SLOW = {
     'head': repeat(b'x', first=b'HEADX-More: ', pause=PAUSE_SECONDS),
     'body': repeat(b'1\r\nx\r\n', first=CHUNKED, pause=PAUSE_SECONDS),
@@ -228,6 +236,23 @@
         run_bounded(run)
 
 
+class TestKeptConnections:
+    @parametrize(BEHIND_RESPONSES)
+    def test_bytes_without_end_behind_a_response_end_with_its_connection(
+        self, script: Script
+    ) -> None:
+        # Guards against bytes that are kept, or taken for the next request's response.
+        async def run(harness: RequestHarness) -> None:
+            server = await harness.add('a', script)
+            for number in range(4):
+                got = await harness.ask('/book/1', 'POST', request_id=f'r{number}')
+                assert (got.status, got.body) == (200, b'done')
+                await asyncio.sleep(PAUSE_SECONDS)
+            assert len(server.seen) == 4
+
+        run_bounded(run)
+
+
 class TestPeers:
     @parametrize({**ENDLESS_HEADS, **ENDLESS_BODIES})
     def test_bytes_without_end_end_at_the_peer(self, script: Script) -> None:
