--- a/libs/serving/tests/test_stopping_requests.py
+++ b/libs/serving/tests/test_stopping_requests.py
@@ -26,6 +26,7 @@
 from fireflyhitch_serving.lifecycle import Lifecycle
 from fireflyhitch_serving.messages import CallerRequest, render_request
 from fireflyhitch_serving.placement import MAX_LOAD_FACTOR
+from fireflyhitch_standins.scripted_server import ReceivedRequest
 
 # Of the grace period, the time until requests must have ended, and of the balancer.
 GRACE_SECONDS = 1.4
@@ -42,6 +43,9 @@
 )
 # Of the same method, so that its first byte is the same.
 SHORT_HEAD = LONG_HEAD.replace(b'/book', b'/read')
+STREAM_HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: 1\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
 CLOSE = b'Connection: close\r\n'
 NO_BODY = b'Content-Length: 0\r\n\r\n'
 SHORT = SHORT_HEAD + NO_BODY
@@ -173,6 +177,28 @@
         run(script)
 
 
+class TestStreams:
+    def test_a_stream_that_outlasts_the_grace_is_seen_to_be_cut_off(self) -> None:
+        # Guards against a part of a stream that passes for a whole one.
+        async def stream_on(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(STREAM_HEAD)
+            writer.write(b'10\r\nid: 1\ndata: t1\n\n\r\n')
+            await request.closed.wait()
+            writer.close()
+
+        async def script(harness: RequestHarness) -> None:
+            await harness.add('a', stream_on)
+            asked = await begin(harness, '/chat/1')
+            async with stop(harness):
+                got = await asked
+            assert (got.status, got.body.count(b'id: ')) == (200, 1)
+            assert not got.whole
+
+        run(script)
+
+
 class TestWaitingRequests:
     def test_a_request_without_a_place_is_refused_and_never_sent(self) -> None:
         # Guards against a request that is sent, or cut unsent, when the grace ends.
