--- a/tests/users_platform/test_restored_store.py
+++ b/tests/users_platform/test_restored_store.py
@@ -200,6 +200,59 @@
         run_drill(tmp_path, script)
 
 
+class TestNewProcess:
+    def test_a_new_process_serves_by_the_configuration_of_its_peers(
+        self, tmp_path
+    ) -> None:
+        """A process that started beside an older copy served a revoked key."""
+
+        async def script(drill: Drill) -> None:
+            await drill.start()
+            copy = drill.cluster.store.copy()
+            put_configuration(drill.cluster, 20, NEW_KEY, ('added',))
+            await asyncio.sleep(MAX_DELAY_SECONDS)
+            drill.cluster.store.restore(copy)
+            drill.start_daemons(SUCCESSORS[:1])
+            await drill.cluster.wait_ready(*SUCCESSORS[:1])
+            for _ in range(10):
+                assert await drill.send(SUCCESSORS[0], '/added/1', NEW_KEY) == 200
+                assert await drill.send(SUCCESSORS[0], '/read/1', KEY) == 401
+                await asyncio.sleep(0.1)
+
+        run_drill(tmp_path, script)
+
+    @pytest.mark.parametrize('is_rewritten', [True, False])
+    def test_a_new_process_sends_nothing_to_a_domain_that_peers_know_evacuated(
+        self, tmp_path, is_rewritten: bool
+    ) -> None:
+        """A process that started beside an older copy used an evacuated domain."""
+
+        async def script(drill: Drill) -> None:
+            await drill.start()
+            server = await drill.cluster.add_server(
+                'i-2', answer_signed(), zone='brugge'
+            )
+            await asyncio.sleep(1)
+            copy = drill.cluster.store.copy()
+            drill.cluster.store.put('op/evacuate/brugge', {})
+            await asyncio.sleep(MAX_DELAY_SECONDS)
+            before = len(server.seen)
+            drill.cluster.store.restore(copy)
+            drill.cluster.start(SUCCESSORS[0], domain='brugge')
+            await drill.cluster.wait_ready(*SUCCESSORS[:1])
+            for _ in range(20):
+                await drill.send(SUCCESSORS[0], '/read/1', KEY)
+            assert len(server.seen) == before
+            if is_rewritten:
+                drill.cluster.store.rewrite_others()
+            await asyncio.sleep(2 * MAX_DELAY_SECONDS)
+            for _ in range(20):
+                await drill.send(SUCCESSORS[0], '/read/1', KEY)
+            assert (len(server.seen) == before) is is_rewritten
+
+        run_drill(tmp_path, script)
+
+
 class TestDuties:
     @pytest.mark.parametrize('tells_first_era', [True, False])
     def test_duties_go_on_if_the_copy_lacks_the_leader(
