Renew no lease of before a restore once its time is over

A leader that heard of a restore while the store did not answer it kept the id of its lease, beyond the time for which it may lead by that lease. The store gives ids out again in a new era: the renewal kept another daemon's lease, and the former leader led again, for as long as its view named it, beside whoever had claimed meanwhile. It forgets the id with the time now.

The new test of test_leases.py failed before (a leadership of 2.4 s) and passes.

--- a/libs/serving/fireflyhitch_serving/leases.py
+++ b/libs/serving/fireflyhitch_serving/leases.py
@@ -167,6 +167,7 @@
 
     async def _step(self) -> None:
         self._wake.clear()
+        self._forget_lost_lease()
         if self._reclaims():
             await self._reclaim()
         elif self._is_leader():
@@ -197,6 +198,15 @@
         """Return whether this daemon leads by a lease that a restore may have lost."""
         return self._clock() < self._reclaims_until
 
+    def _forget_lost_lease(self) -> None:
+        """Forget the lease of before a restore once this daemon may lead no longer by it.
+
+        The store may have given its id to another lease, which a renewal would keep.
+        """
+        if self._reclaims_until > float('-inf') and not self._reclaims():
+            self._reclaims_until = float('-inf')
+            self._lease = None
+
     async def _reclaim(self) -> None:
         keys = await self._read_keys()
         sent_at = self._clock()
